--- /dev/null
+++ b/cmd/sumachead/main.go
@@ -0,0 +1,12 @@
+// Command sumachead is the operators' tool.
+package main
+
+import (
+	"os"
+
+	"sumachead/internal/tool"
+)
+
+func main() {
+	os.Exit(tool.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/interfaces.go
@@ -0,0 +1,61 @@
+package sumachead
+
+import (
+	"context"
+	"time"
+
+	"sumachead/api/wire"
+)
+
+// StateMachine is what a replicated group applies its log to. Apply must be
+// deterministic: it reads no clock and no randomness. Calls do not overlap.
+type StateMachine interface {
+	// Apply carries out one command and returns its result.
+	Apply(index uint64, command []byte) any
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(data []byte) error
+}
+
+// Ledger admits and settles requests. An error that is a [*Refusal] is final;
+// any other error means that the outcome is not known and that the same call
+// may be repeated.
+type Ledger interface {
+	Reserve(ctx context.Context, r *wire.ReserveRequest) (*wire.LedgerReply, error)
+	Reassign(ctx context.Context, r *wire.ReassignRequest) (*wire.LedgerReply, error)
+	// Settle takes many at once and is idempotent.
+	Settle(ctx context.Context, b *wire.SettleBatch) error
+}
+
+// Candidate is a backend server that could run a request.
+type Candidate struct {
+	Server  ServerID
+	Hall    HallID
+	Address string
+	Epoch   Epoch
+	// Load is the newest known; nil when nothing is known.
+	Load *wire.Load
+	// LoadAt is when Load was received.
+	LoadAt time.Time
+	// Outstanding is how many requests this router has open there.
+	Outstanding int
+}
+
+// PlaceRequest says what is to be placed.
+type PlaceRequest struct {
+	Hall     HallID
+	Pool     PoolID
+	Priority Priority
+	// Prefix is a hash of the prompt's start; 0 when there is none.
+	Prefix uint64
+	// Tried lists servers not to be chosen again.
+	Tried []ServerID
+	Now   time.Time
+}
+
+// Placer chooses a backend server. Implementations are safe for concurrent
+// use; ok is false when no candidate is fit.
+type Placer interface {
+	Place(r PlaceRequest, candidates []Candidate) (chosen Candidate, ok bool)
+}
--- /dev/null
+++ b/internal/agent/backend.go
@@ -0,0 +1,331 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/gravitational/trace"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/settings"
+)
+
+// Headers that the agent sets towards the backend server.
+const (
+	headerRequestID = "X-Request-Id"
+	headerEpoch     = "Sumachead-Epoch"
+)
+
+const (
+	// maxAnswerBytes bounds an answer.
+	maxAnswerBytes = 8 << 20
+	dialTimeout    = time.Second
+	readBuffer     = 16 << 10
+)
+
+// errStuck ends a request whose answer has stopped coming.
+var errStuck = errors.New("the backend server sends nothing")
+
+// backend relays requests to the backend server.
+type backend struct {
+	base   string
+	client *http.Client
+
+	mu    sync.Mutex // guards first
+	first time.Duration
+}
+
+func newBackend(base string) *backend {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &backend{
+		base: strings.TrimSuffix(base, "/"),
+		client: &http.Client{
+			// A connection serves one request: one that the server has just
+			// closed can't be told from one on which a request was lost.
+			Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true},
+			CheckRedirect: func(*http.Request, []*http.Request) error {
+				return http.ErrUseLastResponse
+			},
+		},
+	}
+}
+
+// firstToken returns the moving average of the time to the first byte.
+func (b *backend) firstToken() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.first
+}
+
+func (b *backend) noteFirst(took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.first == 0 {
+		b.first = took
+	}
+	b.first += time.Duration(averageWeight * float64(took-b.first))
+}
+
+// do relays one request and writes the answer to x. It returns the tokens to
+// bill; after an error these are what is known to have been used.
+func (b *backend) do(ctx context.Context, x *run, r *wire.RunRequest, pool *settings.ResolvedPool) (sumachead.Tokens, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := newWatch(pool.StuckAfter.Duration, func() { cancel(errStuck) })
+	defer watch.stop()
+	began := time.Now()
+	resp, err := b.send(ctx, r)
+	if err != nil {
+		return 0, stuckOr(ctx, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body := &watched{Reader: io.LimitReader(resp.Body, maxAnswerBytes+1), watch: watch, first: func() { b.noteFirst(time.Since(began)) }}
+	if pool.Kind == settings.ServicePool {
+		return relayService(x, r, resp, body)
+	}
+	tokens, err := relayModel(x, r, resp, body)
+	return tokens, stuckOr(ctx, err)
+}
+
+// stuckOr replaces err by a refusal when the watch ended the request.
+func stuckOr(ctx context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(ctx), errStuck) {
+		return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonStuck, errStuck.Error(), time.Now().Add(retrySoon))
+	}
+	return err
+}
+
+func (b *backend) send(ctx context.Context, r *wire.RunRequest) (*http.Response, error) {
+	url := b.base + r.GetPath()
+	if r.GetQuery() != "" {
+		url += "?" + r.GetQuery()
+	}
+	req, err := http.NewRequestWithContext(ctx, r.GetMethod(), url, bytes.NewReader(r.GetBody()))
+	if err != nil {
+		return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonBadRequest, err.Error(), time.Time{})
+	}
+	req.GetBody = nil // the transport must not send it twice
+	if r.GetContentType() != "" {
+		req.Header.Set("Content-Type", r.GetContentType())
+	}
+	req.Header.Set(headerRequestID, requestID(r))
+	req.Header.Set(headerEpoch, strconv.FormatUint(r.GetEpoch(), 10))
+	resp, err := b.client.Do(req)
+	if err == nil {
+		return resp, nil
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonServerUnreached, err.Error(), time.Now().Add(retrySoon))
+	}
+	return nil, trace.Wrap(err)
+}
+
+// requestID names one attempt to the backend server.
+func requestID(r *wire.RunRequest) string {
+	return r.GetWorkspace() + "/" + r.GetKey() + "/" + strconv.Itoa(int(r.GetAttempt()))
+}
+
+// checkEcho refuses an answer that names another request.
+func checkEcho(resp *http.Response, r *wire.RunRequest) error {
+	if echo := resp.Header.Get(headerRequestID); echo != "" && echo != requestID(r) {
+		return badAnswer("the answer names another request")
+	}
+	return nil
+}
+
+func badAnswer(detail string) error {
+	return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonBadAnswer, detail, time.Now().Add(retrySoon))
+}
+
+// refusedByServer turns the statuses by which a backend server declares that
+// it did not start the request.
+func refusedByServer(resp *http.Response) error {
+	if resp.StatusCode != http.StatusTooManyRequests && resp.StatusCode != http.StatusServiceUnavailable {
+		return nil
+	}
+	return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonBusy, "the backend server refused: "+resp.Status, time.Now().Add(retrySoon))
+}
+
+// relayService passes a plain service's answer on as it is, once it is whole.
+func relayService(x *run, r *wire.RunRequest, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
+	if err := checkEcho(resp, r); err != nil {
+		return 0, err
+	}
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	if len(data) > maxAnswerBytes {
+		return 0, badAnswer("the answer is too large")
+	}
+	x.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
+	x.write(data)
+	return sumachead.Tokens(r.GetFlatCost()), nil
+}
+
+// usage is the part of a model answer that counts.
+type usage struct {
+	Prompt     int64 `json:"prompt_tokens"`
+	Completion int64 `json:"completion_tokens"`
+}
+
+// modelAnswer is what the agent looks at in an answer or a chunk of one.
+type modelAnswer struct {
+	ID      string           `json:"id"`
+	Usage   *usage           `json:"usage"`
+	Choices []jsontext.Value `json:"choices"`
+}
+
+func (u *usage) tokens() sumachead.Tokens {
+	if u == nil {
+		return 0
+	}
+	return sumachead.Tokens(u.Prompt + u.Completion)
+}
+
+func relayModel(x *run, r *wire.RunRequest, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
+	if err := refusedByServer(resp); err != nil {
+		return 0, err
+	}
+	if err := checkEcho(resp, r); err != nil {
+		return 0, err
+	}
+	if resp.StatusCode/100 == 4 {
+		return relayRejected(x, resp, body)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonServerFailed, "the backend server answered "+resp.Status, time.Now().Add(retrySoon))
+	}
+	if r.GetStream() {
+		return relayStream(x, resp, body)
+	}
+	return relayWhole(x, resp, body)
+}
+
+// relayRejected passes on that the engine finds fault with the request: a
+// whole answer that used no tokens.
+func relayRejected(x *run, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	x.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
+	x.write(data)
+	return 0, nil
+}
+
+func relayWhole(x *run, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	var m modelAnswer
+	if err := json.Unmarshal(data, &m); err != nil || len(data) > maxAnswerBytes {
+		return 0, badAnswer("the answer is not whole JSON of a fair size")
+	}
+	if m.Usage == nil {
+		return 0, badAnswer("the answer has no usage")
+	}
+	x.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
+	x.write(data)
+	return m.Usage.tokens(), nil
+}
+
+// relayStream passes server-sent events on as they come. The answer is whole
+// when it ended with its mark, after a usage report, under one id.
+func relayStream(x *run, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
+	s := &streamCheck{}
+	lines := bufio.NewReaderSize(body, readBuffer)
+	begun := false
+	var event []byte
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return s.tokens(), trace.Wrap(err, "the stream broke off")
+		}
+		event = append(event, line...)
+		if len(bytes.TrimSpace(line)) > 0 {
+			if err := s.line(line); err != nil {
+				return s.tokens(), err
+			}
+			continue
+		}
+		if s.ended && s.usage == nil {
+			return s.tokens(), badAnswer("the stream has no usage")
+		}
+		if !begun {
+			x.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
+			begun = true
+		}
+		x.write(event)
+		if s.ended {
+			return s.tokens(), nil
+		}
+		event = event[:0]
+	}
+}
+
+// streamCheck follows a stream's events.
+type streamCheck struct {
+	id    string
+	usage *usage
+	// chunks counts the events that carry text: at least one token each.
+	chunks int64
+	ended  bool
+}
+
+// tokens returns what is known to have been used.
+func (s *streamCheck) tokens() sumachead.Tokens {
+	if s.usage != nil {
+		return s.usage.tokens()
+	}
+	return sumachead.Tokens(s.chunks)
+}
+
+const (
+	eventPrefix = "data:"
+	endMark     = "[DONE]"
+)
+
+// line takes in one line of an event.
+func (s *streamCheck) line(line []byte) error {
+	data, ok := bytes.CutPrefix(line, []byte(eventPrefix))
+	if !ok {
+		return nil
+	}
+	data = bytes.TrimSpace(data)
+	if string(data) == endMark {
+		s.ended = true
+		return nil
+	}
+	var m modelAnswer
+	if err := json.Unmarshal(data, &m); err != nil {
+		return badAnswer("an event of the stream is not JSON")
+	}
+	if s.id == "" {
+		s.id = m.ID
+	}
+	if m.ID != s.id {
+		return badAnswer("the stream changed to another answer")
+	}
+	if m.Usage != nil {
+		s.usage = m.Usage
+	}
+	if len(m.Choices) > 0 {
+		s.chunks++
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,34 @@
+package agent
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sumachead"
+	"sumachead/internal/telemetry"
+)
+
+// metrics are an agent's counters.
+type metrics struct {
+	registry *prometheus.Registry
+	refusals *prometheus.CounterVec
+	done     prometheus.Counter
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: telemetry.NewRegistry(),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sumachead_agent_refusals_total", Help: "Requests that were refused or failed, by reason.",
+		}, []string{"reason"}),
+		done: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sumachead_agent_answers_total", Help: "Whole answers.",
+		}),
+	}
+	for _, r := range sumachead.Reasons() {
+		m.refusals.WithLabelValues(string(r))
+	}
+	m.registry.MustRegister(m.refusals, m.done)
+	return m
+}
+
+func (m *metrics) refused(r sumachead.Reason) { m.refusals.WithLabelValues(string(r)).Inc() }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,246 @@
+// Package config reads the settings file of one process: its role, its
+// addresses and its data hall. What operators change while the system runs
+// stands in the settings tree instead (package settings).
+package config
+
+import (
+	"net"
+	"net/url"
+	"os"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"sumachead"
+	"sumachead/internal/place"
+	"sumachead/internal/strictjson"
+)
+
+// Role says what a process does.
+type Role string
+
+// The roles.
+const (
+	RoleRouter Role = "router"
+	RoleAgent  Role = "agent"
+	RoleKeeper Role = "keeper"
+)
+
+// Config is the settings file of one process.
+type Config struct {
+	Role     Role             `json:"role" doc:"router, agent or keeper."`
+	Node     sumachead.NodeID `json:"node" doc:"Name of this process, unique in the system."`
+	Hall     sumachead.HallID `json:"hall" doc:"Data hall that the process stands in."`
+	RPC      string           `json:"rpc,omitempty" doc:"Address for calls of other processes, host:port (agent and keeper)."`
+	HTTP     string           `json:"http" doc:"Address for callers (router), health and metrics, host:port."`
+	LogLevel string           `json:"log_level,omitempty" doc:"debug, info (when left out), warn or error."`
+	Keepers  []Keeper         `json:"keepers" doc:"All keepers of the system."`
+	Data     string           `json:"data,omitempty" doc:"Data folder (keeper)."`
+	Agent    *Agent           `json:"agent,omitempty" doc:"What the agent stands beside (agent)."`
+	// Placement is for measuring against the baselines.
+	Placement string `json:"placement,omitempty" doc:"weighted (when left out), round_robin or least_outstanding (router)."`
+	TLS       TLS    `json:"tls" doc:"TLS between processes and towards callers."`
+}
+
+// Keeper is one keeper's address.
+type Keeper struct {
+	ID      string           `json:"id" doc:"Node name of the keeper."`
+	Hall    sumachead.HallID `json:"hall" doc:"Data hall of the keeper."`
+	Address string           `json:"address" doc:"Its rpc address, host:port."`
+}
+
+// Agent says what an agent stands beside.
+type Agent struct {
+	Server        sumachead.ServerID `json:"server" doc:"Id of the backend server in the settings tree."`
+	Backend       string             `json:"backend" doc:"Base URL of the backend server."`
+	RetainedBytes int64              `json:"retained_bytes,omitempty" doc:"Most bytes of finished answers kept for retries; 16777216 when left out."`
+}
+
+// Client is the settings file of the tool.
+type Client struct {
+	Keepers []Keeper `json:"keepers" doc:"All keepers of the system."`
+	TLS     TLS      `json:"tls" doc:"TLS towards the keepers."`
+}
+
+// TLS names the files of a process. Certificates are read again when they
+// change.
+type TLS struct {
+	Off        bool   `json:"off,omitempty" doc:"Runs without TLS; the files are then left out."`
+	CA         string `json:"ca,omitempty" doc:"PEM file of the authority that signs all processes' certificates."`
+	Cert       string `json:"cert,omitempty" doc:"PEM file of this process's certificate."`
+	Key        string `json:"key,omitempty" doc:"PEM file of its key."`
+	CallerCert string `json:"caller_cert,omitempty" doc:"PEM file of the certificate shown to callers (router); cert when left out."`
+	CallerKey  string `json:"caller_key,omitempty" doc:"PEM file of its key."`
+}
+
+// defaultRetainedBytes is what an agent keeps of finished answers.
+const defaultRetainedBytes = 16 << 20
+
+// ReadFile reads and checks a settings file.
+func ReadFile(path string) (*Config, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	c := &Config{}
+	if err := strictjson.Decode(path, data, c); err != nil {
+		return nil, err
+	}
+	if err := c.check(); err != nil {
+		return nil, trace.BadParameter("%s: %s", path, trace.UserMessage(err))
+	}
+	return c, nil
+}
+
+// ReadClientFile reads and checks the tool's settings file.
+func ReadClientFile(path string) (*Client, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	c := &Client{}
+	if err := strictjson.Decode(path, data, c); err != nil {
+		return nil, err
+	}
+	for _, err := range []error{checkKeepers(c.Keepers), c.TLS.check()} {
+		if err != nil {
+			return nil, trace.BadParameter("%s: %s", path, trace.UserMessage(err))
+		}
+	}
+	return c, nil
+}
+
+func (c *Config) check() error {
+	checks := []func() error{c.checkNode, c.checkRole, c.checkSelf, c.TLS.check}
+	for _, f := range checks {
+		if err := f(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Config) checkNode() error {
+	if c.Node == "" {
+		return trace.BadParameter("node: missing")
+	}
+	if c.Hall == "" {
+		return trace.BadParameter("hall: missing")
+	}
+	switch c.LogLevel {
+	case "", "debug", "info", "warn", "error":
+	default:
+		return trace.BadParameter("log_level: %q is not a level", c.LogLevel)
+	}
+	return checkAddress("http", c.HTTP)
+}
+
+func (c *Config) checkRole() error {
+	switch c.Role {
+	case RoleRouter:
+		return c.checkPlacement()
+	case RoleAgent:
+		if err := checkAddress("rpc", c.RPC); err != nil {
+			return err
+		}
+		return c.checkAgent()
+	case RoleKeeper:
+		if c.Data == "" {
+			return trace.BadParameter("data: missing")
+		}
+		return checkAddress("rpc", c.RPC)
+	}
+	return trace.BadParameter("role: %q is none of router, agent and keeper", c.Role)
+}
+
+func (c *Config) checkPlacement() error {
+	if place.New(c.Placement) == nil {
+		return trace.BadParameter("placement: unknown policy %q", c.Placement)
+	}
+	return nil
+}
+
+func (c *Config) checkAgent() error {
+	a := c.Agent
+	if a == nil {
+		return trace.BadParameter("agent: missing")
+	}
+	if a.Server == "" {
+		return trace.BadParameter("agent.server: missing")
+	}
+	if u, err := url.Parse(a.Backend); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return trace.BadParameter("agent.backend: %q is not an http URL", a.Backend)
+	}
+	if a.RetainedBytes < 0 {
+		return trace.BadParameter("agent.retained_bytes: %d is below 0", a.RetainedBytes)
+	}
+	if a.RetainedBytes == 0 {
+		a.RetainedBytes = defaultRetainedBytes
+	}
+	return nil
+}
+
+// checkSelf checks the keepers, and that a keeper is one of them.
+func (c *Config) checkSelf() error {
+	if err := checkKeepers(c.Keepers); err != nil {
+		return err
+	}
+	isSelf := func(k Keeper) bool { return k.ID == string(c.Node) }
+	if c.Role == RoleKeeper && !slices.ContainsFunc(c.Keepers, isSelf) {
+		return trace.BadParameter("keepers: this node, %q, is not among them", c.Node)
+	}
+	return nil
+}
+
+func checkKeepers(keepers []Keeper) error {
+	if len(keepers) == 0 {
+		return trace.BadParameter("keepers: missing")
+	}
+	ids := make(map[string]bool)
+	addresses := make(map[string]bool)
+	for i, k := range keepers {
+		if k.ID == "" || ids[k.ID] {
+			return trace.BadParameter("keepers.%d.id: %q is missing or a duplicate", i, k.ID)
+		}
+		if k.Hall == "" {
+			return trace.BadParameter("keepers.%d.hall: missing", i)
+		}
+		if err := checkAddress("keepers."+k.ID+".address", k.Address); err != nil {
+			return err
+		}
+		if addresses[k.Address] {
+			return trace.BadParameter("keepers.%d.address: %s is a duplicate", i, k.Address)
+		}
+		ids[k.ID], addresses[k.Address] = true, true
+	}
+	return nil
+}
+
+func (t *TLS) check() error {
+	if t.Off {
+		if t.CA+t.Cert+t.Key+t.CallerCert+t.CallerKey != "" {
+			return trace.BadParameter("tls.off: files are named although TLS is off")
+		}
+		return nil
+	}
+	files := []struct{ name, path string }{{"ca", t.CA}, {"cert", t.Cert}, {"key", t.Key}}
+	for _, f := range files {
+		if f.path == "" {
+			return trace.BadParameter("tls.%s: missing (or set tls.off)", f.name)
+		}
+	}
+	if (t.CallerCert == "") != (t.CallerKey == "") {
+		return trace.BadParameter("tls.caller_cert: goes with tls.caller_key")
+	}
+	return nil
+}
+
+func checkAddress(field, address string) error {
+	if address == "" {
+		return trace.BadParameter("%s: missing address", field)
+	}
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return trace.BadParameter("%s: %q is not host:port", field, address)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,159 @@
+// Package follower keeps a router's or an agent's settings in force.
+//
+// A [Follower] asks the leader of the settings group for what it lacks, holds
+// the newest [settings.View], and knows for how long it is proved current: an
+// answer that a leader gives under its quorum lease proves that the node had
+// the newest settings when it asked. A node never goes back to an older
+// revision.
+package follower
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/config"
+	"sumachead/internal/rpc"
+	"sumachead/internal/settings"
+)
+
+const (
+	// holdFor is how long a keeper may hold a question when nothing is new.
+	holdFor = time.Second
+	// askTimeout bounds a question beyond its hold.
+	askTimeout = 700 * time.Millisecond
+	retryPause = 50 * time.Millisecond
+)
+
+// Follower follows the settings tree. Set the exported fields before Run.
+type Follower struct {
+	Config *config.Config
+	Boot   sumachead.BootID
+	Pool   *rpc.Pool
+	Log    hclog.Logger
+	// Without lists the kinds of objects that this node has no use for.
+	Without []string
+	// ServesCutOff reports whether this node would work while cut off, going
+	// by a view.
+	ServesCutOff func(*settings.View) bool
+
+	view  atomic.Pointer[settings.View]
+	state settings.Follower // used by Run only
+	next  int               // used by Run only
+
+	mu sync.Mutex // guards the fields below
+	// currentAsOf is the latest time for which currency is proved.
+	currentAsOf time.Time
+	// claimed: the keepers know that this node serves while cut off.
+	claimed bool
+}
+
+// View returns the settings in force; nil before the first sync.
+func (f *Follower) View() *settings.View { return f.view.Load() }
+
+// Current reports whether the settings are proved current at now.
+func (f *Follower) Current(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.currentAsOf.Add(settings.CurrencyLease))
+}
+
+// MayServe reports whether new work of a pool may start at now: the settings
+// are current, or the pool serves while cut off and the keepers know of that.
+func (f *Follower) MayServe(p *settings.ResolvedPool, now time.Time) bool {
+	if f.Current(now) {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.claimed && p.CutOff == settings.CutOffServe
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if f.ask(ctx) {
+			continue
+		}
+		f.next++
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// ask sends one question to one keeper; it reports whether the answer came
+// from the leader.
+func (f *Follower) ask(ctx context.Context) bool {
+	k := f.Config.Keepers[f.next%len(f.Config.Keepers)]
+	r := f.request()
+	asked := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMillis())*time.Millisecond+askTimeout)
+	defer cancel()
+	reply, err := rpc.Call[wire.SyncReply](callCtx, f.Pool.Get(k.Address), "Settings.Sync", r)
+	if err != nil {
+		f.Log.Debug("A keeper did not answer.", "keeper", k.ID, "error", err)
+		return false
+	}
+	if !f.take(reply) {
+		return false
+	}
+	if !reply.GetCurrent() {
+		f.aimAt(reply.GetLeader(), k.ID)
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.currentAsOf = asked
+	f.claimed = r.GetServesCutOff()
+	return true
+}
+
+func (f *Follower) request() *wire.SyncRequest {
+	session, revision := f.state.Position()
+	r := &wire.SyncRequest{
+		Node: string(f.Config.Node), Role: string(f.Config.Role), Hall: string(f.Config.Hall),
+		Session: session, Revision: revision, Without: f.Without,
+		Address: f.Config.HTTP, Boot: string(f.Boot),
+	}
+	v := f.View()
+	if v != nil {
+		r.WaitMillis = holdFor.Milliseconds()
+		r.ServesCutOff = f.ServesCutOff(v)
+	}
+	return r
+}
+
+// take puts a reply in force; false means that it was of no use.
+func (f *Follower) take(reply *wire.SyncReply) bool {
+	v, err := f.state.Take(reply)
+	if err != nil {
+		f.Log.Debug("Settings were not taken.", "error", err)
+		return false
+	}
+	if v != nil {
+		f.view.Store(v)
+		f.Log.Debug("Settings are in force.", "revision", v.Revision)
+	}
+	return true
+}
+
+// aimAt makes the leader the next keeper to ask. Run steps on by one after an
+// answer that was not the leader's.
+func (f *Follower) aimAt(leader, asked string) {
+	if leader == "" || leader == asked {
+		return
+	}
+	for i, k := range f.Config.Keepers {
+		if k.ID == leader {
+			f.next = i + len(f.Config.Keepers) - 1
+		}
+	}
+}
--- /dev/null
+++ b/internal/keeper/controllers.go
@@ -0,0 +1,133 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"sumachead/api/wire"
+)
+
+const (
+	// EntryRetention is how long an ended entry answers for its key.
+	EntryRetention = 30 * time.Minute
+	// presumeAfter is how long after its deadline an entry that no witness
+	// settled is billed by presumption.
+	presumeAfter = time.Minute
+	expireEvery  = 5 * time.Second
+	membersEvery = 300 * time.Millisecond
+	totalsEvery  = 20 * time.Millisecond
+)
+
+// runControllers starts the loops that act where this keeper leads.
+func (k *Keeper) runControllers(ctx context.Context, tasks *errgroup.Group) {
+	loops := []func(context.Context) error{
+		k.joinLoop, k.totalsLoop, k.expiryLoop, k.membersLoop, k.leadershipLoop,
+	}
+	for _, f := range loops {
+		tasks.Go(func() error { return f(ctx) })
+	}
+}
+
+// every calls f at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) error {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			f()
+		}
+	}
+}
+
+// totalsLoop carries the budgets' totals from the settings tree to the ledger.
+// It works at the ledger's leader, from its own copy of the tree.
+func (k *Keeper) totalsLoop(ctx context.Context) error {
+	return every(ctx, totalsEvery, func() {
+		tree, revision, _ := k.machine.Current()
+		if !k.money.node.Leading() || revision <= k.ledger.TotalsRevision() {
+			return
+		}
+		totals := &wire.SetTotals{Revision: revision}
+		for id := range tree.Objects().Budgets {
+			total, hallTopups := tree.Total(id)
+			if b := k.ledger.Budget(budgetID(id)); b != nil && b.GetTotal() == int64(total) && len(hallTopups) == 0 {
+				continue
+			}
+			totals.Totals = append(totals.Totals, &wire.BudgetTotal{Budget: id, Total: int64(total), HallTopups: hallTopups})
+		}
+		k.try(ctx, "totals", &wire.LedgerCommand{Command: &wire.LedgerCommand_Totals{Totals: totals}})
+	})
+}
+
+// expiryLoop presumes and forgets entries.
+func (k *Keeper) expiryLoop(ctx context.Context) error {
+	return every(ctx, expireEvery, func() {
+		if !k.money.node.Leading() {
+			return
+		}
+		now := time.Now()
+		k.try(ctx, "expiry", &wire.LedgerCommand{Command: &wire.LedgerCommand_Expire{Expire: &wire.Expire{
+			NowUnixNano:           now.UnixNano(),
+			RetainBeforeUnixNano:  now.Add(-EntryRetention).UnixNano(),
+			PresumeBeforeUnixNano: now.Add(-presumeAfter).UnixNano(),
+		}}})
+	})
+}
+
+// try proposes a command; a failure is logged and the loop comes back to it.
+func (k *Keeper) try(ctx context.Context, controller string, c *wire.LedgerCommand) {
+	if _, err := k.propose(ctx, c); err != nil && ctx.Err() == nil {
+		k.Log.Warn("A controller's command failed.", "controller", controller, "error", err)
+	}
+}
+
+// membersLoop gives learners that have caught up their vote.
+func (k *Keeper) membersLoop(ctx context.Context) error {
+	return every(ctx, membersEvery, func() {
+		for _, g := range k.groups() {
+			if g.node.Leading() {
+				k.promote(ctx, g)
+			}
+		}
+	})
+}
+
+func (k *Keeper) promote(ctx context.Context, g *group) {
+	for _, m := range g.node.Status().GetMembers() {
+		if !m.GetLearner() {
+			continue
+		}
+		if ok, err := g.node.CaughtUp(ctx, m.GetId()); err != nil || !ok {
+			continue
+		}
+		started, err := g.node.ChangeMembers(ctx, func(ms *wire.Members) *wire.Members {
+			next := proto.CloneOf(ms)
+			for _, x := range next.GetMembers() {
+				if x.GetId() == m.GetId() && x.GetIncarnation() == m.GetIncarnation() {
+					x.Learner = false
+				}
+			}
+			return next
+		})
+		if err == nil && started {
+			k.Log.Info("Keeper has caught up and votes.", "group", g.node.Group, "keeper", m.GetId())
+			return
+		}
+	}
+}
+
+// leadershipLoop notes when this keeper begins to lead the settings group.
+func (k *Keeper) leadershipLoop(ctx context.Context) error {
+	const watchEvery = 10 * time.Millisecond
+	return every(ctx, watchEvery, func() {
+		if s := k.settings.node.Status(); s.GetLeader() == string(k.Config.Node) {
+			k.nodes.lead(s.GetTerm(), time.Now())
+		}
+	})
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,210 @@
+// Package keeper is the role of the hosts with disks: it keeps the settings
+// tree and the ledger.
+//
+// A [Keeper] runs one member of each replicated group, serves the calls of
+// routers, agents, the tool and other keepers, and drives a set of controllers
+// that act where this keeper leads: totals (settings to ledger), expiry, and
+// members (promotion of keepers that have caught up).
+package keeper
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"path/filepath"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/config"
+	"sumachead/internal/keeperclient"
+	"sumachead/internal/ledger"
+	"sumachead/internal/raft"
+	"sumachead/internal/rpc"
+	"sumachead/internal/settings"
+	"sumachead/internal/telemetry"
+)
+
+// stopTimeout bounds the hand-over of leadership on a planned stop.
+const stopTimeout = 2 * time.Second
+
+// Keeper is one keeper process. Set the exported fields before Run.
+type Keeper struct {
+	Config *config.Config
+	Log    hclog.Logger
+	RPC    *rpc.Server
+	Pool   *rpc.Pool
+
+	identity *wire.Identity
+	machine  *settings.Machine
+	ledger   *ledger.Machine
+	settings *group
+	money    *group
+	nodes    *nodeTable
+	metrics  *metrics
+	clients  *keeperclient.Client
+}
+
+// group is one replicated group of this keeper.
+type group struct {
+	node   *raft.Node
+	sender *sender
+}
+
+// Run serves until ctx ends, then hands leadership over and stops.
+func (k *Keeper) Run(ctx context.Context) error {
+	probe := &probeService{keeper: k}
+	if err := k.openIdentity(probe); err != nil {
+		return err
+	}
+	k.metrics = newMetrics(k)
+	k.nodes = newNodeTable()
+	k.clients = &keeperclient.Client{Keepers: k.Config.Keepers, Pool: k.Pool}
+	if err := k.listen(probe); err != nil {
+		return err
+	}
+	defer k.RPC.Close()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	tasks, work := errgroup.WithContext(work)
+	tasks.Go(k.RPC.Run)
+	tasks.Go(func() error { return k.serveHTTP(work) })
+	if err := k.found(ctx, probe); err != nil {
+		stop()
+		k.RPC.Close()
+		return trace.NewAggregate(err, tasks.Wait())
+	}
+	k.runGroups(work, tasks)
+	k.runControllers(work, tasks)
+	k.Log.Info("Serving.", "incarnation", k.identity.GetIncarnation())
+	select {
+	case <-ctx.Done():
+		k.handOver()
+	case <-work.Done():
+	}
+	stop()
+	k.RPC.Close()
+	return tasks.Wait()
+}
+
+func (k *Keeper) listen(probe *probeService) error {
+	if err := k.RPC.Register("Probe", probe); err != nil {
+		return err
+	}
+	return k.RPC.Listen()
+}
+
+// openGroups opens the groups' folders and registers the services that need
+// them.
+func (k *Keeper) openGroups() error {
+	k.machine = settings.NewMachine(sessionOf(k.identity.GetFounders()))
+	k.ledger = ledger.NewMachine()
+	var err error
+	if k.settings, err = k.openGroup(keeperclient.GroupSettings, k.machine); err != nil {
+		return err
+	}
+	if k.money, err = k.openGroup(keeperclient.GroupLedger, k.ledger); err != nil {
+		return err
+	}
+	services := []struct {
+		name     string
+		receiver any
+	}{
+		{"Raft", &raftService{k}},
+		{"Settings", &settingsService{k}},
+		{"Ledger", &ledgerService{k}},
+		{"Keeper", &statusService{k}},
+	}
+	for _, s := range services {
+		if err := k.RPC.Register(s.name, s.receiver); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sessionOf names the history of revisions that the founders started.
+func sessionOf(founders *wire.Members) string {
+	h := sha256.New()
+	for _, m := range founders.GetMembers() {
+		h.Write([]byte(m.GetId() + "/" + m.GetIncarnation() + "\n"))
+	}
+	const sessionBytes = 8
+	return hex.EncodeToString(h.Sum(nil)[:sessionBytes])
+}
+
+func (k *Keeper) openGroup(id sumachead.GroupID, m sumachead.StateMachine) (*group, error) {
+	s := newSender(k.Config.Keepers, k.Pool)
+	n := &raft.Node{
+		Group: id, ID: string(k.Config.Node), Incarnation: k.identity.GetIncarnation(),
+		Dir: filepath.Join(k.Config.Data, "groups", string(id)), Machine: m,
+		Send: s.send, Founders: k.identity.GetFounders(), Log: k.Log.Named(string(id)),
+	}
+	if err := n.Open(); err != nil {
+		return nil, err
+	}
+	return &group{node: n, sender: s}, nil
+}
+
+func (k *Keeper) groups() []*group { return []*group{k.settings, k.money} }
+
+func (k *Keeper) group(id string) *group {
+	for _, g := range k.groups() {
+		if string(g.node.Group) == id {
+			return g
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) runGroups(ctx context.Context, tasks *errgroup.Group) {
+	for _, g := range k.groups() {
+		tasks.Go(func() error { return g.node.Run(ctx) })
+		g.sender.run(ctx, tasks)
+	}
+}
+
+// handOver passes leadership on, so that a planned stop costs no election.
+func (k *Keeper) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, g := range k.groups() {
+		for g.node.Leading() && ctx.Err() == nil {
+			if ok, err := g.node.Transfer(ctx); err != nil || !ok {
+				break
+			}
+			waitUntil(ctx, func() bool { return !g.node.Leading() })
+		}
+	}
+}
+
+// waitUntil polls done until it holds or ctx ends.
+func waitUntil(ctx context.Context, done func() bool) {
+	const pollEvery = 10 * time.Millisecond
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+func (k *Keeper) serveHTTP(ctx context.Context) error {
+	ready := func() error {
+		for _, g := range []*group{k.settings, k.money} {
+			if g == nil || g.node.Status().GetLeader() == "" {
+				return trace.ConnectionProblem(nil, "a group has no leader")
+			}
+		}
+		return nil
+	}
+	s := &telemetry.HTTPServer{
+		Address: k.Config.HTTP, Handler: telemetry.Handler(k.metrics.registry, ready), Drain: telemetry.DrainMonitoring,
+	}
+	return s.Run(ctx)
+}
--- /dev/null
+++ b/internal/keeper/statusservice.go
@@ -0,0 +1,83 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"sumachead/api/wire"
+	"sumachead/internal/keeperclient"
+	"sumachead/internal/raft"
+)
+
+// statusService serves the tool, and keepers that join.
+type statusService struct{ keeper *Keeper }
+
+// Status tells what this keeper knows; any keeper answers.
+func (s *statusService) Status(_ *wire.Empty, reply *wire.StatusReply) error {
+	k := s.keeper
+	reply.Keeper, reply.Hall = string(k.Config.Node), string(k.Config.Hall)
+	for _, g := range k.groups() {
+		reply.Groups = append(reply.Groups, proto.CloneOf(g.node.Status()))
+	}
+	reply.Nodes = k.nodes.status(time.Now())
+	_, reply.Revision, _ = k.machine.Current()
+	return nil
+}
+
+// Join takes a keeper into a group as a learner. A keeper with a new
+// incarnation takes the place of its lost self, which loses its vote.
+func (s *statusService) Join(r *wire.JoinRequest, _ *wire.Empty) error {
+	g := s.keeper.group(r.GetGroup())
+	if g == nil || r.GetMember().GetId() == "" || r.GetMember().GetIncarnation() == "" {
+		return trace.BadParameter("no group %q, or a member without id and incarnation", r.GetGroup())
+	}
+	return s.change(g, func(ms *wire.Members) *wire.Members {
+		if hasIncarnation(ms.GetMembers(), r.GetMember()) {
+			return nil
+		}
+		next := withoutMember(ms, r.GetMember().GetId())
+		next.Members = append(next.Members, &wire.Member{
+			Id: r.GetMember().GetId(), Incarnation: r.GetMember().GetIncarnation(),
+			Address: r.GetMember().GetAddress(), Learner: true,
+		})
+		return next
+	})
+}
+
+// Remove takes a keeper out of a group for good.
+func (s *statusService) Remove(r *wire.RemoveRequest, _ *wire.Empty) error {
+	g := s.keeper.group(r.GetGroup())
+	if g == nil {
+		return trace.NotFound("no group %q", r.GetGroup())
+	}
+	return s.change(g, func(ms *wire.Members) *wire.Members {
+		next := withoutMember(ms, r.GetKeeper())
+		if len(next.GetMembers()) == len(ms.GetMembers()) || len(next.GetMembers()) == 0 {
+			return nil
+		}
+		return next
+	})
+}
+
+func (s *statusService) change(g *group, f func(*wire.Members) *wire.Members) error {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	if !g.node.Leading() {
+		return keeperclient.EncodeError(&raft.NotLeaderError{Leader: g.node.Status().GetLeader()})
+	}
+	_, err := g.node.ChangeMembers(ctx, f)
+	return err
+}
+
+func withoutMember(ms *wire.Members, id string) *wire.Members {
+	next := &wire.Members{}
+	for _, m := range ms.GetMembers() {
+		if m.GetId() != id {
+			next.Members = append(next.Members, proto.CloneOf(m))
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/internal/raft/node.go
@@ -0,0 +1,447 @@
+package raft
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+// The defaults of a Node.
+const (
+	DefaultHeartbeat     = 60 * time.Millisecond
+	DefaultElection      = 500 * time.Millisecond
+	DefaultSnapshotEvery = 20000
+	maxBatch             = 1024
+	inboxSize            = 4096
+)
+
+// ErrUncertain says that a command may or may not take effect later.
+var ErrUncertain = errors.New("outcome of the command is not known")
+
+// ErrStopped says that the node has stopped.
+var ErrStopped = errors.New("node has stopped")
+
+// NotLeaderError says that another member leads: nothing was done.
+type NotLeaderError struct {
+	// Leader is the id of the leader; empty when unknown.
+	Leader string
+}
+
+// Error implements error.
+func (e *NotLeaderError) Error() string { return "not the leader; leader: " + e.Leader }
+
+// Node runs one member of one group. Set the exported fields, then call Open
+// and Run.
+type Node struct {
+	Group       sumachead.GroupID
+	ID          string
+	Incarnation string
+	// Dir is the group's own folder.
+	Dir     string
+	Machine sumachead.StateMachine
+	// Send passes messages to other members; it must not block.
+	Send func([]*wire.RaftMessage)
+	// Founders is the first configuration, used when the folder is empty.
+	Founders      *wire.Members
+	Heartbeat     time.Duration
+	Election      time.Duration
+	SnapshotEvery uint64
+	Log           hclog.Logger
+
+	storage *Storage
+	core    *Core
+	start   time.Time
+
+	inbox     chan []*wire.RaftMessage
+	proposals chan *proposal
+	calls     chan func()
+	stopped   chan struct{}
+
+	// The goroutine of Run owns the fields below.
+	pending      map[uint64]*proposal
+	pendingTerm  uint64
+	appliedIndex uint64
+	snapIndex    uint64
+	wasLeader    bool
+	// publishedMembers is the configuration that status shows.
+	publishedMembers *wire.Members
+
+	status atomic.Pointer[wire.GroupStatus]
+}
+
+type proposal struct {
+	data []byte
+	done chan outcome
+}
+
+type outcome struct {
+	result any
+	err    error
+}
+
+// Open reads the folder and restores the state machine.
+func (n *Node) Open() error {
+	n.setDefaults()
+	storage, entries, err := OpenStorage(n.Dir)
+	if err != nil {
+		return err
+	}
+	snap := storage.snapshot
+	if snap.GetMembers() == nil && n.Founders != nil {
+		snap.Members = n.Founders
+	}
+	if snap.GetIndex() > 0 {
+		if err := n.Machine.Restore(snap.GetData()); err != nil {
+			return trace.Wrap(err, "restoring group %s", n.Group)
+		}
+	}
+	n.storage = storage
+	n.appliedIndex, n.snapIndex = snap.GetIndex(), snap.GetIndex()
+	cfg := Config{
+		Group: string(n.Group), ID: n.ID, Incarnation: n.Incarnation,
+		Heartbeat: n.Heartbeat, Election: n.Election, Rand: rand.Int64N,
+		Snapshot: func() *wire.Snapshot { return n.storage.snapshot },
+	}
+	n.core = NewCore(cfg, storage.state, snap, entries, 0)
+	n.publish()
+	return nil
+}
+
+func (n *Node) setDefaults() {
+	if n.Heartbeat == 0 {
+		n.Heartbeat = DefaultHeartbeat
+	}
+	if n.Election == 0 {
+		n.Election = DefaultElection
+	}
+	if n.SnapshotEvery == 0 {
+		n.SnapshotEvery = DefaultSnapshotEvery
+	}
+	if n.Log == nil {
+		n.Log = hclog.NewNullLogger()
+	}
+	n.start = time.Now()
+	n.inbox = make(chan []*wire.RaftMessage, inboxSize)
+	n.proposals = make(chan *proposal, inboxSize)
+	n.calls = make(chan func(), inboxSize)
+	n.stopped = make(chan struct{})
+	n.pending = make(map[uint64]*proposal)
+}
+
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// Run drives the member until ctx ends or the disk fails.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.shutDown()
+	ticker := time.NewTicker(n.Heartbeat / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case batch := <-n.inbox:
+			n.step(batch)
+		case p := <-n.proposals:
+			n.core.Tick(n.now())
+			n.propose(p)
+		case f := <-n.calls:
+			n.core.Tick(n.now())
+			f()
+		case <-ticker.C:
+			n.core.Tick(n.now())
+		}
+		if err := n.process(); err != nil {
+			return trace.Wrap(err, "group %s", n.Group)
+		}
+	}
+}
+
+func (n *Node) shutDown() {
+	close(n.stopped)
+	n.failPending(ErrUncertain)
+	if err := n.storage.Close(); err != nil {
+		n.Log.Error("Closing the log failed.", "error", err)
+	}
+}
+
+// step takes in a batch and whatever else has arrived.
+func (n *Node) step(batch []*wire.RaftMessage) {
+	n.core.Tick(n.now())
+	for range maxBatch {
+		for _, m := range batch {
+			n.core.Step(n.now(), m)
+		}
+		select {
+		case batch = <-n.inbox:
+		default:
+			return
+		}
+	}
+}
+
+// propose takes in a proposal and all that wait behind it.
+func (n *Node) propose(p *proposal) {
+	batch := []*proposal{p}
+	for len(batch) < maxBatch {
+		select {
+		case p = <-n.proposals:
+			batch = append(batch, p)
+			continue
+		default:
+		}
+		break
+	}
+	commands := make([][]byte, len(batch))
+	for i, p := range batch {
+		commands[i] = p.data
+	}
+	first, ok := n.core.Propose(commands)
+	for i, p := range batch {
+		if !ok {
+			p.done <- outcome{err: &NotLeaderError{Leader: n.core.leader}}
+			continue
+		}
+		n.pending[first+uint64(i)] = p
+	}
+}
+
+// process carries out what the core wants done, until it wants no more.
+func (n *Node) process() error {
+	for {
+		n.noteLeadership()
+		r := n.core.Ready()
+		if r.empty() {
+			n.publish()
+			return nil
+		}
+		n.send(r.Early)
+		if err := n.persist(r); err != nil {
+			return err
+		}
+		n.core.Persisted(n.core.lastIndex())
+		n.send(r.Late)
+		n.apply(r.Committed)
+		if err := n.compact(); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Ready) empty() bool {
+	return r.State == nil && r.Snapshot == nil &&
+		len(r.Early)+len(r.Entries)+len(r.Late)+len(r.Committed) == 0
+}
+
+func (n *Node) send(ms []*wire.RaftMessage) {
+	if len(ms) > 0 {
+		n.Send(ms)
+	}
+}
+
+func (n *Node) persist(r Ready) error {
+	if r.Snapshot == nil {
+		return n.storage.Save(r.State, r.Entries)
+	}
+	if r.State != nil {
+		n.storage.state = r.State
+	}
+	if err := n.Machine.Restore(r.Snapshot.GetData()); err != nil {
+		return err
+	}
+	n.appliedIndex, n.snapIndex = r.Snapshot.GetIndex(), r.Snapshot.GetIndex()
+	n.Log.Info("Snapshot installed.", "index", n.snapIndex)
+	return n.storage.SaveSnapshot(r.Snapshot, r.Entries)
+}
+
+func (n *Node) apply(entries []*wire.LogEntry) {
+	for _, e := range entries {
+		var result any
+		if e.GetKind() == wire.EntryKind_ENTRY_KIND_COMMAND {
+			result = n.Machine.Apply(e.GetIndex(), e.GetData())
+		}
+		n.appliedIndex = e.GetIndex()
+		p := n.pending[e.GetIndex()]
+		if p == nil {
+			continue
+		}
+		delete(n.pending, e.GetIndex())
+		if e.GetTerm() != n.pendingTerm {
+			p.done <- outcome{err: ErrUncertain}
+			continue
+		}
+		p.done <- outcome{result: result}
+	}
+}
+
+// noteLeadership fails what waits when this member stops leading.
+func (n *Node) noteLeadership() {
+	leads := n.core.role == Leader
+	if leads {
+		if !n.wasLeader {
+			n.Log.Info("Leading.", "term", n.core.term)
+		}
+		n.wasLeader, n.pendingTerm = true, n.core.term
+		return
+	}
+	if n.wasLeader {
+		n.Log.Info("No longer leading.", "term", n.core.term)
+		n.wasLeader = false
+		n.failPending(ErrUncertain)
+	}
+}
+
+func (n *Node) failPending(err error) {
+	for i, p := range n.pending {
+		delete(n.pending, i)
+		p.done <- outcome{err: err}
+	}
+}
+
+// compact takes a snapshot when the log has grown enough.
+func (n *Node) compact() error {
+	if n.appliedIndex-n.snapIndex < n.SnapshotEvery {
+		return nil
+	}
+	data, err := n.Machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	index := n.appliedIndex
+	term, _ := n.core.termAt(index)
+	snap := &wire.Snapshot{Index: index, Term: term, Members: n.core.MembersAt(index), Data: data}
+	after := n.core.slice(index+1, n.core.unsaved-1)
+	if err := n.storage.SaveSnapshot(snap, after); err != nil {
+		return err
+	}
+	n.core.Compact(index)
+	n.snapIndex = index
+	return nil
+}
+
+// publish makes the state visible to Status.
+func (n *Node) publish() {
+	c := n.core
+	s := n.status.Load()
+	if s != nil && s.GetLeader() == c.leader && s.GetTerm() == c.term && s.GetCommit() == c.commit &&
+		s.GetApplied() == n.appliedIndex && n.publishedMembers == c.members {
+		return
+	}
+	n.publishedMembers = c.members
+	n.status.Store(&wire.GroupStatus{
+		Group: string(n.Group), Leader: c.leader, Term: c.term,
+		Commit: c.commit, Applied: n.appliedIndex, Members: c.members.GetMembers(),
+	})
+}
+
+// Status returns the newest published state; it must not be changed.
+func (n *Node) Status() *wire.GroupStatus { return n.status.Load() }
+
+// Leading reports whether this member believes that it leads.
+func (n *Node) Leading() bool { return n.Status().GetLeader() == n.ID }
+
+// Step takes in messages from other members. It drops them when the inbox is
+// full: the sender repeats them.
+func (n *Node) Step(batch []*wire.RaftMessage) {
+	select {
+	case n.inbox <- batch:
+	default:
+	}
+}
+
+// Propose replicates a command and returns what the state machine answered.
+// A [*NotLeaderError] means that nothing was done; [ErrUncertain] or the error
+// of ctx that it may be.
+func (n *Node) Propose(ctx context.Context, data []byte) (any, error) {
+	p := &proposal{data: data, done: make(chan outcome, 1)}
+	select {
+	case n.proposals <- p:
+	case <-n.stopped:
+		return nil, ErrStopped
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	case <-n.stopped:
+		return nil, ErrUncertain
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// call runs f on the goroutine of Run.
+func call[T any](ctx context.Context, n *Node, f func() T) (T, error) {
+	done := make(chan T, 1)
+	var zero T
+	select {
+	case n.calls <- func() { done <- f() }:
+	case <-n.stopped:
+		return zero, ErrStopped
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+	select {
+	case v := <-done:
+		return v, nil
+	case <-n.stopped:
+		return zero, ErrStopped
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+// ReadBarrier returns nil when the state machine holds every command that was
+// acknowledged before the call: reads after it are linearizable.
+func (n *Node) ReadBarrier(ctx context.Context) error {
+	ok, err := call(ctx, n, func() bool {
+		return n.core.LeaseValid(n.now()) && n.appliedIndex >= n.core.commit
+	})
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return &NotLeaderError{Leader: n.Status().GetLeader()}
+	}
+	return nil
+}
+
+// ChangeMembers starts the membership change that f makes of the present one;
+// f returns nil for none. It reports whether a change was started.
+func (n *Node) ChangeMembers(ctx context.Context, f func(*wire.Members) *wire.Members) (bool, error) {
+	return call(ctx, n, func() bool {
+		if n.core.role != Leader {
+			return false
+		}
+		m := f(n.core.members)
+		if m == nil {
+			return false
+		}
+		_, ok := n.core.ProposeMembers(m)
+		return ok
+	})
+}
+
+// CaughtUp reports whether a leader knows that the member has all but the
+// newest entries.
+func (n *Node) CaughtUp(ctx context.Context, id string) (bool, error) {
+	const slack = 64
+	return call(ctx, n, func() bool {
+		p := n.core.peers[id]
+		return p != nil && p.match > 0 && p.match+slack >= n.core.lastIndex()
+	})
+}
+
+// Transfer hands leadership to another member; it reports whether one was
+// found.
+func (n *Node) Transfer(ctx context.Context) (bool, error) {
+	return call(ctx, n, n.core.Transfer)
+}
--- /dev/null
+++ b/internal/raft/storage.go
@@ -0,0 +1,214 @@
+package raft
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"sumachead/api/wire"
+	"sumachead/internal/wal"
+)
+
+const (
+	snapshotFile  = "snapshot"
+	segmentPrefix = "log-"
+)
+
+// Storage keeps one group's log, vote and newest snapshot in a folder. It is
+// used by one goroutine.
+type Storage struct {
+	dir      string
+	segment  *wal.Log
+	number   uint64
+	state    *wire.HardState
+	snapshot *wire.Snapshot
+}
+
+// loader gathers what the segments hold.
+type loader struct {
+	state     *wire.HardState
+	baseIndex uint64
+	baseTerm  uint64
+	entries   []*wire.LogEntry
+}
+
+// OpenStorage reads the folder and returns the entries that follow the
+// snapshot. A damaged file is a [*wal.DamageError].
+func OpenStorage(dir string) (*Storage, []*wire.LogEntry, error) {
+	s := &Storage{dir: dir, state: &wire.HardState{}, snapshot: &wire.Snapshot{}}
+	if err := s.loadSnapshot(); err != nil {
+		return nil, nil, err
+	}
+	numbers, err := segments(dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(numbers) == 0 {
+		numbers = []uint64{1}
+	}
+	l := &loader{state: s.state}
+	for i, n := range numbers {
+		log, err := wal.Open(s.segmentPath(n), l.replay)
+		if err != nil {
+			return nil, nil, err
+		}
+		if i == len(numbers)-1 {
+			s.segment, s.number = log, n
+			break
+		}
+		if err := log.Close(); err != nil {
+			return nil, nil, err
+		}
+	}
+	s.state = l.state
+	return s, l.after(s.snapshot), nil
+}
+
+func (s *Storage) loadSnapshot() error {
+	data, err := wal.ReadFile(filepath.Join(s.dir, snapshotFile))
+	if trace.IsNotFound(err) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return trace.Wrap(proto.Unmarshal(data, s.snapshot), "decoding snapshot in %s", s.dir)
+}
+
+// segments returns the numbers of the log files in ascending order.
+func segments(dir string) ([]uint64, error) {
+	files, err := os.ReadDir(dir)
+	if err != nil && !os.IsNotExist(err) {
+		return nil, trace.ConvertSystemError(err)
+	}
+	var numbers []uint64
+	for _, f := range files {
+		var n uint64
+		if !strings.HasPrefix(f.Name(), segmentPrefix) {
+			continue
+		}
+		if _, err := fmt.Sscanf(f.Name(), segmentPrefix+"%d", &n); err == nil {
+			numbers = append(numbers, n)
+		}
+	}
+	slices.Sort(numbers)
+	return numbers, nil
+}
+
+func (s *Storage) segmentPath(n uint64) string {
+	return filepath.Join(s.dir, fmt.Sprintf("%s%012d", segmentPrefix, n))
+}
+
+// replay takes in one record of the log.
+func (l *loader) replay(record []byte) error {
+	var r wire.LogRecord
+	if err := proto.Unmarshal(record, &r); err != nil {
+		return trace.Wrap(err)
+	}
+	if r.GetState() != nil {
+		l.state = r.GetState()
+	}
+	if r.GetRebase() {
+		l.baseIndex, l.baseTerm, l.entries = r.GetBaseIndex(), r.GetBaseTerm(), nil
+	}
+	for _, e := range r.GetEntries() {
+		at := int64(e.GetIndex()) - int64(l.baseIndex) - 1
+		if at < 0 || at > int64(len(l.entries)) {
+			return trace.BadParameter("entry %d does not follow entry %d", e.GetIndex(), l.baseIndex+uint64(len(l.entries)))
+		}
+		l.entries = append(l.entries[:at], e)
+	}
+	return nil
+}
+
+// after returns the entries that follow the snapshot. A log that does not hold
+// the snapshot's last entry was replaced by it.
+func (l *loader) after(s *wire.Snapshot) []*wire.LogEntry {
+	at := int64(s.GetIndex()) - int64(l.baseIndex)
+	if at < 0 || at > int64(len(l.entries)) {
+		return nil
+	}
+	term := l.baseTerm
+	if at > 0 {
+		term = l.entries[at-1].GetTerm()
+	}
+	if term != s.GetTerm() {
+		return nil
+	}
+	return slices.Clone(l.entries[at:])
+}
+
+// Save writes the vote and new entries with one sync.
+func (s *Storage) Save(state *wire.HardState, entries []*wire.LogEntry) error {
+	if state == nil && len(entries) == 0 {
+		return nil
+	}
+	if state != nil {
+		s.state = state
+	}
+	return s.write(s.segment, &wire.LogRecord{State: state, Entries: entries})
+}
+
+func (s *Storage) write(log *wal.Log, r *wire.LogRecord) error {
+	data, err := proto.Marshal(r)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return log.Append(data)
+}
+
+// SaveSnapshot stores a snapshot and starts a new log file that holds only the
+// entries after it.
+func (s *Storage) SaveSnapshot(snap *wire.Snapshot, after []*wire.LogEntry) error {
+	data, err := proto.Marshal(snap)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := wal.WriteFile(filepath.Join(s.dir, snapshotFile), data); err != nil {
+		return err
+	}
+	s.snapshot = snap
+	next, err := wal.Open(s.segmentPath(s.number+1), func([]byte) error { return nil })
+	if err != nil {
+		return err
+	}
+	err = s.write(next, &wire.LogRecord{
+		State: s.state, Entries: after,
+		Rebase: true, BaseIndex: snap.GetIndex(), BaseTerm: snap.GetTerm(),
+	})
+	if err != nil {
+		return err
+	}
+	old := s.segment
+	s.segment = next
+	s.number++
+	if err := old.Close(); err != nil {
+		return err
+	}
+	return s.removeBefore(s.number)
+}
+
+// removeBefore deletes the log files older than number.
+func (s *Storage) removeBefore(number uint64) error {
+	numbers, err := segments(s.dir)
+	if err != nil {
+		return err
+	}
+	for _, n := range numbers {
+		if n >= number {
+			continue
+		}
+		if err := os.Remove(s.segmentPath(n)); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+	}
+	return wal.SyncFolder(s.dir)
+}
+
+// Close closes the log file.
+func (s *Storage) Close() error { return s.segment.Close() }
--- /dev/null
+++ b/internal/router/dispatch.go
@@ -0,0 +1,306 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+const (
+	// ledgerTimeout bounds how long a request waits for the ledger. It covers
+	// the election of a new leader.
+	ledgerTimeout = 4 * time.Second
+	// budgetRetry is when to come back after a budget has refused.
+	budgetRetry = 10 * time.Second
+)
+
+// dispatch is one request's way from its reservation to its answer.
+type dispatch struct {
+	*Router
+	x     *exchange
+	ctx   context.Context
+	entry *wire.Entry
+	to    *target
+	tried []sumachead.ServerID
+	// mayHaveRun: an attempt before this one may have run.
+	mayHaveRun bool
+	// used is what the attempt that has just failed is known to have used.
+	used int64
+}
+
+// dispatch reserves, places and runs a request, and brings its answer. It is
+// the end of the filter chain.
+func (r *Router) dispatch(x *exchange) error {
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	if !r.follower.MayServe(x.pool, time.Now()) {
+		return notRun(sumachead.ReasonSettingsStale, "the settings are not proved current", time.Now().Add(retrySoon))
+	}
+	r.retries.noteRequest(x.workspace)
+	d := &dispatch{Router: r, x: x, ctx: ctx}
+	if err := d.place(); err != nil {
+		return err
+	}
+	return d.reserve()
+}
+
+// place chooses where the next attempt goes.
+func (d *dispatch) place() error {
+	t, err := d.choose(d.ctx, d.x, d.tried)
+	if err != nil {
+		return err
+	}
+	d.to = t
+	return nil
+}
+
+func (d *dispatch) attempt() *wire.Attempt {
+	return &wire.Attempt{Owner: d.newOwner(), Server: string(d.to.server), Boot: d.to.boot}
+}
+
+// reserve writes the entry and goes on as the ledger says.
+func (d *dispatch) reserve() error {
+	x := d.x
+	a := d.attempt()
+	ctx, cancel := context.WithTimeout(d.ctx, ledgerTimeout)
+	defer cancel()
+	reply, err := d.ledger.Reserve(ctx, &wire.ReserveRequest{
+		Workspace: string(x.workspace.ID), Key: string(x.key), BodyHash: d.bodyHash(),
+		Budget: string(x.workspace.Budget), Amount: int64(x.work.bound), NotRepeatable: x.notRepeatable,
+		Attempt: a, DeadlineUnixNano: x.deadline.UnixNano(),
+	})
+	if err != nil {
+		return d.unreached(a, err)
+	}
+	d.entry = reply.GetEntry()
+	switch reply.GetCode() {
+	case wire.LedgerCode_LEDGER_CODE_GRANTED:
+		return d.run()
+	case wire.LedgerCode_LEDGER_CODE_EXISTS, wire.LedgerCode_LEDGER_CODE_SETTLED:
+		return d.join()
+	}
+	return refusedByLedger(reply)
+}
+
+func refusedByLedger(reply *wire.LedgerReply) error {
+	now := time.Now()
+	switch reply.GetCode() {
+	case wire.LedgerCode_LEDGER_CODE_KEY_CONFLICT:
+		return notRun(sumachead.ReasonKeyConflict, "the key was used for another request", time.Time{})
+	case wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED:
+		return notRun(sumachead.ReasonBudgetExhausted, "the budget does not cover the request's upper bound", now.Add(budgetRetry))
+	case wire.LedgerCode_LEDGER_CODE_UNKNOWN_BUDGET:
+		return notRun(sumachead.ReasonNoBudget, "the workspace has no budget", now.Add(budgetRetry))
+	case wire.LedgerCode_LEDGER_CODE_CLAIM_UNAVAILABLE:
+		return notRun(sumachead.ReasonClaimUnavailable, "the key can't be claimed here now", now.Add(retrySoon))
+	}
+	return notRun(sumachead.ReasonInternal, "the ledger answered "+reply.GetCode().String(), now.Add(retrySoon))
+}
+
+// bodyHash tells one request from another under the same key. It covers what
+// the caller sent.
+func (d *dispatch) bodyHash() []byte {
+	h := xxhash.New()
+	for _, s := range []string{d.x.r.Method, d.x.r.URL.Path, d.x.r.URL.RawQuery} {
+		_, _ = h.WriteString(s + "\n")
+	}
+	_, _ = h.Write(d.x.body)
+	return h.Sum(nil)
+}
+
+// unreached refuses a request whose attempt the ledger did not confirm. Only
+// this router could have dispatched the attempt, and it has not. The
+// reservation, if there is one, is given back when the ledger is reached.
+func (d *dispatch) unreached(a *wire.Attempt, err error) error {
+	d.settler.add(settleItem{settle: &wire.SettleRequest{
+		Workspace: string(d.x.workspace.ID), Key: string(d.x.key), NotRun: true, Owner: a.GetOwner(),
+	}})
+	d.Log.Debug("The ledger was not reached.", "error", err)
+	return d.final(sumachead.Refuse(sumachead.NotRun, sumachead.ReasonLedgerUnreached,
+		"the ledger was not reached", time.Now().Add(retrySoon)))
+}
+
+// final widens a refusal's verdict by what earlier attempts may have done.
+func (d *dispatch) final(f *sumachead.Refusal) *sumachead.Refusal {
+	if d.mayHaveRun && f.Verdict == sumachead.NotRun {
+		g := *f
+		g.Verdict = sumachead.MayHaveRun
+		return &g
+	}
+	return f
+}
+
+// run makes attempts until one brings the whole answer or no other may be
+// made.
+func (d *dispatch) run() error {
+	for {
+		d.x.attempts++
+		d.metrics.attempts.Inc()
+		f := d.runOnce()
+		if f == nil {
+			return nil
+		}
+		if !d.mayRetry(f) {
+			return d.giveUp(f)
+		}
+		d.metrics.retries.WithLabelValues(string(f.Reason)).Inc()
+		if err := d.moveOn(f); err != nil {
+			return err
+		}
+	}
+}
+
+// runOnce makes one attempt; nil means that the caller has the whole answer.
+func (d *dispatch) runOnce() *sumachead.Refusal {
+	d.used = 0
+	if f := d.start(); f != nil {
+		return f
+	}
+	return d.deliver()
+}
+
+// mayRetry reports whether another attempt is allowed after a refusal.
+func (d *dispatch) mayRetry(f *sumachead.Refusal) bool {
+	switch f.Reason {
+	case sumachead.ReasonDeadlinePassed, sumachead.ReasonBadRequest, sumachead.ReasonRunning, sumachead.ReasonAnswerGone:
+		return false
+	}
+	if d.x.answered || d.ctx.Err() != nil || f.Verdict == sumachead.Ran {
+		return false
+	}
+	if d.x.notRepeatable && (f.Verdict != sumachead.NotRun || d.mayHaveRun) {
+		return false
+	}
+	return d.retries.take(d.x.workspace)
+}
+
+// giveUp ends the request without an answer.
+func (d *dispatch) giveUp(f *sumachead.Refusal) error {
+	f = d.final(f)
+	if d.ctx.Err() != nil && d.x.r.Context().Err() != nil {
+		return f // the caller is gone; the agent finishes and settles
+	}
+	// An attempt that may have run keeps its entry: its agent settles it, or
+	// the next request with the key takes it on.
+	if f.Verdict == sumachead.NotRun {
+		d.settle(&wire.SettleRequest{NotRun: true})
+	}
+	return f
+}
+
+// settle reports the outcome of the present attempt.
+func (d *dispatch) settle(s *wire.SettleRequest) {
+	s.Workspace, s.Key = d.entry.GetWorkspace(), d.entry.GetKey()
+	s.Attempt = d.entry.GetAttempt().GetNumber()
+	d.settler.add(settleItem{settle: s, server: d.to})
+}
+
+// moveOn takes the entry to another server after a failed attempt.
+func (d *dispatch) moveOn(f *sumachead.Refusal) error {
+	if f.Verdict != sumachead.NotRun {
+		d.mayHaveRun = true
+	}
+	d.tried = append(d.tried, d.to.server)
+	if err := d.place(); err != nil {
+		// No other server is left: the refusal that led here says more.
+		return d.giveUp(f)
+	}
+	return d.reassign(f.Verdict == sumachead.NotRun)
+}
+
+// reassign makes d.to the entry's next attempt.
+func (d *dispatch) reassign(notRun bool) error {
+	a := d.attempt()
+	ctx, cancel := context.WithTimeout(d.ctx, ledgerTimeout)
+	defer cancel()
+	reply, err := d.ledger.Reassign(ctx, &wire.ReassignRequest{
+		Workspace: d.entry.GetWorkspace(), Key: d.entry.GetKey(),
+		From: d.entry.GetAttempt().GetNumber(), Attempt: a, NotRun: notRun, Used: d.used,
+		DeadlineUnixNano: d.x.deadline.UnixNano(),
+	})
+	if err != nil {
+		return d.unreached(a, err)
+	}
+	if reply.GetCode() == wire.LedgerCode_LEDGER_CODE_GRANTED {
+		d.entry = reply.GetEntry()
+		return nil
+	}
+	if reply.GetCode() == wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED {
+		return d.giveUp(sumachead.Refuse(sumachead.NotRun, sumachead.ReasonBudgetExhausted,
+			"the budget does not cover another attempt", time.Now().Add(budgetRetry)))
+	}
+	// Another router has taken the entry on in the meantime.
+	return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonRunning,
+		"another attempt with this key is under way", time.Now().Add(retrySoon))
+}
+
+// join serves a request whose key the ledger knows: from the agent that runs
+// or ran it, or by taking it on where its router has died.
+func (d *dispatch) join() error {
+	t, err := d.link(d.entry.GetAttempt(), d.x.view)
+	if err != nil {
+		return d.orphan()
+	}
+	d.to = t
+	code, err := d.attach()
+	settled := d.entry.GetState() == wire.EntryState_ENTRY_STATE_SETTLED
+	switch {
+	case err != nil || code == wire.RunCode_RUN_CODE_WRONG_BOOT:
+		return d.orphan()
+	case code == wire.RunCode_RUN_CODE_ACCEPTED:
+		f := d.deliver()
+		if f == nil {
+			return nil
+		}
+		if settled || !d.mayRetry(f) {
+			return f
+		}
+		d.metrics.retries.WithLabelValues(string(f.Reason)).Inc()
+		if err := d.moveOn(f); err != nil {
+			return err
+		}
+		return d.run()
+	case settled:
+		return answerGone(time.Time{})
+	}
+	// The agent lives and has never seen the key: its router died, or is about
+	// to dispatch. This router takes the attempt on, at the same process.
+	if err := d.reassign(false); err != nil {
+		return err
+	}
+	return d.run()
+}
+
+func answerGone(retryAt time.Time) error {
+	return sumachead.Refuse(sumachead.Ran, sumachead.ReasonAnswerGone, "the request ran; its answer is not to be had", retryAt)
+}
+
+// orphan deals with an entry whose agent does not answer, or is a new process.
+func (d *dispatch) orphan() error {
+	if d.entry.GetState() == wire.EntryState_ENTRY_STATE_SETTLED {
+		return answerGone(time.Now().Add(retrySoon))
+	}
+	if d.entry.GetNotRepeatable() {
+		return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonServerUnreached,
+			"the process that may have run it does not answer", time.Now().Add(retrySoon))
+	}
+	d.mayHaveRun = true
+	d.tried = append(d.tried, sumachead.ServerID(d.entry.GetAttempt().GetServer()))
+	err := d.place()
+	if errors.Is(err, errNoServer) {
+		d.tried = nil
+		err = d.place()
+	}
+	if err != nil {
+		return d.final(sumachead.AsRefusal(err))
+	}
+	if err := d.reassign(false); err != nil {
+		return err
+	}
+	return d.run()
+}
--- /dev/null
+++ b/internal/router/exchange.go
@@ -0,0 +1,75 @@
+package router
+
+import (
+	"net/http"
+	"time"
+
+	"sumachead"
+	"sumachead/internal/settings"
+)
+
+// Headers of callers' requests and of answers.
+const (
+	HeaderKey           = "Idempotency-Key"
+	HeaderDeadline      = "Sumachead-Deadline"
+	HeaderNotRepeatable = "Sumachead-Not-Repeatable"
+	HeaderPriority      = "Sumachead-Priority"
+	HeaderRequestID     = "X-Request-Id"
+	HeaderAttempts      = "Sumachead-Attempts"
+)
+
+// exchange is one caller's request on its way through the filters. Each filter
+// fills in its part.
+type exchange struct {
+	w         http.ResponseWriter
+	r         *http.Request
+	id        string
+	view      *settings.View
+	workspace *settings.ResolvedWorkspace
+	pool      *settings.ResolvedPool
+	body      []byte
+	work      work
+
+	key           sumachead.RequestKey
+	deadline      time.Time
+	priority      sumachead.Priority
+	notRepeatable bool
+
+	// answered: the head of the answer has been sent to the caller.
+	answered bool
+	attempts int
+}
+
+// work is what is to be run, as the backend server will see it.
+type work struct {
+	method      string
+	path        string
+	query       string
+	contentType string
+	body        []byte
+	stream      bool
+	// bound is the most that it can cost.
+	bound sumachead.Tokens
+	// flatCost is what a plain service's call costs.
+	flatCost sumachead.Tokens
+	// prefix hashes the prompt's start; 0 when there is none.
+	prefix uint64
+}
+
+// handler deals with an exchange; a filter wraps one handler in another.
+type handler func(*exchange) error
+
+type filter func(next handler) handler
+
+// chain wraps h in filters; the first is the outermost.
+func chain(h handler, filters ...filter) handler {
+	for i := len(filters) - 1; i >= 0; i-- {
+		h = filters[i](h)
+	}
+	return h
+}
+
+// notRun is a refusal before anything was dispatched.
+func notRun(reason sumachead.Reason, detail string, retryAt time.Time) error {
+	return sumachead.Refuse(sumachead.NotRun, reason, detail, retryAt)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,165 @@
+package router
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"sumachead"
+	"sumachead/internal/config"
+	"sumachead/internal/follower"
+	"sumachead/internal/keeperclient"
+	"sumachead/internal/rpc"
+	"sumachead/internal/settings"
+	"sumachead/internal/telemetry"
+)
+
+const (
+	// drainTimeout bounds how long a planned stop waits for requests in flight.
+	drainTimeout = 5 * time.Minute
+	// announceStop is how long a stopping router goes on taking requests while
+	// it reports that it is not ready, so that the balancer can turn away.
+	announceStop = 300 * time.Millisecond
+)
+
+// Router is one router process. Set the exported fields before Run.
+type Router struct {
+	Config *config.Config
+	Log    hclog.Logger
+	Pool   *rpc.Pool
+	// CallerTLS is nil for plain HTTP.
+	CallerTLS *tls.Config
+	Placer    sumachead.Placer
+
+	boot     string
+	follower *follower.Follower
+	ledger   sumachead.Ledger
+	links    *linkTable
+	settler  *settler
+	limits   *concurrency
+	retries  *retryBudgets
+	metrics  *metrics
+	stopping atomic.Bool
+	owners   atomic.Uint64
+}
+
+// Run serves until ctx ends, then finishes the requests in flight.
+func (r *Router) Run(ctx context.Context) error {
+	r.prepare()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	serving, stopServing := context.WithCancel(work)
+	defer stopServing()
+	tasks, work := errgroup.WithContext(work)
+	tasks.Go(func() error { return r.follower.Run(work) })
+	tasks.Go(func() error { return r.settler.run(work) })
+	served := make(chan error, 1)
+	go func() { served <- r.server().Run(serving) }()
+	r.Log.Info("Serving.", "http", r.Config.HTTP)
+	var err error
+	select {
+	case <-ctx.Done():
+		r.stopping.Store(true)
+		r.Log.Info("Stopping: finishing requests in flight.")
+		time.Sleep(announceStop)
+		stopServing()
+		err = <-served
+		r.settler.flush()
+	case err = <-served:
+	case <-work.Done():
+	}
+	stop()
+	return errors.Join(err, tasks.Wait())
+}
+
+func (r *Router) prepare() {
+	r.boot = string(r.Config.Node) + "/" + uuid.NewString()
+	r.metrics = newMetrics()
+	client := &keeperclient.Client{Keepers: r.Config.Keepers, Pool: r.Pool}
+	r.ledger = client
+	r.links = newLinkTable(r.Pool)
+	r.settler = newSettler(r.ledger, r.links, r.Log.Named("settle"))
+	r.limits = &concurrency{}
+	r.retries = &retryBudgets{}
+	r.follower = &follower.Follower{
+		Config: r.Config, Boot: sumachead.BootID(r.boot), Pool: r.Pool, Log: r.Log.Named("settings"),
+		Without:      []string{settings.KindBudgets, settings.KindTopups},
+		ServesCutOff: r.servesCutOff,
+	}
+}
+
+// servesCutOff reports whether the hall has a server whose pool serves while
+// cut off.
+func (r *Router) servesCutOff(v *settings.View) bool {
+	return slices.Contains(v.CutOffHalls(), r.Config.Hall)
+}
+
+func (r *Router) server() *telemetry.HTTPServer {
+	return &telemetry.HTTPServer{Address: r.Config.HTTP, TLS: r.CallerTLS, Handler: r.routes(), Drain: drainTimeout}
+}
+
+// routes is the table of what callers may ask for.
+func (r *Router) routes() http.Handler {
+	m := chi.NewRouter()
+	telemetry.Mount(m, r.metrics.registry, r.ready)
+	m.Post("/v1/chat/completions", r.serve(chatWork))
+	m.HandleFunc("/v1/services/{pool}/*", r.serve(serviceWork))
+	m.NotFound(func(w http.ResponseWriter, q *http.Request) { r.unknownPath(w, q) })
+	m.MethodNotAllowed(func(w http.ResponseWriter, q *http.Request) { r.unknownPath(w, q) })
+	return m
+}
+
+func (r *Router) unknownPath(w http.ResponseWriter, q *http.Request) {
+	x := &exchange{w: w, r: q, id: uuid.NewString()}
+	r.refuse(x, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonBadRequest, "no such path or method", time.Time{}))
+}
+
+// serve returns the filter chain that ends in a dispatch of what prepare made
+// of the request.
+func (r *Router) serve(prepare func(*Router, *exchange) error) http.HandlerFunc {
+	h := chain(r.dispatch,
+		r.errorFilter,
+		r.requestIDFilter,
+		r.settingsFilter,
+		r.authFilter,
+		r.sizeFilter,
+		r.deadlineFilter,
+		func(next handler) handler {
+			return func(x *exchange) error {
+				if err := prepare(r, x); err != nil {
+					return err
+				}
+				return next(x)
+			}
+		},
+		r.concurrencyFilter,
+	)
+	return func(w http.ResponseWriter, q *http.Request) {
+		_ = h(&exchange{w: w, r: q}) // answered by the error filter
+	}
+}
+
+func (r *Router) ready() error {
+	if r.stopping.Load() {
+		return notRun(sumachead.ReasonStopping, "the router is stopping", time.Time{})
+	}
+	if r.follower.View() == nil {
+		return notRun(sumachead.ReasonSettingsStale, "no settings yet", time.Time{})
+	}
+	return nil
+}
+
+// newOwner names an attempt of this router; no other attempt has the name.
+func (r *Router) newOwner() string {
+	const base = 36
+	return r.boot + "/" + formatUint(r.owners.Add(1), base)
+}
--- /dev/null
+++ b/internal/rpc/client.go
@@ -0,0 +1,192 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	dialTimeout = time.Second
+	// silentFor is how long a connection with an overdue call may bring no
+	// reply at all before it is given up and dialled again.
+	silentFor = 2 * time.Second
+	// redialAfter keeps a dead address from being dialled on each call.
+	redialAfter = 50 * time.Millisecond
+)
+
+// ErrNotSent marks a call that never left this process: it had no effect.
+var ErrNotSent = errors.New("call was not sent")
+
+// Client calls one address.
+type Client struct {
+	Address string
+	TLS     *tls.Config
+
+	mu       sync.Mutex // guards the fields below
+	conn     *rpc.Client
+	lastGood time.Time
+	dialAt   time.Time
+	dialErr  error
+	dialing  chan struct{}
+}
+
+// Call runs a method and waits for its reply or the end of ctx. A failure to
+// connect wraps [ErrNotSent]. The reply is new for each call, since one that
+// was given up may still be written to.
+func Call[R any](ctx context.Context, c *Client, method string, args proto.Message) (*R, error) {
+	reply := new(R)
+	if err := c.call(ctx, method, args, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+func (c *Client) call(ctx context.Context, method string, args, reply any) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return errors.Join(ErrNotSent, err)
+	}
+	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return c.finish(conn, call.Error)
+	case <-ctx.Done():
+		c.overdue(conn)
+		return trace.Wrap(ctx.Err(), "calling %s at %s", method, c.Address)
+	}
+}
+
+// finish notes the health of the connection that a call ended on.
+func (c *Client) finish(conn *rpc.Client, err error) error {
+	var remote rpc.ServerError
+	if err == nil || errors.As(err, &remote) {
+		c.mu.Lock()
+		c.lastGood = time.Now()
+		c.mu.Unlock()
+		return err
+	}
+	c.drop(conn)
+	return trace.Wrap(err, "connection to %s", c.Address)
+}
+
+// overdue gives up a connection that has gone silent.
+func (c *Client) overdue(conn *rpc.Client) {
+	c.mu.Lock()
+	silent := time.Since(c.lastGood) > silentFor
+	c.mu.Unlock()
+	if silent {
+		c.drop(conn)
+	}
+}
+
+func (c *Client) drop(conn *rpc.Client) {
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
+// connect returns the open connection or dials one; concurrent callers share
+// a dial.
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+	for {
+		c.mu.Lock()
+		if c.conn != nil {
+			conn := c.conn
+			c.mu.Unlock()
+			return conn, nil
+		}
+		if c.dialErr != nil && time.Since(c.dialAt) < redialAfter {
+			err := c.dialErr
+			c.mu.Unlock()
+			return nil, err
+		}
+		wait := c.dialing
+		if wait == nil {
+			wait = make(chan struct{})
+			c.dialing = wait
+			go c.dial(wait)
+		}
+		c.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, trace.Wrap(ctx.Err(), "dialling %s", c.Address)
+		}
+	}
+}
+
+func (c *Client) dial(done chan struct{}) {
+	conn, err := c.open()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dialAt = time.Now()
+	c.dialErr = err
+	c.dialing = nil
+	if err == nil {
+		c.lastGood = time.Now()
+		c.conn = rpc.NewClientWithCodec(&clientCodec{newStream(conn)})
+	}
+	close(done)
+}
+
+func (c *Client) open() (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	if c.TLS == nil {
+		return d.Dial("tcp", c.Address)
+	}
+	return tls.DialWithDialer(&d, "tcp", c.Address, c.TLS)
+}
+
+// Close ends the connection; a later call dials again.
+func (c *Client) Close() {
+	c.mu.Lock()
+	conn := c.conn
+	c.conn = nil
+	c.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// Pool shares clients by address.
+type Pool struct {
+	TLS *tls.Config
+
+	mu      sync.Mutex // guards clients
+	clients map[string]*Client
+}
+
+// Get returns the client of an address.
+func (p *Pool) Get(address string) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients == nil {
+		p.clients = make(map[string]*Client)
+	}
+	c := p.clients[address]
+	if c == nil {
+		c = &Client{Address: address, TLS: p.TLS}
+		p.clients[address] = c
+	}
+	return c
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/rpc/server.go
@@ -0,0 +1,101 @@
+package rpc
+
+import (
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/gravitational/trace"
+)
+
+// Server serves registered receivers on one address. Set the exported fields
+// and call [Server.Register] before [Server.Run].
+type Server struct {
+	// Address is host:port.
+	Address string
+	// TLS is nil for plain connections.
+	TLS *tls.Config
+
+	inner rpc.Server
+	lis   net.Listener
+
+	mu     sync.Mutex // guards conns and closed
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// Register adds the exported methods of receiver under name.
+func (s *Server) Register(name string, receiver any) error {
+	return trace.Wrap(s.inner.RegisterName(name, receiver))
+}
+
+// Listen binds the address, so that a clash is an error before Run.
+func (s *Server) Listen() error {
+	lis, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return trace.Wrap(err, "listening for calls on %s", s.Address)
+	}
+	if s.TLS != nil {
+		lis = tls.NewListener(lis, s.TLS)
+	}
+	s.lis = lis
+	s.conns = make(map[net.Conn]struct{})
+	return nil
+}
+
+// Run accepts connections until Close.
+func (s *Server) Run() error {
+	for {
+		conn, err := s.lis.Accept()
+		if err != nil {
+			s.mu.Lock()
+			closed := s.closed
+			s.mu.Unlock()
+			if closed {
+				return nil
+			}
+			return trace.Wrap(err)
+		}
+		if !s.track(conn) {
+			return nil
+		}
+		go func() {
+			defer s.untrack(conn)
+			s.inner.ServeCodec(&serverCodec{newStream(conn)})
+		}()
+	}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close stops accepting and ends the open connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	if s.lis != nil {
+		_ = s.lis.Close()
+	}
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/tool/budget.go
@@ -0,0 +1,109 @@
+package tool
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/keeperclient"
+	"sumachead/internal/settings"
+	"sumachead/internal/strictjson"
+)
+
+// lookup asks the ledger.
+func lookup(ctx context.Context, c *keeperclient.Client, r *wire.LookupRequest) (*wire.LookupReply, error) {
+	return keeperclient.Call[wire.LookupReply](ctx, c, keeperclient.GroupLedger, "Ledger.Lookup", r)
+}
+
+type budgetShow struct {
+	app  *app
+	Args struct {
+		Budget string `positional-arg-name:"BUDGET"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (s *budgetShow) Execute([]string) error {
+	c, ctx, cancel, err := s.app.connect()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	reply, err := lookup(ctx, c, &wire.LookupRequest{Budget: s.Args.Budget})
+	if err != nil {
+		return err
+	}
+	if s.app.JSON {
+		return s.app.printProto(reply)
+	}
+	s.app.printf("%-24s %14s %14s %14s %14s %14s\n", "budget", "total", "spent", "reserved", "allotted", "available")
+	for _, b := range reply.GetBudgets() {
+		available := b.GetTotal() - b.GetSpent() - b.GetReserved() - b.GetAllotted()
+		s.app.printf("%-24s %14d %14d %14d %14d %14d\n", b.GetBudget(), b.GetTotal(), b.GetSpent(), b.GetReserved(), b.GetAllotted(), available)
+		for _, a := range b.GetAllotments() {
+			s.app.printf("  data hall %-12s holds %d\n", a.GetHall(), a.GetHeld())
+		}
+	}
+	s.app.printf("violations: %d\n", reply.GetViolations())
+	return nil
+}
+
+type budgetTopup struct {
+	app  *app
+	ID   string `long:"id" description:"id of the top-up; a repeated one changes nothing"`
+	Args struct {
+		Budget string           `positional-arg-name:"BUDGET" required:"true"`
+		Tokens sumachead.Tokens `positional-arg-name:"TOKENS" required:"true"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute implements flags.Commander. A top-up adds an object of its own to
+// the tree, so that it never conflicts with another change: it is made again
+// on the newest revision until it is in.
+func (s *budgetTopup) Execute([]string) error {
+	c, ctx, cancel, err := s.app.connect()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	if s.ID == "" {
+		s.ID = "t-" + uuid.NewString()
+	}
+	data, err := strictjson.Encode(settings.Topup{Tokens: s.Args.Tokens})
+	if err != nil {
+		return err
+	}
+	path := settings.KindTopups + "/" + s.Args.Budget + "/" + s.ID
+	r := &wire.ChangeRequest{
+		ChangeId: "topup/" + s.Args.Budget + "/" + s.ID, Author: author(), AtUnixNano: time.Now().UnixNano(),
+		Objects: []*wire.SettingsObject{{Path: path, Json: data}},
+	}
+	for {
+		t, revision, err := fetchTree(ctx, c)
+		if err != nil {
+			return err
+		}
+		if have, err := t.Get(path); err == nil {
+			return s.exists(have, data)
+		}
+		r.BaseRevision = revision
+		reply, err := sendChange(ctx, c, r)
+		if err != nil {
+			return exit(ExitFailed, "the answer was lost; repeat the command with --id %s: %w", s.ID, err)
+		}
+		if reply.GetStatus() != wire.ChangeStatus_CHANGE_STATUS_CONFLICT {
+			return s.app.outcome(r, reply)
+		}
+	}
+}
+
+func (s *budgetTopup) exists(have, want []byte) error {
+	if string(have) != string(want) {
+		return exit(ExitConflict, "top-up %s exists with other content: %s", s.ID, have)
+	}
+	s.app.printf("top-up %s is in force already\n", s.ID)
+	return nil
+}
--- /dev/null
+++ b/internal/tool/load.go
@@ -0,0 +1,166 @@
+package tool
+
+import (
+	"context"
+	"crypto/tls"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"sumachead/api/wire"
+	"sumachead/internal/load"
+)
+
+type loadCommand struct {
+	app           *app
+	URLs          []string      `long:"url" required:"true" description:"router, as in http://host:port; may be repeated"`
+	Key           string        `long:"key" required:"true" description:"bearer key of the workspace"`
+	Budget        string        `long:"budget" description:"budget of the workspace: reports overspend and false refusals"`
+	Direct        string        `long:"direct" description:"base URL of a backend server: runs the same load against it first, to tell what the system adds"`
+	Model         string        `long:"model" default:"assistant" description:"model"`
+	Service       string        `long:"service" description:"pool of a plain service to call instead of a model"`
+	Callers       int           `long:"callers" default:"16" description:"callers at once"`
+	Duration      time.Duration `long:"duration" default:"10s" description:"how long"`
+	Prompt        int           `long:"prompt" default:"400" description:"bytes of prompt"`
+	Prompts       int           `long:"prompts" description:"different prompts; 0 makes each its own"`
+	MaxTokens     int           `long:"max-tokens" default:"16" description:"tokens of each answer"`
+	Rate          float64       `long:"rate" description:"requests a second; 0 for as fast as the callers go"`
+	Priority      string        `long:"priority" description:"urgent, normal or batch"`
+	NoStream      bool          `long:"no-stream" description:"ask for whole answers"`
+	NotRepeatable bool          `long:"not-repeatable" description:"mark the requests as not repeatable"`
+	Insecure      bool          `long:"insecure" description:"do not check the routers' certificates"`
+}
+
+// loadResult is what the command prints.
+type loadResult struct {
+	Load   *load.Report `json:"load"`
+	Direct *load.Report `json:"direct,omitempty"`
+	// Added is what the system adds to the first token, in milliseconds.
+	Added *load.Times `json:"added_to_first_token,omitempty"`
+	Money *moneyCheck `json:"money,omitempty"`
+}
+
+// moneyCheck compares the budget before and after.
+type moneyCheck struct {
+	Total          int64 `json:"total"`
+	Spent          int64 `json:"spent"`
+	Overspend      int64 `json:"overspend"`
+	Available      int64 `json:"available"`
+	FalseRefusals  int64 `json:"false_refusals"`
+	BilledInLoad   int64 `json:"billed_in_load"`
+	AnsweredTokens int64 `json:"answered_tokens"`
+}
+
+// Execute implements flags.Commander.
+func (l *loadCommand) Execute([]string) error {
+	result := &loadResult{}
+	if l.Direct != "" {
+		result.Direct = l.run([]string{l.Direct})
+	}
+	before, err := l.budgetState()
+	if err != nil {
+		return err
+	}
+	result.Load = l.run(l.URLs)
+	if result.Direct != nil {
+		a, b := result.Load.First, result.Direct.First
+		result.Added = &load.Times{Median: a.Median - b.Median, P95: a.P95 - b.P95, P99: a.P99 - b.P99, Max: a.Max - b.Max}
+	}
+	if before != nil {
+		if result.Money, err = l.money(before, result.Load); err != nil {
+			return err
+		}
+	}
+	if err := l.print(result); err != nil {
+		return err
+	}
+	if result.Money != nil && result.Money.Overspend > 0 {
+		return exit(ExitFigures, "overspend")
+	}
+	return nil
+}
+
+func (l *loadCommand) run(urls []string) *load.Report {
+	t := &http.Transport{MaxIdleConnsPerHost: l.Callers, TLSClientConfig: &tls.Config{InsecureSkipVerify: l.Insecure}}
+	return load.Run(context.Background(), &load.Plan{
+		URLs: urls, Key: l.Key, Model: l.Model, Service: l.Service, Callers: l.Callers,
+		Prompt: l.Prompt, Prompts: l.Prompts, MaxTokens: l.MaxTokens, Rate: l.Rate, Priority: l.Priority,
+		Stream: !l.NoStream, NotRepeatable: l.NotRepeatable,
+		Until: time.Now().Add(l.Duration), Client: &http.Client{Transport: t},
+	})
+}
+
+func (l *loadCommand) budgetState() (*wire.BudgetState, error) {
+	if l.Budget == "" {
+		return nil, nil
+	}
+	c, ctx, cancel, err := l.app.connect()
+	if err != nil {
+		return nil, err
+	}
+	defer cancel()
+	reply, err := lookup(ctx, c, &wire.LookupRequest{Budget: l.Budget})
+	if err != nil {
+		return nil, err
+	}
+	if len(reply.GetBudgets()) != 1 {
+		return nil, exit(ExitUsage, "no budget %q", l.Budget)
+	}
+	return reply.GetBudgets()[0], nil
+}
+
+// money waits until all is settled and compares. A refusal counts as false
+// when the budget ended with room for the request.
+func (l *loadCommand) money(before *wire.BudgetState, r *load.Report) (*moneyCheck, error) {
+	const settleWait = 5 * time.Second
+	deadline := time.Now().Add(settleWait)
+	after, err := l.budgetState()
+	for err == nil && after.GetReserved() > 0 && time.Now().Before(deadline) {
+		const pollEvery = 50 * time.Millisecond
+		time.Sleep(pollEvery)
+		after, err = l.budgetState()
+	}
+	if err != nil {
+		return nil, err
+	}
+	m := &moneyCheck{
+		Total: after.GetTotal(), Spent: after.GetSpent(),
+		Overspend:    max(0, after.GetSpent()+after.GetReserved()+after.GetAllotted()-after.GetTotal()),
+		Available:    after.GetTotal() - after.GetSpent() - after.GetReserved() - after.GetAllotted(),
+		BilledInLoad: after.GetSpent() - before.GetSpent(), AnsweredTokens: r.Tokens,
+	}
+	if m.Available >= int64(l.Prompt+l.MaxTokens)*2 {
+		for name, n := range r.Outcomes {
+			if name != "answer" {
+				m.FalseRefusals += n
+			}
+		}
+	}
+	return m, nil
+}
+
+func (l *loadCommand) print(r *loadResult) error {
+	if l.app.JSON {
+		return l.app.printValue(r)
+	}
+	l.printReport("load", r.Load)
+	if r.Direct != nil {
+		l.printReport("direct", r.Direct)
+		l.app.printf("added to the first token: median %.2f ms, 99th percentile %.2f ms\n", r.Added.Median, r.Added.P99)
+	}
+	if m := r.Money; m != nil {
+		l.app.printf("budget: total %d, spent %d, overspend %d; billed in this load %d, tokens in answers %d; false refusals %d\n",
+			m.Total, m.Spent, m.Overspend, m.BilledInLoad, m.AnsweredTokens, m.FalseRefusals)
+	}
+	return nil
+}
+
+func (l *loadCommand) printReport(name string, r *load.Report) {
+	l.app.printf("%s: %d requests, %d answers, %.1f answers/s, %d tokens\n", name, r.Requests, r.Answers, r.PerSecond, r.Tokens)
+	l.app.printf("  first token: median %.2f ms, p95 %.2f, p99 %.2f, max %.2f\n", r.First.Median, r.First.P95, r.First.P99, r.First.Max)
+	l.app.printf("  whole answer: median %.2f ms, p95 %.2f, p99 %.2f, max %.2f\n", r.Whole.Median, r.Whole.P95, r.Whole.P99, r.Whole.Max)
+	for _, k := range slices.Sorted(maps.Keys(r.Outcomes)) {
+		l.app.printf("  %-32s %d\n", k, r.Outcomes[k])
+	}
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,139 @@
+#!/usr/bin/env bash
+# Starts three keepers, two routers, three agents and their stand-ins on
+# loopback, sends requests, kills the leading keeper, sends again, checks every
+# budget's figures, and stops everything. Exits non-zero if a figure is off.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bin=$PWD/bin
+dir=$(mktemp -d)
+pids=()
+declare -A pid_of
+
+finish() {
+  status=$?
+  for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+  if [ "$status" -ne 0 ]; then
+    echo "demo: failed; the logs:" >&2
+    tail -n 15 "$dir"/*.log >&2 || true
+  fi
+  rm -rf "$dir"
+  exit "$status"
+}
+trap finish EXIT
+
+keepers='[{"id":"keeper-1","hall":"hall-1","address":"127.0.0.1:7101"},
+ {"id":"keeper-2","hall":"hall-2","address":"127.0.0.1:7102"},
+ {"id":"keeper-3","hall":"hall-3","address":"127.0.0.1:7103"}]'
+tls='{"off":true}'
+
+start() { # name command...
+  local name=$1
+  shift
+  "$@" >"$dir/$name.log" 2>&1 &
+  pids+=($!)
+  pid_of[$name]=$!
+}
+
+daemon() { # name role hall fields
+  cat >"$dir/$1.json" <<EOF
+{"role":"$2","node":"$1","hall":"$3","keepers":$keepers,"tls":$tls,$4}
+EOF
+  start "$1" "$bin/sumacheadd" --config "$dir/$1.json"
+}
+
+wait_for() { # seconds what command...
+  local until=$((SECONDS + $1)) what=$2
+  shift 2
+  until "$@" >/dev/null 2>&1; do
+    [ "$SECONDS" -lt "$until" ] || { echo "demo: timed out waiting for $what" >&2; exit 1; }
+    sleep 0.1
+  done
+}
+
+say() { printf '\n== %s\n' "$*"; }
+
+say "starting"
+for i in 1 2 3; do
+  daemon "keeper-$i" keeper "hall-$i" "\"rpc\":\"127.0.0.1:710$i\",\"http\":\"127.0.0.1:711$i\",\"data\":\"$dir/keeper-$i\""
+done
+start engine-1 "$bin/sumachead-standin" --listen 127.0.0.1:7301 --slots 16
+start engine-2 "$bin/sumachead-standin" --listen 127.0.0.1:7302 --slots 16
+start booking "$bin/sumachead-standin" --listen 127.0.0.1:7303 --kind service
+for i in 1 2 3; do
+  server=(x assistant-1 assistant-2 booking-1)
+  daemon "agent-$i" agent "hall-$i" "\"rpc\":\"127.0.0.1:720$i\",\"http\":\"127.0.0.1:721$i\",\"agent\":{\"server\":\"${server[$i]}\",\"backend\":\"http://127.0.0.1:730$i\"}"
+done
+daemon router-1 router hall-1 '"http":"127.0.0.1:7001"'
+daemon router-2 router hall-2 '"http":"127.0.0.1:7002"'
+cat >"$dir/tool.json" <<EOF
+{"keepers":$keepers,"tls":$tls}
+EOF
+export SUMACHEAD_CONFIG=$dir/tool.json
+tool() { "$bin/sumachead" "$@"; }
+
+wait_for 20 "a leader" curl -sf http://127.0.0.1:7111/readyz
+
+say "applying the settings tree"
+tool settings check examples/settings.json
+tool settings apply examples/settings.json
+wait_for 10 "routers" curl -sf http://127.0.0.1:7001/readyz
+wait_for 10 "routers" curl -sf http://127.0.0.1:7002/readyz
+
+chat() { # router key
+  curl -sS --max-time 20 -N "http://127.0.0.1:$1/v1/chat/completions" -H 'Authorization: Bearer clerks-key' \
+    -H "Idempotency-Key: $2" -H 'Content-Type: application/json' \
+    -d '{"model":"assistant","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"Plan a trip from Ajloun to the clinic."}]}'
+}
+hold() { # router key
+  curl -sS --max-time 20 "http://127.0.0.1:$1/v1/services/booking/holds" -H 'Authorization: Bearer clerks-key' \
+    -H "Idempotency-Key: $2" -H 'Sumachead-Not-Repeatable: true' -H 'Sumachead-Priority: urgent' \
+    -H 'Content-Type: application/json' -d '{"seat":4}'
+}
+expect() { # what want got
+  if [ "$2" != "$3" ]; then echo "demo: $1: want $2, got $3" >&2; exit 1; fi
+  echo "ok: $1 = $3"
+}
+
+say "a streamed chat and a booking"
+chat 7001 chat-1 | tee "$dir/chat-1" | tail -n 4
+expect "end marks in the stream" 1 "$(grep -c '^data: \[DONE\]' "$dir/chat-1")"
+hold 7001 hold-1 | tee "$dir/hold-1"
+
+say "the same keys again, at the other router"
+chat 7002 chat-1 >"$dir/chat-1b"
+hold 7002 hold-1 >"$dir/hold-1b"
+cmp "$dir/chat-1" "$dir/chat-1b" && echo "ok: the same whole answer"
+cmp "$dir/hold-1" "$dir/hold-1b" && echo "ok: the same booking"
+
+say "killing the leading keeper"
+leader=$(tool status --json | grep -o '"leader": *"[^"]*"' | sort | uniq -c | sort -rn | head -1 | cut -d'"' -f4)
+echo "leader: $leader"
+kill -9 "${pid_of[$leader]}"
+chat 7002 chat-2 >"$dir/chat-2"
+expect "end marks in the stream" 1 "$(grep -c '^data: \[DONE\]' "$dir/chat-2")"
+hold 7001 hold-2 >/dev/null
+
+say "a load of 32 callers"
+tool load --url http://127.0.0.1:7001 --url http://127.0.0.1:7002 --key bays-key --budget consortium --callers 32 --duration 3s
+
+say "the ledger"
+settled() { tool budget show --json masar | grep -q '"reserved": *"0"'; }
+wait_for 10 "the last bills" settled
+tool budget show
+spent() { tool budget show --json "$1" | grep -o '"spent": *"[0-9]*"' | grep -o '[0-9]*'; }
+used() { # tokens that the stand-ins really made for a workspace
+  for port in 7301 7302; do curl -s "http://127.0.0.1:$port/admin/runs"; done |
+    grep -o "{\"id\":\"$1/[^}]*}" | grep -o '"tokens":[0-9]*' | cut -d: -f2 | awk '{s+=$1} END {print s+0}'
+}
+runs=$(curl -s http://127.0.0.1:7303/admin/runs | grep -o '"id":"clerks/' | wc -l)
+expect "bookings that ran" 2 "$runs"
+expect "masar's bill" "$(($(used clerks) + 20))" "$(spent masar)"
+expect "the consortium's bill" "$(used bays)" "$(spent consortium)"
+expect "violations" 0 "$(tool budget show --json | grep -o '"violations": *"[0-9]*"' | grep -o '[0-9]*')"
+
+say "stopping"
+for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
+for p in "${pids[@]}"; do wait "$p" 2>/dev/null || true; done
+pids=()
+echo "demo: all figures are right"
