--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,6 +33,7 @@
 	Hall     sumachead.HallID `json:"hall" doc:"Data hall that the process stands in."`
 	RPC      string           `json:"rpc,omitempty" doc:"Address for calls of other processes, host:port (agent and keeper)."`
 	HTTP     string           `json:"http" doc:"Address for callers (router), health and metrics, host:port."`
+	DialFrom string           `json:"dial_from,omitempty" doc:"Local IP address to call other processes from, on a host with several."`
 	LogLevel string           `json:"log_level,omitempty" doc:"debug, info (when left out), warn or error."`
 	Keepers  []Keeper         `json:"keepers" doc:"All keepers of the system."`
 	Data     string           `json:"data,omitempty" doc:"Data folder (keeper)."`
@@ -127,6 +128,9 @@
 	if c.Hall == "" {
 		return trace.BadParameter("hall: missing")
 	}
+	if c.DialFrom != "" && net.ParseIP(c.DialFrom) == nil {
+		return trace.BadParameter("dial_from: %q is not an IP address", c.DialFrom)
+	}
 	switch c.LogLevel {
 	case "", "debug", "info", "warn", "error":
 	default:
--- a/internal/keeper/controllers.go
+++ b/internal/keeper/controllers.go
@@ -127,7 +127,8 @@
 	const watchEvery = 10 * time.Millisecond
 	return every(ctx, watchEvery, func() {
 		if s := k.settings.node.Status(); s.GetLeader() == string(k.Config.Node) {
-			k.nodes.lead(s.GetTerm(), time.Now())
+			_, revision, _ := k.machine.Current()
+			k.nodes.lead(s.GetTerm(), revision == 0, time.Now())
 		}
 	})
 }
--- a/internal/keeper/nodes.go
+++ b/internal/keeper/nodes.go
@@ -35,9 +35,15 @@
 
 // lead notes since when this keeper leads: a term that is new to the table has
 // only just begun, as far as leases of the leader before are concerned.
-func (t *nodeTable) lead(term uint64, now time.Time) {
+// While the tree is still empty no node can do work, so there are no leases
+// that matter.
+func (t *nodeTable) lead(term uint64, emptyTree bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if emptyTree {
+		t.term, t.started = term, now.Add(-settings.CurrencyLease)
+		return
+	}
 	t.leadLocked(term, now)
 }
 
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -29,6 +29,8 @@
 type Client struct {
 	Address string
 	TLS     *tls.Config
+	// From is the local IP address to dial from; nil for any.
+	From net.IP
 
 	mu       sync.Mutex // guards the fields below
 	conn     *rpc.Client
@@ -142,6 +144,9 @@
 
 func (c *Client) open() (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
+	if c.From != nil {
+		d.LocalAddr = &net.TCPAddr{IP: c.From}
+	}
 	if c.TLS == nil {
 		return d.Dial("tcp", c.Address)
 	}
@@ -161,7 +166,8 @@
 
 // Pool shares clients by address.
 type Pool struct {
-	TLS *tls.Config
+	TLS  *tls.Config
+	From net.IP
 
 	mu      sync.Mutex // guards clients
 	clients map[string]*Client
@@ -176,7 +182,7 @@
 	}
 	c := p.clients[address]
 	if c == nil {
-		c = &Client{Address: address, TLS: p.TLS}
+		c = &Client{Address: address, TLS: p.TLS, From: p.From}
 		p.clients[address] = c
 	}
 	return c
--- /dev/null
+++ b/internal/scenario/system_test.go
@@ -0,0 +1,461 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/config"
+	"sumachead/internal/keeperclient"
+	"sumachead/internal/rpc"
+	"sumachead/internal/settings"
+	"sumachead/internal/standin"
+	"sumachead/internal/strictjson"
+	"sumachead/internal/tool"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	stopTimeout  = 30 * time.Second
+	workspaceKey = "clerks-key"
+	// firstPort is below the range from which the kernel picks ports.
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int32
+
+// freePort returns a port that nothing else in this test run gets.
+func freePort() int {
+	for {
+		p := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err == nil {
+			_ = l.Close()
+			return p
+		}
+	}
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// shape says how large a system is.
+type shape struct {
+	keepers, routers, engines, bookings int
+	slots                               int64
+	budget                              int64
+	cutOff                              settings.CutOffPolicy
+	callCost                            int64
+	engineArgs                          []string
+}
+
+// process is one process of a system.
+type process struct {
+	name    string
+	role    string
+	hall    string
+	command string
+	args    []string
+	ip      string
+	rpc     string // own address
+	http    string
+	data    string
+	relay   *relay
+	cmd     *exec.Cmd
+	done    chan struct{}
+	frozen  bool
+}
+
+// system is a set of processes on loopback.
+type system struct {
+	dir       string
+	daemon    string
+	standin   string
+	shape     shape
+	net       *network
+	processes map[string]*process
+	order     []string
+	client    *keeperclient.Client
+	keepers   []config.Keeper
+}
+
+func newSystem(dir, daemon, standin string, s shape) *system {
+	return &system{
+		dir: dir, daemon: daemon, standin: standin, shape: s,
+		net: newNetwork(), processes: make(map[string]*process),
+	}
+}
+
+func hallName(i int) string { return fmt.Sprintf("hall-%d", i%3+1) }
+
+// add makes a process with a relay before its RPC address.
+func (s *system) add(name, role, hall string) *process {
+	p := &process{name: name, role: role, hall: hall, command: s.daemon}
+	p.ip = fmt.Sprintf("127.0.1.%d", len(s.order)+2)
+	p.http = loopback(freePort())
+	p.rpc = loopback(freePort())
+	p.data = filepath.Join(s.dir, name+".data")
+	s.processes[name] = p
+	s.order = append(s.order, name)
+	return p
+}
+
+// front puts a relay before a process and returns its address.
+func (s *system) front(p *process) (string, error) {
+	lis, err := net.Listen("tcp", loopback(freePort()))
+	if err != nil {
+		return "", err
+	}
+	p.relay = &relay{
+		lis: lis, target: p.rpc, places: []string{p.hall, p.name}, net: s.net,
+		placesOf: s.placesOf, done: make(chan struct{}),
+	}
+	return lis.Addr().String(), nil
+}
+
+func (s *system) placesOf(ip string) []string {
+	for _, p := range s.processes {
+		if p.ip == ip {
+			return []string{p.hall, p.name}
+		}
+	}
+	return []string{"operator"}
+}
+
+// build lays out the processes and writes their settings files.
+func (s *system) build() error {
+	for i := range s.shape.keepers {
+		p := s.add(fmt.Sprintf("keeper-%d", i+1), "keeper", hallName(i))
+		address, err := s.front(p)
+		if err != nil {
+			return err
+		}
+		s.keepers = append(s.keepers, config.Keeper{ID: p.name, Hall: sumachead.HallID(p.hall), Address: address})
+	}
+	s.client = &keeperclient.Client{Keepers: s.keepers, Pool: &rpc.Pool{}}
+	tree := s.tree()
+	for i := range s.shape.engines {
+		if err := s.addServer(tree, fmt.Sprintf("assistant-%d", i+1), "assistant", hallName(i)); err != nil {
+			return err
+		}
+	}
+	for i := range s.shape.bookings {
+		if err := s.addServer(tree, fmt.Sprintf("booking-%d", i+1), "booking", hallName(i)); err != nil {
+			return err
+		}
+	}
+	for i := range s.shape.routers {
+		s.add(fmt.Sprintf("router-%d", i+1), "router", hallName(i))
+	}
+	for _, p := range s.processes {
+		if p.command == s.daemon {
+			if err := s.writeConfig(p); err != nil {
+				return err
+			}
+		}
+	}
+	data, err := strictjson.EncodeIndented(tree)
+	if err != nil {
+		return err
+	}
+	client, err := strictjson.EncodeIndented(config.Client{Keepers: s.keepers, TLS: config.TLS{Off: true}})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(s.path("tool.json"), client, 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(s.path("settings.json"), data, 0o600)
+}
+
+func (s *system) path(name string) string { return filepath.Join(s.dir, name) }
+
+// tree is the settings tree without backend servers.
+func (s *system) tree() *settings.Objects {
+	const keyHash = "4034d6cbdc22bbb1602c840dddc58b1ea16fa324133376cf31ecb4219eaddbc0"
+	return &settings.Objects{
+		Branches: map[string]settings.Branch{
+			"root": {}, "masar": {Parent: "root", Budget: "masar", Pools: []sumachead.PoolID{"assistant", "booking"}},
+		},
+		Workspaces: map[string]settings.Workspace{"clerks": {Branch: "masar", KeySHA256: []string{keyHash}}},
+		Budgets:    map[string]settings.Budget{"masar": {}},
+		Topups:     map[string]map[string]settings.Topup{"masar": {"t1": {Tokens: sumachead.Tokens(s.shape.budget)}}},
+		Pools: map[string]settings.Pool{
+			"assistant": {Kind: settings.ModelPool, Models: []string{"assistant"}, CutOff: s.shape.cutOff, StuckAfter: settings.Duration{Duration: 2 * time.Second}},
+			"booking":   {Kind: settings.ServicePool, CallCost: sumachead.Tokens(s.shape.callCost), CutOff: s.shape.cutOff},
+		},
+		Servers: map[string]settings.Server{},
+	}
+}
+
+// addServer adds a backend server's stand-in and its agent.
+func (s *system) addServer(tree *settings.Objects, name, pool, hall string) error {
+	backend := s.add(name, "standin", hall)
+	kind := "model"
+	if pool == "booking" {
+		kind = "service"
+	}
+	backend.command = s.standin
+	backend.args = append([]string{"--listen", backend.http, "--kind", kind, "--slots", fmt.Sprint(s.shape.slots)}, s.shape.engineArgs...)
+	agent := s.add("agent-"+name, "agent", hall)
+	address, err := s.front(agent)
+	if err != nil {
+		return err
+	}
+	tree.Servers[name] = settings.Server{
+		Pool: sumachead.PoolID(pool), Hall: sumachead.HallID(hall), Agent: address, Slots: s.shape.slots, Epoch: 1,
+	}
+	return nil
+}
+
+func (s *system) writeConfig(p *process) error {
+	c := config.Config{
+		Role: config.Role(p.role), Node: sumachead.NodeID(p.name), Hall: sumachead.HallID(p.hall),
+		HTTP: p.http, DialFrom: p.ip, Keepers: s.keepers, TLS: config.TLS{Off: true}, LogLevel: "debug",
+	}
+	switch p.role {
+	case "keeper":
+		c.RPC, c.Data = p.rpc, p.data
+	case "agent":
+		c.RPC = p.rpc
+		server := strings.TrimPrefix(p.name, "agent-")
+		c.Agent = &config.Agent{Server: sumachead.ServerID(server), Backend: "http://" + s.processes[server].http}
+	}
+	data, err := strictjson.EncodeIndented(c)
+	if err != nil {
+		return err
+	}
+	p.args = []string{"--config", s.path(p.name + ".json")}
+	return os.WriteFile(p.args[1], data, 0o600)
+}
+
+// start starts a process; its output goes to a file.
+func (s *system) start(p *process) error {
+	log, err := os.OpenFile(s.path(p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	p.cmd = exec.Command(p.command, p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.Env = append(os.Environ(), "GORACE=halt_on_error=1")
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	p.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(p.cmd, p.done)
+	return nil
+}
+
+func (p *process) running() bool {
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) signal(sig syscall.Signal) {
+	if p.running() {
+		_ = p.cmd.Process.Signal(sig)
+	}
+}
+
+// kill ends a process at once.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	if p.done != nil {
+		<-p.done
+	}
+	p.frozen = false
+}
+
+// stop ends a process as planned; it must exit with 0.
+func (p *process) stop() error {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(stopTimeout):
+		return fmt.Errorf("%s did not stop within %v", p.name, stopTimeout)
+	}
+	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+		return fmt.Errorf("%s exited with %d", p.name, code)
+	}
+	return nil
+}
+
+// startAll starts everything, applies the tree and waits until routers serve.
+func (s *system) startAll() error {
+	for _, p := range s.processes {
+		if p.relay != nil {
+			go p.relay.run()
+		}
+	}
+	for _, name := range s.order {
+		if err := s.start(s.processes[name]); err != nil {
+			return err
+		}
+	}
+	if err := s.applyTree(); err != nil {
+		return err
+	}
+	return eventually(startTimeout, "routers and agents are ready", func() bool {
+		for _, p := range s.processes {
+			if (p.role == "router" || p.role == "agent") && !s.ready(p) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *system) applyTree() error {
+	var out bytes.Buffer
+	err := eventually(startTimeout, "the settings tree is applied", func() bool {
+		out.Reset()
+		return s.tool(&out, "settings", "apply", s.path("settings.json")) == 0
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, out.String())
+	}
+	return nil
+}
+
+func (s *system) tool(out *bytes.Buffer, args ...string) int {
+	return tool.Run(append([]string{"--config", s.path("tool.json")}, args...), out, out)
+}
+
+func (s *system) ready(p *process) bool {
+	resp, err := http.Get("http://" + p.http + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusOK
+}
+
+func eventually(within time.Duration, what string, f func() bool) error {
+	deadline := time.Now().Add(within)
+	for !f() {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("not within %v: %s", within, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+// close ends all processes.
+func (s *system) close() {
+	s.net.healAll()
+	for _, p := range s.processes {
+		if p.frozen {
+			p.signal(syscall.SIGCONT)
+		}
+		p.kill()
+		if p.relay != nil {
+			p.relay.close()
+		}
+	}
+}
+
+// crashes lists the processes whose logs show a panic or a data race.
+func (s *system) crashes() []string {
+	var names []string
+	for _, name := range s.order {
+		data, _ := os.ReadFile(s.path(name + ".log"))
+		if bytes.Contains(data, []byte("DATA RACE")) || bytes.Contains(data, []byte("\npanic: ")) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// leader returns the name of the keeper that leads a group.
+func (s *system) leader(g sumachead.GroupID) string {
+	votes := make(map[string]int)
+	for _, k := range s.keepers {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		reply, err := keeperclient.CallKeeper[wire.StatusReply](ctx, s.client, k, "Keeper.Status", &wire.Empty{})
+		cancel()
+		if err != nil {
+			continue
+		}
+		for _, x := range reply.GetGroups() {
+			if x.GetGroup() == string(g) && x.GetLeader() == k.ID {
+				votes[k.ID] = int(x.GetTerm())
+			}
+		}
+	}
+	best := ""
+	for id, term := range votes {
+		if best == "" || term > votes[best] {
+			best = id
+		}
+	}
+	return best
+}
+
+// resolve turns "leader" and "settings-leader" into a process, and returns any
+// other process by its name.
+func (s *system) resolve(name string) (*process, error) {
+	switch name {
+	case "leader":
+		name = s.leader(keeperclient.GroupLedger)
+	case "settings-leader":
+		name = s.leader(keeperclient.GroupSettings)
+	}
+	p := s.processes[name]
+	if p == nil {
+		return nil, fmt.Errorf("no process %q", name)
+	}
+	return p, nil
+}
+
+// ledger returns the ledger's state of the budget and of a workspace.
+func (s *system) ledger() (*wire.LookupReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return keeperclient.Call[wire.LookupReply](ctx, s.client, keeperclient.GroupLedger, "Ledger.Lookup", &wire.LookupRequest{Workspace: "clerks"})
+}
+
+// record returns what the stand-ins of a kind really ran.
+func (s *system) record(prefix string) ([]*standin.Run, error) {
+	var runs []*standin.Run
+	for _, p := range s.processes {
+		if p.role != "standin" || !strings.HasPrefix(p.name, prefix) {
+			continue
+		}
+		resp, err := http.Get("http://" + p.http + "/admin/runs")
+		if err != nil {
+			return nil, err
+		}
+		var r standin.Record
+		err = json.NewDecoder(resp.Body).Decode(&r)
+		_ = resp.Body.Close()
+		if err != nil {
+			return nil, err
+		}
+		runs = append(runs, r.Runs...)
+	}
+	return runs, nil
+}
