A change is accepted only when the ledger has its totals too

A router that had never synced held no lease, so acceptance did not wait for it, and it judged callers by an empty tree; the totals reached the ledger a little later than the tree. Ruled out: a lost delta (the router's revision was 0, not behind a gap). Change: acceptance waits for the ledger's totals; a router without proof that its settings are current refuses settings_stale with when to come back, before it judges a bearer key, and is not ready.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -74,6 +74,16 @@
 	return f.claimed && p.CutOff == settings.CutOffServe
 }
 
+// MayServeAny reports whether new work of some pool may start at now.
+func (f *Follower) MayServeAny(now time.Time) bool {
+	if f.Current(now) {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.claimed
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/keeper/settingsservice.go
+++ b/internal/keeper/settingsservice.go
@@ -59,6 +59,9 @@
 			return []string{"a new leader"}
 		}
 		missing, changed := k.nodes.missing(revision, st.GetTerm(), time.Now())
+		if k.ledger.TotalsRevision() < revision {
+			missing = append(missing, "the ledger")
+		}
 		if len(missing) == 0 || time.Now().After(deadline) {
 			return missing
 		}
--- a/internal/router/filters.go
+++ b/internal/router/filters.go
@@ -38,12 +38,14 @@
 	}
 }
 
-// settingsFilter fixes the settings that the request is dealt with under.
+// settingsFilter fixes the settings that the request is dealt with under. Under
+// settings that may be old nothing is refused for good: a workspace that they
+// lack may exist.
 func (r *Router) settingsFilter(next handler) handler {
 	return func(x *exchange) error {
 		x.view = r.follower.View()
-		if x.view == nil {
-			return notRun(sumachead.ReasonSettingsStale, "the router has no settings yet", time.Now().Add(retrySoon))
+		if x.view == nil || !r.follower.MayServeAny(time.Now()) {
+			return notRun(sumachead.ReasonSettingsStale, "the settings are not proved current", time.Now().Add(retrySoon))
 		}
 		return next(x)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -152,8 +152,8 @@
 	if r.stopping.Load() {
 		return notRun(sumachead.ReasonStopping, "the router is stopping", time.Time{})
 	}
-	if r.follower.View() == nil {
-		return notRun(sumachead.ReasonSettingsStale, "no settings yet", time.Time{})
+	if r.follower.View() == nil || !r.follower.MayServeAny(time.Now()) {
+		return notRun(sumachead.ReasonSettingsStale, "the settings are not proved current", time.Time{})
 	}
 	return nil
 }
