--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -107,7 +107,10 @@
 func (r *runner) caller(ctx context.Context, n int) {
 	var ticks <-chan time.Time
 	if r.plan.Rate > 0 {
-		t := time.NewTicker(time.Duration(float64(time.Second) * float64(r.plan.Callers) / r.plan.Rate))
+		// The callers begin one after another, so that they do not beat as one.
+		interval := time.Duration(float64(time.Second) * float64(r.plan.Callers) / r.plan.Rate)
+		time.Sleep(interval * time.Duration(n) / time.Duration(r.plan.Callers))
+		t := time.NewTicker(interval)
 		defer t.Stop()
 		ticks = t.C
 	}
--- a/internal/tool/settings.go
+++ b/internal/tool/settings.go
@@ -12,6 +12,7 @@
 
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/reference"
 	"sumachead/internal/settings"
 )
 
@@ -264,3 +265,11 @@
 	}
 	return err
 }
+
+type settingsReference struct{ app *app }
+
+// Execute implements flags.Commander.
+func (s *settingsReference) Execute([]string) error {
+	s.app.printf("%s", reference.Page())
+	return nil
+}
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -119,6 +119,7 @@
 		{groupSettings, "set", "set or remove one object", &settingsSet{app: a}},
 		{groupSettings, "apply", "make the tree like a file", &settingsApply{app: a}},
 		{groupSettings, "history", "list the changes", &settingsHistory{app: a}},
+		{groupSettings, "reference", "print the page of all settings", &settingsReference{app: a}},
 		{groupSettings, "check", "check a tree's file", &settingsCheck{app: a}},
 		{"", "budget", "show and top up budgets", &struct{}{}},
 		{"budget", "show", "print budgets", &budgetShow{app: a}},
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -57,8 +57,10 @@
 for i in 1 2 3; do
   daemon "keeper-$i" keeper "hall-$i" "\"rpc\":\"127.0.0.1:710$i\",\"http\":\"127.0.0.1:711$i\",\"data\":\"$dir/keeper-$i\""
 done
-start engine-1 "$bin/sumachead-standin" --listen 127.0.0.1:7301 --slots 16
-start engine-2 "$bin/sumachead-standin" --listen 127.0.0.1:7302 --slots 16
+slots=${DEMO_SLOTS:-16}
+sed "s/\"slots\": 16/\"slots\": $slots/" examples/settings.json >"$dir/settings.json"
+start engine-1 "$bin/sumachead-standin" --listen 127.0.0.1:7301 --slots "$slots"
+start engine-2 "$bin/sumachead-standin" --listen 127.0.0.1:7302 --slots "$slots"
 start booking "$bin/sumachead-standin" --listen 127.0.0.1:7303 --kind service
 for i in 1 2 3; do
   server=(x assistant-1 assistant-2 booking-1)
@@ -75,8 +77,8 @@
 wait_for 20 "a leader" curl -sf http://127.0.0.1:7111/readyz
 
 say "applying the settings tree"
-tool settings check examples/settings.json
-tool settings apply examples/settings.json
+tool settings check "$dir/settings.json"
+tool settings apply "$dir/settings.json"
 wait_for 10 "routers" curl -sf http://127.0.0.1:7001/readyz
 wait_for 10 "routers" curl -sf http://127.0.0.1:7002/readyz
 
@@ -95,6 +97,8 @@
   echo "ok: $1 = $3"
 }
 
+if [ -n "${DEMO_ONLY_START:-}" ]; then return 0; fi
+
 say "a streamed chat and a booking"
 chat 7001 chat-1 | tee "$dir/chat-1" | tail -n 4
 expect "end marks in the stream" 1 "$(grep -c '^data: \[DONE\]' "$dir/chat-1")"
