--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -79,15 +79,14 @@
 
 func (a *Agent) prepare() {
 	a.boot = sumachead.BootID(uuid.NewString())
-	a.keepers = &keeperclient.Client{Keepers: a.Config.Keepers, Pool: a.Pool}
+	a.keepers = &keeperclient.Client{Keepers: a.Config.Keepers, Pool: a.Pool, Hall: a.Config.Hall}
 	a.metrics = newMetrics()
 	a.runs = newRunTable(a.Config.Agent.RetainedBytes)
 	a.queue = &queue{}
 	a.backend = newBackend(a.Config.Agent.Backend)
 	a.follower = &follower.Follower{
 		Config: a.Config, Boot: a.boot, Pool: a.Pool, Log: a.Log.Named("settings"),
-		Without:      []string{settings.KindWorkspaces, settings.KindBudgets, settings.KindTopups, settings.KindBranches},
-		ServesCutOff: a.servesCutOff,
+		Without: []string{settings.KindWorkspaces, settings.KindBudgets, settings.KindTopups, settings.KindBranches},
 	}
 }
 
@@ -104,11 +103,6 @@
 	return s, v.Pool(s.Pool)
 }
 
-func (a *Agent) servesCutOff(v *settings.View) bool {
-	_, p := a.own(v)
-	return p != nil && p.CutOff == settings.CutOffServe
-}
-
 func (a *Agent) monitoring() *telemetry.HTTPServer {
 	ready := func() error {
 		r := a.refusal(nil, time.Now())
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -22,6 +22,7 @@
 	began := time.Now()
 	defer func() { a.queue.release(time.Since(began)) }()
 	// What was true at admission may have changed while the request waited.
+	r.StartByUnixNano = 0 // it came in time
 	if f := a.refusal(r, began); f != nil && f.Reason != sumachead.ReasonStopping {
 		a.metrics.refused(f.Reason)
 		x.finish(0, f)
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -176,6 +176,9 @@
 	if !a.holdsEpoch(server.Epoch, sumachead.Epoch(r.GetEpoch())) {
 		return refuse(sumachead.ReasonFenced, "the request comes under an old epoch")
 	}
+	if by := r.GetStartByUnixNano(); by != 0 && now.UnixNano() > by {
+		return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonDeadlinePassed, "the copy came late", time.Time{})
+	}
 	if now.UnixNano() >= r.GetDeadlineUnixNano() {
 		return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonDeadlinePassed, "the deadline has passed", time.Time{})
 	}
--- a/internal/agent/settle.go
+++ b/internal/agent/settle.go
@@ -63,6 +63,6 @@
 	return &wire.SettleRequest{
 		Workspace: r.key.workspace, Key: r.key.key, Attempt: r.attempt, Tokens: r.end.GetTokens(),
 		NotRun: r.end.GetVerdict() == string(sumachead.NotRun),
-		Failed: r.end.GetReason() != "",
+		Failed: r.end.GetReason() != "", Hall: r.request.GetHall(),
 	}
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -27,7 +27,7 @@
 	holdFor = time.Second
 	// askTimeout bounds a question beyond its hold.
 	askTimeout = 700 * time.Millisecond
-	retryPause = 50 * time.Millisecond
+	retryPause = 100 * time.Millisecond
 )
 
 // Follower follows the settings tree. Set the exported fields before Run.
@@ -38,19 +38,19 @@
 	Log    hclog.Logger
 	// Without lists the kinds of objects that this node has no use for.
 	Without []string
-	// ServesCutOff reports whether this node would work while cut off, going
-	// by a view.
-	ServesCutOff func(*settings.View) bool
 
 	view  atomic.Pointer[settings.View]
 	state settings.Follower // used by Run only
 	next  int               // used by Run only
+	// steady: the last answer came from the leader. Used by Run only.
+	steady bool
 
 	mu sync.Mutex // guards the fields below
 	// currentAsOf is the latest time for which currency is proved.
 	currentAsOf time.Time
-	// claimed: the keepers know that this node serves while cut off.
-	claimed bool
+	// cutOffAsOf is the latest time for which the own hall's keeper has said
+	// that it has no leader.
+	cutOffAsOf time.Time
 }
 
 // View returns the settings in force; nil before the first sync.
@@ -64,30 +64,29 @@
 }
 
 // MayServe reports whether new work of a pool may start at now: the settings
-// are current, or the pool serves while cut off and the keepers know of that.
+// are current, or the hall is wholly cut off and the pool serves then.
 func (f *Follower) MayServe(p *settings.ResolvedPool, now time.Time) bool {
-	if f.Current(now) {
-		return true
-	}
+	return f.Current(now) || (p.CutOff == settings.CutOffServe && f.cutOff(now))
+}
+
+// cutOff reports whether the whole data hall is known to be cut off: its own
+// keeper has said lately that it has no leader. A node that reaches no keeper
+// at all knows nothing and must not work.
+func (f *Follower) cutOff(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.claimed && p.CutOff == settings.CutOffServe
+	return now.Before(f.cutOffAsOf.Add(settings.CurrencyLease))
 }
 
 // MayServeAny reports whether new work of some pool may start at now.
 func (f *Follower) MayServeAny(now time.Time) bool {
-	if f.Current(now) {
-		return true
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.claimed
+	return f.Current(now) || f.cutOff(now)
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if f.ask(ctx) {
+		if f.steady = f.ask(ctx); f.steady {
 			continue
 		}
 		f.next++
@@ -116,16 +115,28 @@
 		return false
 	}
 	if !reply.GetCurrent() {
+		f.noteCutOff(reply, k, asked)
 		f.aimAt(reply.GetLeader(), k.ID)
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.currentAsOf = asked
-	f.claimed = r.GetServesCutOff()
+	f.cutOffAsOf = time.Time{}
 	return true
 }
 
+// noteCutOff takes in what a keeper without a quorum says: that of the own hall
+// counts.
+func (f *Follower) noteCutOff(reply *wire.SyncReply, k config.Keeper, asked time.Time) {
+	if k.Hall != f.Config.Hall || reply.GetLeader() != "" {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutOffAsOf = asked
+}
+
 func (f *Follower) request() *wire.SyncRequest {
 	session, revision := f.state.Position()
 	r := &wire.SyncRequest{
@@ -133,10 +144,8 @@
 		Session: session, Revision: revision, Without: f.Without,
 		Address: f.Config.HTTP, Boot: string(f.Boot),
 	}
-	v := f.View()
-	if v != nil {
+	if f.steady {
 		r.WaitMillis = holdFor.Milliseconds()
-		r.ServesCutOff = f.ServesCutOff(v)
 	}
 	return r
 }
--- a/internal/keeper/controllers.go
+++ b/internal/keeper/controllers.go
@@ -4,10 +4,15 @@
 	"context"
 	"time"
 
+	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
+	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/keeperclient"
+	"sumachead/internal/settings"
+	"sumachead/internal/strictjson"
 )
 
 const (
@@ -25,6 +30,10 @@
 func (k *Keeper) runControllers(ctx context.Context, tasks *errgroup.Group) {
 	loops := []func(context.Context) error{
 		k.joinLoop, k.totalsLoop, k.expiryLoop, k.membersLoop, k.leadershipLoop,
+		k.allotLoop, k.hallTopupsLoop,
+	}
+	if k.holds {
+		loops = append(loops, k.journal.Run, k.mergeLoop, k.journalExpiryLoop)
 	}
 	for _, f := range loops {
 		tasks.Go(func() error { return f(ctx) })
@@ -56,7 +65,7 @@
 		totals := &wire.SetTotals{Revision: revision}
 		for id := range tree.Objects().Budgets {
 			total, hallTopups := tree.Total(id)
-			if b := k.ledger.Budget(budgetID(id)); b != nil && b.GetTotal() == int64(total) && len(hallTopups) == 0 {
+			if b := k.ledger.Budget(sumachead.BudgetID(id)); b != nil && b.GetTotal() == int64(total) && len(hallTopups) == 0 {
 				continue
 			}
 			totals.Totals = append(totals.Totals, &wire.BudgetTotal{Budget: id, Total: int64(total), HallTopups: hallTopups})
@@ -80,6 +89,52 @@
 	})
 }
 
+// journalExpiryLoop presumes and forgets entries of the hall's journal.
+func (k *Keeper) journalExpiryLoop(ctx context.Context) error {
+	return every(ctx, expireEvery, func() {
+		now := time.Now()
+		if err := k.journal.Expire(now, now.Add(-presumeAfter)); err != nil && ctx.Err() == nil {
+			k.Log.Warn("Expiry in the journal failed.", "error", err)
+		}
+	})
+}
+
+// proposeTopup adds a hall's top-up to the tree at a revision.
+func (k *Keeper) proposeTopup(ctx context.Context, revision uint64, budget, id string, tokens int64) error {
+	hall := keeperclient.HallOf(id, k.Config.Keepers)
+	object, err := strictjson.Encode(settings.Topup{Tokens: sumachead.Tokens(tokens), Hall: hall})
+	if err != nil {
+		return err
+	}
+	data, err := proto.Marshal(&wire.ChangeRequest{
+		ChangeId: "hall-topup/" + budget + "/" + id, BaseRevision: revision, Author: string(k.Config.Node),
+		AtUnixNano: time.Now().UnixNano(),
+		Objects:    []*wire.SettingsObject{{Path: settings.KindTopups + "/" + budget + "/" + id, Json: object}},
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	_, err = k.settings.node.Propose(ctx, data)
+	return trace.Wrap(err)
+}
+
+// contacts reports which halls' keepers are in contact with this leader of the
+// settings group.
+func (k *Keeper) contacts(ctx context.Context) map[sumachead.HallID]bool {
+	active, err := k.settings.node.PeersActive(ctx)
+	if err != nil {
+		return nil
+	}
+	halls := make(map[sumachead.HallID]bool)
+	for _, h := range hallsOf(k.Config.Keepers) {
+		holder, _ := keeperclient.Holder(h, k.Config.Keepers)
+		halls[h] = holder.ID == string(k.Config.Node) || active[holder.ID]
+	}
+	return halls
+}
+
 // try proposes a command; a failure is logged and the loop comes back to it.
 func (k *Keeper) try(ctx context.Context, controller string, c *wire.LedgerCommand) {
 	if _, err := k.propose(ctx, c); err != nil && ctx.Err() == nil {
@@ -124,11 +179,19 @@
 
 // leadershipLoop notes when this keeper begins to lead the settings group.
 func (k *Keeper) leadershipLoop(ctx context.Context) error {
-	const watchEvery = 10 * time.Millisecond
+	const (
+		watchEvery   = 10 * time.Millisecond
+		contactEvery = 10 // rounds
+	)
+	rounds := 0
 	return every(ctx, watchEvery, func() {
+		k.noteLeader(time.Now())
 		if s := k.settings.node.Status(); s.GetLeader() == string(k.Config.Node) {
 			_, revision, _ := k.machine.Current()
 			k.nodes.lead(s.GetTerm(), revision == 0, time.Now())
+			if rounds++; rounds%contactEvery == 0 {
+				k.nodes.contact(k.contacts(ctx), time.Now())
+			}
 		}
 	})
 }
--- /dev/null
+++ b/internal/keeper/hallservice.go
@@ -0,0 +1,177 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/keeperclient"
+	"sumachead/internal/ledger"
+	"sumachead/internal/raft"
+)
+
+const (
+	// cutOffAfter is how long the ledger may have no leader before the hall
+	// answers for good from its own account. Until then what it can't grant
+	// may soon be granted by a new leader.
+	cutOffAfter = 3 * time.Second
+	// grantTimeout bounds a journal's question for more tokens.
+	grantTimeout = 700 * time.Millisecond
+	// grantFactor is how many requests of the size at hand a question covers.
+	grantFactor = 32
+)
+
+// hallService serves the hall's journal. Only the holder of the hall runs it.
+type hallService struct{ keeper *Keeper }
+
+// Reserve reserves for a key that belongs to the hall, connected or not.
+func (s *hallService) Reserve(r *wire.ReserveRequest, reply *wire.LedgerReply) error {
+	k := s.keeper
+	if keeperclient.HallOf(r.GetKey(), k.Config.Keepers) != k.Config.Hall {
+		reply.Code = wire.LedgerCode_LEDGER_CODE_CLAIM_UNAVAILABLE
+		return nil
+	}
+	r.NowUnixNano = time.Now().UnixNano()
+	k.demand.Note(r.GetBudget(), r.GetHall(), r.GetAmount(), time.Now())
+	got, err := k.journal.Reserve(r)
+	if err == nil && got.GetCode() == wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED && k.askGrant(r.GetBudget(), r.GetAmount()) {
+		got, err = k.journal.Reserve(r)
+	}
+	if err == nil {
+		got, err = k.reserveWithRoom(r, got)
+	}
+	return k.hallReply("reserve", got, err, reply)
+}
+
+// reserveWithRoom repeats a reservation that the journal refused, once requests
+// under way have given back enough.
+func (k *Keeper) reserveWithRoom(r *wire.ReserveRequest, got *wire.LedgerReply) (*wire.LedgerReply, error) {
+	var err error
+	available := func() (sumachead.Tokens, sumachead.Tokens) {
+		return k.journal.Available(sumachead.BudgetID(r.GetBudget()))
+	}
+	for deadline := time.Now().Add(roomWait); err == nil && k.awaitRoom(&k.journal.Room, r, got, deadline, available); {
+		got, err = k.journal.Reserve(r)
+	}
+	return got, err
+}
+
+// hallReply passes on what the journal answered.
+func (k *Keeper) hallReply(method string, got *wire.LedgerReply, err error, reply *wire.LedgerReply) error {
+	if err != nil {
+		return err
+	}
+	reply.Code, reply.Entry, reply.RoomSoon = got.GetCode(), got.GetEntry(), got.GetRoomSoon()
+	k.metrics.journalReplies.WithLabelValues(method, got.GetCode().String()).Inc()
+	return nil
+}
+
+// askGrant asks the ledger for tokens and waits until this keeper's copy of
+// the ledger shows them.
+func (k *Keeper) askGrant(budget string, amount int64) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+	defer cancel()
+	id := sumachead.BudgetID(budget)
+	before := k.ledger.Granted(id, k.Config.Hall, k.identity.GetIncarnation())
+	reply, err := k.clients.Grant(ctx, &wire.Grant{
+		Budget: budget, Hall: string(k.Config.Hall), KeeperIncarnation: k.identity.GetIncarnation(),
+		Amount: max(amount*grantFactor, amount), Partial: true,
+	})
+	if err != nil || reply.GetCode() != wire.LedgerCode_LEDGER_CODE_GRANTED {
+		return false
+	}
+	waitUntil(ctx, func() bool {
+		return k.ledger.Granted(id, k.Config.Hall, k.identity.GetIncarnation()) > before
+	})
+	return ctx.Err() == nil
+}
+
+// Reassign moves an entry of the journal to its next attempt.
+func (s *hallService) Reassign(r *wire.ReassignRequest, reply *wire.LedgerReply) error {
+	r.NowUnixNano = time.Now().UnixNano()
+	got, err := s.keeper.journal.Reassign(r)
+	return s.keeper.hallReply("reassign", got, err, reply)
+}
+
+// Settle ends entries of the journal.
+func (s *hallService) Settle(b *wire.SettleBatch, reply *wire.LedgerReplies) error {
+	now := time.Now().UnixNano()
+	for _, x := range b.GetSettles() {
+		x.NowUnixNano = now
+	}
+	got, err := s.keeper.journal.Settle(b)
+	for _, r := range got {
+		s.keeper.metrics.journalReplies.WithLabelValues("settle", r.GetCode().String()).Inc()
+		reply.Replies = append(reply.Replies, &wire.LedgerReply{Code: r.GetCode()})
+	}
+	return err
+}
+
+// Topup takes tokens that were bought while the hall is cut off. The id must
+// belong to the hall, so that no other side takes it too.
+func (s *hallService) Topup(r *wire.HallTopupRequest, _ *wire.Empty) error {
+	k := s.keeper
+	if keeperclient.HallOf(r.GetTopupId(), k.Config.Keepers) != k.Config.Hall {
+		return errForeignTopup
+	}
+	return k.journal.Topup(sumachead.BudgetID(r.GetBudget()), r.GetTopupId(), sumachead.Tokens(r.GetTokens()))
+}
+
+// Recall gives unspent tokens back and brings the record to the ledger before
+// it answers.
+func (s *hallService) Recall(r *wire.RecallRequest, _ *wire.Empty) error {
+	k := s.keeper
+	n, err := k.journal.Return(sumachead.BudgetID(r.GetBudget()), sumachead.Tokens(r.GetAmount()))
+	if err != nil || n == 0 {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+	defer cancel()
+	return k.mergeOnce(ctx)
+}
+
+// reserveCutOff serves a reservation from the hall's own account while the
+// ledger has no leader. An error means that the caller should try on.
+func (k *Keeper) reserveCutOff(r *wire.ReserveRequest, reply *wire.LedgerReply) error {
+	lost := k.leaderlessFor(time.Now())
+	noLeader := keeperclient.EncodeError(&raft.NotLeaderError{})
+	if lost == 0 || !k.holds || r.GetHall() != string(k.Config.Hall) {
+		return noLeader
+	}
+	reply.Partial = true
+	if e := k.ledger.Entry(sumachead.WorkspaceID(r.GetWorkspace()), sumachead.RequestKey(r.GetKey())); e != nil &&
+		e.GetHall() == "" && e.GetState() != wire.EntryState_ENTRY_STATE_RELEASED {
+		return k.knownElsewhere(e, r, lost, reply)
+	}
+	if r.GetNotRepeatable() {
+		// The other side may have claimed the key.
+		if lost < cutOffAfter {
+			return noLeader
+		}
+		reply.Code = wire.LedgerCode_LEDGER_CODE_CLAIM_UNAVAILABLE
+		return nil
+	}
+	got, err := k.journal.Reserve(r)
+	if err == nil && got.GetCode() == wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED && lost < cutOffAfter {
+		return noLeader
+	}
+	if err == nil {
+		got, err = k.reserveWithRoom(r, got)
+	}
+	return k.hallReply("reserve_cut_off", got, err, reply)
+}
+
+// knownElsewhere answers for a key whose entry is in the ledger: its state
+// can't be changed now, but a finished answer can be fetched.
+func (k *Keeper) knownElsewhere(e *wire.Entry, r *wire.ReserveRequest, lost time.Duration, reply *wire.LedgerReply) error {
+	if lost < cutOffAfter {
+		return keeperclient.EncodeError(&raft.NotLeaderError{})
+	}
+	code, fresh := ledger.Claim(e, r)
+	if fresh {
+		code = wire.LedgerCode_LEDGER_CODE_CLAIM_UNAVAILABLE
+	}
+	reply.Code, reply.Entry = code, e
+	return nil
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -12,6 +12,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,7 +22,9 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/allot"
 	"sumachead/internal/config"
+	"sumachead/internal/journal"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/ledger"
 	"sumachead/internal/raft"
@@ -47,6 +51,18 @@
 	nodes    *nodeTable
 	metrics  *metrics
 	clients  *keeperclient.Client
+
+	// holds: this keeper holds its hall's journal.
+	holds   bool
+	journal *journal.Journal
+	demand  *allot.Demand
+	recalls *recallState
+	// leaderless is since when the ledger has no leader, in Unix nanoseconds;
+	// 0 when it has one.
+	leaderless atomic.Int64
+
+	mergeMu sync.Mutex // guards merged, and keeps merges in order
+	merged  uint64
 }
 
 // group is one replicated group of this keeper.
@@ -63,7 +79,8 @@
 	}
 	k.metrics = newMetrics(k)
 	k.nodes = newNodeTable()
-	k.clients = &keeperclient.Client{Keepers: k.Config.Keepers, Pool: k.Pool}
+	k.clients = &keeperclient.Client{Keepers: k.Config.Keepers, Pool: k.Pool, Hall: k.Config.Hall}
+	k.demand, k.recalls = &allot.Demand{}, &recallState{}
 	if err := k.listen(probe); err != nil {
 		return err
 	}
@@ -110,15 +127,18 @@
 	if k.money, err = k.openGroup(keeperclient.GroupLedger, k.ledger); err != nil {
 		return err
 	}
-	services := []struct {
-		name     string
-		receiver any
-	}{
+	if err := k.openJournal(); err != nil {
+		return err
+	}
+	services := []service{
 		{"Raft", &raftService{k}},
 		{"Settings", &settingsService{k}},
 		{"Ledger", &ledgerService{k}},
 		{"Keeper", &statusService{k}},
 	}
+	if k.holds {
+		services = append(services, service{"Hall", &hallService{k}})
+	}
 	for _, s := range services {
 		if err := k.RPC.Register(s.name, s.receiver); err != nil {
 			return err
@@ -127,6 +147,27 @@
 	return nil
 }
 
+// service is a receiver of calls under its name.
+type service struct {
+	name     string
+	receiver any
+}
+
+// openJournal opens the hall's journal where this keeper holds it.
+func (k *Keeper) openJournal() error {
+	holder, _ := keeperclient.Holder(k.Config.Hall, k.Config.Keepers)
+	k.holds = holder.ID == string(k.Config.Node)
+	if !k.holds {
+		return nil
+	}
+	incarnation := k.identity.GetIncarnation()
+	k.journal = &journal.Journal{
+		Dir: filepath.Join(k.Config.Data, "journal"), Hall: k.Config.Hall, Incarnation: incarnation,
+		Granted: func(b sumachead.BudgetID) sumachead.Tokens { return k.ledger.Granted(b, k.Config.Hall, incarnation) },
+	}
+	return k.journal.Open()
+}
+
 // sessionOf names the history of revisions that the founders started.
 func sessionOf(founders *wire.Members) string {
 	h := sha256.New()
--- a/internal/keeper/ledgerservice.go
+++ b/internal/keeper/ledgerservice.go
@@ -7,10 +7,17 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/ledger"
 )
 
+// roomWait bounds how long one call of a reservation waits for requests under
+// way to give back what they reserved and did not use. It is less than the time
+// after which a caller takes a keeper for dead; the caller asks again.
+const roomWait = 400 * time.Millisecond
+
 // proposeTimeout bounds how long a caller's command waits for a quorum.
 const proposeTimeout = 2 * time.Second
 
@@ -36,20 +43,56 @@
 		return err
 	}
 	r := result.(*wire.LedgerReply)
-	reply.Code, reply.Entry, reply.Budget = r.GetCode(), r.GetEntry(), r.GetBudget()
+	reply.Code, reply.Entry, reply.Budget, reply.RoomSoon = r.GetCode(), r.GetEntry(), r.GetBudget(), false
 	return nil
 }
 
 // Reserve reserves a request's cost and claims its key.
 func (s *ledgerService) Reserve(r *wire.ReserveRequest, reply *wire.LedgerReply) error {
-	r.NowUnixNano = time.Now().UnixNano()
-	err := s.keeper.proposeReply(&wire.LedgerCommand{Command: &wire.LedgerCommand_Reserve{Reserve: r}}, reply)
+	k := s.keeper
+	now := time.Now()
+	r.NowUnixNano = now.UnixNano()
+	if k.leaderlessFor(now) > 0 {
+		return k.reserveCutOff(r, reply)
+	}
+	c := &wire.LedgerCommand{Command: &wire.LedgerCommand_Reserve{Reserve: r}}
+	err := k.proposeReply(c, reply)
+	if err == nil {
+		k.demand.Note(r.GetBudget(), r.GetHall(), r.GetAmount(), now)
+	}
+	if err == nil && k.recallFor(r.GetBudget(), r.GetAmount(), "", reply) {
+		err = k.proposeReply(c, reply)
+	}
+	available := func() (sumachead.Tokens, sumachead.Tokens) {
+		return k.ledger.Available(sumachead.BudgetID(r.GetBudget()))
+	}
+	for deadline := now.Add(roomWait); err == nil && k.awaitRoom(&k.ledger.Room, r, reply, deadline, available); {
+		err = k.proposeReply(c, reply)
+	}
 	if err == nil {
 		s.keeper.metrics.ledgerReplies.WithLabelValues("reserve", reply.GetCode().String()).Inc()
 	}
 	return err
 }
 
+// awaitRoom waits for a budget that is short only because of the upper bounds
+// of requests under way; it reports whether there is room now.
+func (k *Keeper) awaitRoom(room *ledger.Room, r *wire.ReserveRequest, reply *wire.LedgerReply, deadline time.Time, available func() (sumachead.Tokens, sumachead.Tokens)) bool {
+	if reply.GetCode() != wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED {
+		return false
+	}
+	amount := sumachead.Tokens(r.GetAmount())
+	if free, reserved := available(); free+reserved < amount {
+		return false
+	}
+	k.metrics.roomWaits.Inc()
+	reply.RoomSoon = true
+	return room.Await(deadline, func() bool {
+		free, _ := available()
+		return free >= amount
+	})
+}
+
 // Reassign moves an entry to its next attempt.
 func (s *ledgerService) Reassign(r *wire.ReassignRequest, reply *wire.LedgerReply) error {
 	r.NowUnixNano = time.Now().UnixNano()
--- a/internal/keeper/nodes.go
+++ b/internal/keeper/nodes.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/settings"
 )
@@ -21,6 +22,9 @@
 	term    uint64
 	started time.Time
 	changed chan struct{}
+	// silent is when each hall's keeper was last seen to be out of contact
+	// with this leader.
+	silent map[sumachead.HallID]time.Time
 }
 
 type nodeEntry struct {
@@ -30,7 +34,10 @@
 }
 
 func newNodeTable() *nodeTable {
-	return &nodeTable{nodes: make(map[string]*nodeEntry), changed: make(chan struct{}), started: time.Now()}
+	return &nodeTable{
+		nodes: make(map[string]*nodeEntry), changed: make(chan struct{}), started: time.Now(),
+		silent: make(map[sumachead.HallID]time.Time),
+	}
 }
 
 // lead notes since when this keeper leads: a term that is new to the table has
@@ -77,6 +84,31 @@
 	}
 }
 
+// contact notes which halls' keepers are in contact with this leader.
+func (t *nodeTable) contact(halls map[sumachead.HallID]bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for h, ok := range halls {
+		if !ok {
+			t.silent[h] = now
+		}
+	}
+}
+
+// silentHalls lists those of the halls that may be serving cut off: their
+// keepers have been out of contact within the time of a lease.
+func (t *nodeTable) silentHalls(halls []sumachead.HallID, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for _, h := range halls {
+		if now.Before(t.silent[h].Add(settings.CurrencyLease)) {
+			names = append(names, "data hall "+string(h))
+		}
+	}
+	return names
+}
+
 // missing lists the nodes that may work without the revision, and a channel
 // that closes when a node reports. The term is the one that this keeper leads.
 func (t *nodeTable) missing(revision, term uint64, now time.Time) ([]string, <-chan struct{}) {
@@ -91,7 +123,7 @@
 		if e.request.GetRevision() >= revision {
 			continue
 		}
-		if now.Before(e.leasedTo) || e.request.GetServesCutOff() {
+		if now.Before(e.leasedTo) {
 			names = append(names, name)
 		}
 	}
@@ -105,7 +137,7 @@
 	defer t.mu.Unlock()
 	var out []*wire.NodeStatus
 	for name, e := range t.nodes {
-		if now.Sub(e.seen) > forgetNodeAfter && !e.request.GetServesCutOff() {
+		if now.Sub(e.seen) > forgetNodeAfter {
 			delete(t.nodes, name)
 			continue
 		}
--- a/internal/keeper/settingsservice.go
+++ b/internal/keeper/settingsservice.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
+	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/settings"
@@ -32,6 +34,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	serving := s.keeper.cutOffHalls(r.GetHallsDown())
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
 	result, err := s.keeper.settings.node.Propose(ctx, data)
@@ -42,16 +45,52 @@
 	if reply.GetStatus() != wire.ChangeStatus_CHANGE_STATUS_COMMITTED {
 		return nil
 	}
-	reply.WaitingFor = s.keeper.awaitAcceptance(reply.GetRevision())
+	if concernsNodes(r.GetObjects()) {
+		serving = append(serving, s.keeper.cutOffHalls(r.GetHallsDown())...)
+		reply.WaitingFor = s.keeper.awaitNodes(reply.GetRevision(), serving)
+	}
+	reply.WaitingFor = append(reply.WaitingFor, s.keeper.awaitLedger(reply.GetRevision())...)
 	if len(reply.GetWaitingFor()) == 0 {
 		reply.Status = wire.ChangeStatus_CHANGE_STATUS_ACCEPTED
 	}
 	return nil
 }
 
-// awaitAcceptance waits until every node that may still work has a revision,
-// and returns the nodes that are missing when the time is up.
-func (k *Keeper) awaitAcceptance(revision uint64) []string {
+// cutOffHalls lists the halls that serve while cut off, by the tree as it is
+// now, but for those that the operator knows to be down.
+func (k *Keeper) cutOffHalls(down []string) []sumachead.HallID {
+	tree, _, _ := k.machine.Current()
+	return slices.DeleteFunc(tree.CutOffHalls(), func(h sumachead.HallID) bool {
+		return slices.Contains(down, string(h))
+	})
+}
+
+// concernsNodes reports whether routers or agents go by any of the objects.
+// Budgets and top-ups are the ledger's alone.
+func concernsNodes(objects []*wire.SettingsObject) bool {
+	return slices.ContainsFunc(objects, func(o *wire.SettingsObject) bool {
+		kind := settings.Kind(o.GetPath())
+		return kind != settings.KindTopups && kind != settings.KindBudgets
+	})
+}
+
+// awaitLedger waits until the ledger counts with a revision's totals.
+func (k *Keeper) awaitLedger(revision uint64) []string {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptWait)
+	defer cancel()
+	waitUntil(ctx, func() bool { return k.ledger.TotalsRevision() >= revision })
+	if ctx.Err() != nil {
+		return []string{"the ledger"}
+	}
+	return nil
+}
+
+// awaitNodes waits until every node that may still work has a revision, and
+// returns the nodes, and the halls out of contact among those that serve then,
+// that are missing when the time is up.
+func (k *Keeper) awaitNodes(revision uint64, serving []sumachead.HallID) []string {
+	slices.Sort(serving)
+	serving = slices.Compact(serving)
 	deadline := time.Now().Add(acceptWait)
 	for {
 		st := k.settings.node.Status()
@@ -59,9 +98,7 @@
 			return []string{"a new leader"}
 		}
 		missing, changed := k.nodes.missing(revision, st.GetTerm(), time.Now())
-		if k.ledger.TotalsRevision() < revision {
-			missing = append(missing, "the ledger")
-		}
+		missing = append(missing, k.nodes.silentHalls(serving, time.Now())...)
 		if len(missing) == 0 || time.Now().After(deadline) {
 			return missing
 		}
--- a/internal/keeperclient/client.go
+++ b/internal/keeperclient/client.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,7 +15,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"sumachead"
-	"sumachead/api/wire"
 	"sumachead/internal/config"
 	"sumachead/internal/raft"
 	"sumachead/internal/rpc"
@@ -63,6 +63,9 @@
 type Client struct {
 	Keepers []config.Keeper
 	Pool    *rpc.Pool
+	// Hall is the caller's own data hall: its keeper is asked first when the
+	// leader is not known. Empty for none.
+	Hall sumachead.HallID
 
 	mu      sync.Mutex // guards leaders and next
 	leaders map[sumachead.GroupID]string
@@ -90,14 +93,22 @@
 		if tries%len(c.Keepers) != 0 {
 			continue
 		}
-		select {
-		case <-time.After(retryPause):
-		case <-ctx.Done():
+		if pause(ctx) != nil {
 			return nil, trace.Wrap(errors.Join(ctx.Err(), err), "calling %s", method)
 		}
 	}
 }
 
+// pause separates two tries; it returns the error of a ctx that has ended.
+func pause(ctx context.Context) error {
+	select {
+	case <-time.After(retryPause):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func callKeeperWithin[R any](ctx context.Context, c *Client, try time.Duration, k config.Keeper, method string, args proto.Message) (*R, error) {
 	ctx, cancel := context.WithTimeout(ctx, try)
 	defer cancel()
@@ -121,6 +132,8 @@
 	defer c.mu.Unlock()
 	if c.leaders[g] == tried {
 		delete(c.leaders, g)
+		c.next = 0
+		return
 	}
 	c.next++
 }
@@ -143,21 +156,7 @@
 			return k
 		}
 	}
-	return c.Keepers[c.next%len(c.Keepers)]
-}
-
-// Reserve implements sumachead.Ledger.
-func (c *Client) Reserve(ctx context.Context, r *wire.ReserveRequest) (*wire.LedgerReply, error) {
-	return Call[wire.LedgerReply](ctx, c, GroupLedger, "Ledger.Reserve", r)
-}
-
-// Reassign implements sumachead.Ledger.
-func (c *Client) Reassign(ctx context.Context, r *wire.ReassignRequest) (*wire.LedgerReply, error) {
-	return Call[wire.LedgerReply](ctx, c, GroupLedger, "Ledger.Reassign", r)
-}
-
-// Settle implements sumachead.Ledger.
-func (c *Client) Settle(ctx context.Context, b *wire.SettleBatch) error {
-	_, err := Call[wire.LedgerReplies](ctx, c, GroupLedger, "Ledger.Settle", b)
-	return err
+	// In turn, beginning with the own hall's.
+	own := max(slices.IndexFunc(c.Keepers, func(k config.Keeper) bool { return k.Hall == c.Hall }), 0)
+	return c.Keepers[(own+c.next)%len(c.Keepers)]
 }
--- a/internal/ledger/allotment.go
+++ b/internal/ledger/allotment.go
@@ -1,114 +1,168 @@
 package ledger
 
 import (
-	"google.golang.org/protobuf/proto"
-
+	"sumachead"
 	"sumachead/api/wire"
 )
 
-// grant moves tokens of a budget into the escrow of a data hall's keeper. A
-// keeper that lost its disk has another incarnation: until the old escrow is
-// written off it gets none.
+// grant moves tokens of a budget into the escrow of a data hall's journal. A
+// keeper that lost its disk has another incarnation, and so another escrow; the
+// old one stays deducted until it is written off.
 func (m *Machine) grant(g *wire.Grant) *wire.LedgerReply {
 	b := m.budgets[g.GetBudget()]
 	if b == nil {
 		return reply(wire.LedgerCode_LEDGER_CODE_UNKNOWN_BUDGET, nil)
 	}
-	if g.GetAmount() <= 0 || b.available() < g.GetAmount() {
-		return reply(wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED, nil)
+	amount := g.GetAmount()
+	if g.GetPartial() {
+		amount = min(amount, b.available())
 	}
-	a := b.allotments[g.GetHall()]
-	if a != nil && a.GetKeeperIncarnation() != g.GetKeeperIncarnation() {
-		return reply(wire.LedgerCode_LEDGER_CODE_CLAIM_UNAVAILABLE, nil)
+	if amount <= 0 || b.available() < amount {
+		rep := reply(wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED, nil)
+		rep.Budget = b.state(g.GetBudget())
+		return rep
 	}
+	a := b.allotment(g.GetBudget(), g.GetHall(), g.GetKeeperIncarnation())
+	a.Held += amount
+	a.GrantedTotal += amount
+	b.allotted += amount
+	m.verify(g.GetBudget())
+	rep := reply(wire.LedgerCode_LEDGER_CODE_GRANTED, nil)
+	rep.Budget = b.state(g.GetBudget())
+	return rep
+}
+
+// allotment returns the budget's escrow at a hall, new if need be.
+func (b *budget) allotment(id, hall, incarnation string) *wire.Allotment {
+	k := allotmentKey{hall, incarnation}
+	a := b.allotments[k]
 	if a == nil {
-		a = &wire.Allotment{Budget: g.GetBudget(), Hall: g.GetHall(), KeeperIncarnation: g.GetKeeperIncarnation()}
-		b.allotments[g.GetHall()] = a
+		a = &wire.Allotment{Budget: id, Hall: hall, KeeperIncarnation: incarnation}
+		b.allotments[k] = a
 	}
-	a.Held += g.GetAmount()
-	a.GrantedTotal += g.GetAmount()
-	a.Grants++
-	b.allotted += g.GetAmount()
-	m.verify(g.GetBudget())
-	return reply(wire.LedgerCode_LEDGER_CODE_GRANTED, nil)
+	return a
 }
 
 // merge takes in what a hall's journal holds beyond what was merged before.
 func (m *Machine) merge(r *wire.MergeRequest) {
+	h := m.halls[r.GetHall()]
+	if h == nil || h.GetKeeperIncarnation() != r.GetKeeperIncarnation() {
+		h = &wire.Hall{Hall: r.GetHall(), KeeperIncarnation: r.GetKeeperIncarnation()}
+	}
+	merged := h.GetMergedSeq()
 	for _, x := range r.GetRecords() {
-		b := m.budgets[x.GetBudget()]
-		if b == nil {
-			b = m.budget(x.GetBudget())
-		}
-		a := b.allotments[r.GetHall()]
-		if a == nil && x.GetTopupId() != "" {
-			a = &wire.Allotment{Budget: x.GetBudget(), Hall: r.GetHall(), KeeperIncarnation: r.GetKeeperIncarnation()}
-			b.allotments[r.GetHall()] = a
-		}
-		if a == nil || a.GetKeeperIncarnation() != r.GetKeeperIncarnation() || x.GetSeq() <= a.GetMergedSeq() {
-			continue
+		if x.GetSeq() != merged+1 {
+			continue // merged before, or after a gap
 		}
-		a.MergedSeq = x.GetSeq()
-		m.mergeRecord(b, a, x)
-		m.verify(x.GetBudget())
+		merged++
+		m.mergeRecord(r, x)
 	}
+	m.halls[r.GetHall()] = &wire.Hall{Hall: h.GetHall(), KeeperIncarnation: h.GetKeeperIncarnation(), MergedSeq: merged}
 }
 
-func (m *Machine) mergeRecord(b *budget, a *wire.Allotment, x *wire.JournalRecord) {
-	if x.GetTopupId() != "" && b.hallTopups[x.GetTopupId()] == 0 {
-		b.hallTopups[x.GetTopupId()] = x.GetTopupTokens()
-		b.total += x.GetTopupTokens()
+func (m *Machine) mergeRecord(r *wire.MergeRequest, x *wire.JournalRecord) {
+	b := m.budget(x.GetBudget())
+	a := b.allotment(x.GetBudget(), r.GetHall(), r.GetKeeperIncarnation())
+	if id := x.GetTopupId(); id != "" {
+		b.takeHallTopup(id, x.GetTopupTokens())
 		b.allotted += x.GetTopupTokens()
 		a.Held += x.GetTopupTokens()
 	}
-	if n := x.GetReturned(); n > 0 {
-		a.Held -= n
-		b.allotted -= n
-	}
+	a.Held -= x.GetReturned()
+	b.allotted -= x.GetReturned()
 	if x.GetEntry() != nil {
-		m.mergeEntry(b, a, x.GetEntry())
+		m.mergeEntry(b, a, x)
+	}
+	if a.GetHeld() < 0 {
+		m.violations++
+	}
+	m.verify(x.GetBudget())
+}
+
+// takeHallTopup counts a top-up that a hall took, until the tree has it.
+func (b *budget) takeHallTopup(id string, tokens int64) {
+	if b.hallTopups[id] == 0 {
+		b.hallTopups[id] = tokens
+		b.total += tokens
 	}
 }
 
 // mergeEntry takes in an entry as the hall has it. The escrow pays for what
 // the hall billed. A key that was also used elsewhere is billed once: the
 // hall's bill goes back to the budget.
-func (m *Machine) mergeEntry(b *budget, a *wire.Allotment, e *wire.Entry) {
+func (m *Machine) mergeEntry(b *budget, a *wire.Allotment, x *wire.JournalRecord) {
+	e := x.GetEntry()
 	k := entryKey{e.GetWorkspace(), e.GetKey()}
 	have := m.entries[k]
-	foreign := have != nil && have.GetHall() != e.GetHall() && have.GetState() != wire.EntryState_ENTRY_STATE_RELEASED
-	billedBefore := int64(0)
-	if have != nil && have.GetHall() == e.GetHall() {
-		billedBefore = have.GetBilled()
-	}
-	bill := e.GetBilled() - billedBefore
-	a.Held -= bill
-	b.allotted -= bill
-	if foreign {
+	a.Held -= x.GetBill()
+	b.allotted -= x.GetBill()
+	if isGhost(have, e) {
+		b.reserved -= have.GetReserved()
+		have = nil
+	}
+	if have != nil && have.GetHall() != e.GetHall() && have.GetState() != wire.EntryState_ENTRY_STATE_RELEASED {
 		return
 	}
-	b.spent += bill
-	next := proto.CloneOf(e)
-	if next.GetState() == wire.EntryState_ENTRY_STATE_RESERVED {
-		m.entries[k] = next
+	b.spent += x.GetBill()
+	if e.GetState() == wire.EntryState_ENTRY_STATE_RESERVED {
+		m.entries[k] = e
 		return
 	}
-	m.end(k, next)
+	m.end(k, e)
+}
+
+// isGhost reports whether have is a reservation that reached the ledger late,
+// after its own router had been granted the same attempt by the hall.
+func isGhost(have, e *wire.Entry) bool {
+	return have.GetState() == wire.EntryState_ENTRY_STATE_RESERVED && have.GetHall() == "" &&
+		have.GetOpenedBy() == e.GetOpenedBy()
 }
 
 // writeOff gives up the escrow of a keeper that lost its disk: what it may
 // have spent counts as spent.
 func (m *Machine) writeOff(w *wire.WriteOff) {
 	b := m.budgets[w.GetBudget()]
-	if b == nil {
-		return
-	}
-	a := b.allotments[w.GetHall()]
-	if a == nil {
+	k := allotmentKey{w.GetHall(), w.GetKeeperIncarnation()}
+	if b == nil || b.allotments[k] == nil {
 		return
 	}
-	b.allotted -= a.GetHeld()
-	b.spent += a.GetHeld()
-	delete(b.allotments, w.GetHall())
+	held := b.allotments[k].GetHeld()
+	b.allotted -= held
+	b.spent += held
+	delete(b.allotments, k)
 	m.verify(w.GetBudget())
 }
+
+// Granted returns all that was ever granted to a keeper for a budget.
+func (m *Machine) Granted(id sumachead.BudgetID, hall sumachead.HallID, incarnation string) sumachead.Tokens {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	b := m.budgets[string(id)]
+	if b == nil {
+		return 0
+	}
+	return sumachead.Tokens(b.allotments[allotmentKey{string(hall), incarnation}].GetGrantedTotal())
+}
+
+// Hall returns what is known of a hall's journal; nil for nothing.
+func (m *Machine) Hall(id sumachead.HallID) *wire.Hall {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.halls[string(id)]
+}
+
+// HallTopups lists the top-ups that halls took and the tree lacks, by budget.
+func (m *Machine) HallTopups() map[string]map[string]int64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := make(map[string]map[string]int64)
+	for id, b := range m.budgets {
+		for t, tokens := range b.hallTopups {
+			if out[id] == nil {
+				out[id] = make(map[string]int64)
+			}
+			out[id][t] = tokens
+		}
+	}
+	return out
+}
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -30,7 +29,7 @@
 	reserved int64
 	// allotted is the escrow of the data halls.
 	allotted   int64
-	allotments map[string]*wire.Allotment
+	allotments map[allotmentKey]*wire.Allotment
 	// hallTopups are top-ups that data halls took and that the settings tree
 	// does not show yet.
 	hallTopups map[string]int64
@@ -53,9 +52,19 @@
 	// done holds the keys of ended entries in the order in which they ended.
 	done     []endedEntry
 	open     deadlineHeap
+	halls    map[string]*wire.Hall
 	revision uint64
 	// violations counts what must never happen.
 	violations uint64
+
+	// Room tells when tokens may have become free.
+	Room Room
+}
+
+// allotmentKey finds a budget's escrow at one journal.
+type allotmentKey struct {
+	hall        string
+	incarnation string
 }
 
 type endedEntry struct {
@@ -65,7 +74,10 @@
 
 // NewMachine returns an empty ledger.
 func NewMachine() *Machine {
-	return &Machine{budgets: make(map[string]*budget), entries: make(map[entryKey]*wire.Entry)}
+	return &Machine{
+		budgets: make(map[string]*budget), entries: make(map[entryKey]*wire.Entry),
+		halls: make(map[string]*wire.Hall),
+	}
 }
 
 // Apply implements sumachead.StateMachine. The command is a LedgerCommand; the
@@ -83,14 +95,21 @@
 	case *wire.LedgerCommand_Reassign:
 		return m.reassign(x.Reassign)
 	case *wire.LedgerCommand_Settle:
+		defer m.Room.Freed()
 		return m.settleAll(x.Settle)
 	case *wire.LedgerCommand_Totals:
+		defer m.Room.Freed()
 		m.setTotals(x.Totals)
 	case *wire.LedgerCommand_Expire:
 		m.expire(x.Expire)
 	case *wire.LedgerCommand_Grant:
 		return m.grant(x.Grant)
+	case *wire.LedgerCommand_Grants:
+		for _, g := range x.Grants.GetGrants() {
+			m.grant(g)
+		}
 	case *wire.LedgerCommand_Merge:
+		defer m.Room.Freed()
 		m.merge(x.Merge)
 	case *wire.LedgerCommand_WriteOff:
 		m.writeOff(x.WriteOff)
@@ -101,35 +120,13 @@
 func (m *Machine) reserve(r *wire.ReserveRequest) *wire.LedgerReply {
 	k := entryKey{r.GetWorkspace(), r.GetKey()}
 	e := m.entries[k]
-	if e != nil && !bytes.Equal(e.GetBodyHash(), r.GetBodyHash()) {
-		return reply(wire.LedgerCode_LEDGER_CODE_KEY_CONFLICT, e)
-	}
-	switch {
-	case e == nil:
-	case e.GetState() == wire.EntryState_ENTRY_STATE_SETTLED && !reopens(e):
-		return reply(wire.LedgerCode_LEDGER_CODE_SETTLED, e)
-	case e.GetState() == wire.EntryState_ENTRY_STATE_RESERVED:
-		if e.GetAttempt().GetOwner() == r.GetAttempt().GetOwner() {
-			return reply(wire.LedgerCode_LEDGER_CODE_GRANTED, e)
-		}
-		return reply(wire.LedgerCode_LEDGER_CODE_EXISTS, e)
-	case e.GetAttempt().GetOwner() == r.GetAttempt().GetOwner():
-		// A late copy of a call whose entry has been released since.
-		return reply(wire.LedgerCode_LEDGER_CODE_STALE_ATTEMPT, e)
+	if e.GetHall() != "" && e.GetState() == wire.EntryState_ENTRY_STATE_SETTLED && reopens(e) {
+		return reply(wire.LedgerCode_LEDGER_CODE_SETTLED, e) // the hall's journal decides
+	}
+	code, fresh := Claim(e, r)
+	if !fresh {
+		return reply(code, e)
 	}
-	return m.grantEntry(k, e, r)
-}
-
-// reopens reports whether an ended entry's key may run again: its answer never
-// became whole.
-func reopens(e *wire.Entry) bool {
-	return e.GetFailed() && !e.GetNotRepeatable() && e.GetHall() == ""
-}
-
-// grantEntry reserves the amount and writes the entry; old is the ended entry
-// that the same key left behind, or nil. What old was billed stays part of the
-// request's one bill.
-func (m *Machine) grantEntry(k entryKey, old *wire.Entry, r *wire.ReserveRequest) *wire.LedgerReply {
 	b := m.budgets[r.GetBudget()]
 	if b == nil {
 		return reply(wire.LedgerCode_LEDGER_CODE_UNKNOWN_BUDGET, nil)
@@ -139,21 +136,13 @@
 		rep.Budget = b.state(r.GetBudget())
 		return rep
 	}
-	a := proto.CloneOf(r.GetAttempt())
-	a.Number = old.GetAttempt().GetNumber() + 1
-	carried := old.GetBilled()
-	e := &wire.Entry{
-		Workspace: r.GetWorkspace(), Key: r.GetKey(), BodyHash: r.GetBodyHash(), Budget: r.GetBudget(),
-		Reserved: r.GetAmount() + carried, Carried: carried, NotRepeatable: r.GetNotRepeatable(),
-		State: wire.EntryState_ENTRY_STATE_RESERVED, Attempt: a,
-		DeadlineUnixNano: r.GetDeadlineUnixNano(), UpdatedUnixNano: r.GetNowUnixNano(),
-	}
-	b.spent -= carried
-	b.reserved += e.GetReserved()
-	m.entries[k] = e
-	m.open.add(k, e.GetDeadlineUnixNano())
+	next := Opened(e, r, "")
+	b.spent -= next.GetCarried()
+	b.reserved += next.GetReserved()
+	m.entries[k] = next
+	m.open.add(k, next.GetDeadlineUnixNano())
 	m.verify(r.GetBudget())
-	return reply(wire.LedgerCode_LEDGER_CODE_GRANTED, e)
+	return reply(wire.LedgerCode_LEDGER_CODE_GRANTED, next)
 }
 
 // reassign moves an entry to its next attempt. Entries are replaced, never
@@ -161,49 +150,28 @@
 func (m *Machine) reassign(r *wire.ReassignRequest) *wire.LedgerReply {
 	k := entryKey{r.GetWorkspace(), r.GetKey()}
 	e := m.entries[k]
-	switch {
-	case e == nil:
-		return reply(wire.LedgerCode_LEDGER_CODE_NO_ENTRY, nil)
-	case e.GetState() == wire.EntryState_ENTRY_STATE_SETTLED:
-		return reply(wire.LedgerCode_LEDGER_CODE_SETTLED, e)
-	case e.GetState() != wire.EntryState_ENTRY_STATE_RESERVED:
-		return reply(wire.LedgerCode_LEDGER_CODE_STALE_ATTEMPT, e)
-	case e.GetHall() != "":
+	if e.GetHall() != "" {
 		return reply(wire.LedgerCode_LEDGER_CODE_EXISTS, e) // the hall's journal decides
-	case e.GetAttempt().GetOwner() == r.GetAttempt().GetOwner():
-		return reply(wire.LedgerCode_LEDGER_CODE_GRANTED, e) // a resend
-	case e.GetAttempt().GetNumber() != r.GetFrom():
-		return reply(wire.LedgerCode_LEDGER_CODE_STALE_ATTEMPT, e)
 	}
-	if e.GetNotRepeatable() && !r.GetNotRun() && !sameProcess(e.GetAttempt(), r.GetAttempt()) {
-		// The old attempt may run: only its own process may take it on.
-		return reply(wire.LedgerCode_LEDGER_CODE_STALE_ATTEMPT, e)
+	code, fresh := Move(e, r)
+	if !fresh {
+		return reply(code, e)
 	}
 	b := m.budgets[e.GetBudget()]
-	used := min(max(r.GetUsed(), 0), e.GetReserved()-e.GetCarried())
+	used := UsedBefore(e, r)
 	if used > b.available() {
 		return reply(wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED, e)
 	}
 	b.reserved += used
-	next := proto.CloneOf(e)
-	next.Reserved += used
-	next.Carried += used
-	next.Attempt = proto.CloneOf(r.GetAttempt())
-	next.Attempt.Number = r.GetFrom() + 1
-	next.UpdatedUnixNano = r.GetNowUnixNano()
-	if r.GetDeadlineUnixNano() > e.GetDeadlineUnixNano() {
-		next.DeadlineUnixNano = r.GetDeadlineUnixNano()
+	next := Moved(e, r)
+	m.entries[k] = next
+	if next.GetDeadlineUnixNano() != e.GetDeadlineUnixNano() {
 		m.open.add(k, next.GetDeadlineUnixNano())
 	}
-	m.entries[k] = next
 	m.verify(e.GetBudget())
 	return reply(wire.LedgerCode_LEDGER_CODE_GRANTED, next)
 }
 
-func sameProcess(a, b *wire.Attempt) bool {
-	return a.GetServer() == b.GetServer() && a.GetBoot() == b.GetBoot()
-}
-
 func (m *Machine) settleAll(b *wire.SettleBatch) *wire.LedgerReplies {
 	out := &wire.LedgerReplies{}
 	for _, s := range b.GetSettles() {
@@ -218,56 +186,32 @@
 	k := entryKey{s.GetWorkspace(), s.GetKey()}
 	e := m.entries[k]
 	if e == nil {
+		if w := Withdrawn(s, ""); w != nil {
+			m.end(k, w)
+		}
 		return reply(wire.LedgerCode_LEDGER_CODE_NO_ENTRY, nil)
 	}
 	if e.GetHall() != "" {
 		return reply(wire.LedgerCode_LEDGER_CODE_EXISTS, e) // the hall's journal decides
 	}
-	if (s.GetNotRun() || s.GetFailed()) && !isCurrent(s, e) {
+	ends, lateRun := Ends(e, s)
+	if lateRun {
+		m.violations++
+	}
+	if !ends {
 		return reply(wire.LedgerCode_LEDGER_CODE_STALE_ATTEMPT, e)
 	}
 	b := m.budgets[e.GetBudget()]
-	switch {
-	case e.GetState() == wire.EntryState_ENTRY_STATE_RESERVED:
-		next := ended(e, s)
+	next := Ended(e, s)
+	if e.GetPresumed() {
+		b.spent -= e.GetBilled()
+	} else {
 		b.reserved -= e.GetReserved()
-		b.spent += next.GetBilled()
-		m.end(k, next)
-	case e.GetPresumed():
-		next := ended(e, s)
-		b.spent += next.GetBilled() - e.GetBilled()
-		m.entries[k] = next
-	case e.GetState() == wire.EntryState_ENTRY_STATE_RELEASED && !s.GetNotRun():
-		// Reported as not run before: a fault of an agent.
-		m.violations++
 	}
+	b.spent += next.GetBilled()
+	m.end(k, next)
 	m.verify(e.GetBudget())
-	return reply(wire.LedgerCode_LEDGER_CODE_SETTLED, m.entries[k])
-}
-
-// isCurrent reports whether a report is of the entry's present attempt.
-func isCurrent(s *wire.SettleRequest, e *wire.Entry) bool {
-	if s.GetAttempt() == 0 {
-		return s.GetOwner() == e.GetAttempt().GetOwner()
-	}
-	return s.GetAttempt() == e.GetAttempt().GetNumber()
-}
-
-// ended returns the entry as a settle report ends it.
-func ended(e *wire.Entry, s *wire.SettleRequest) *wire.Entry {
-	next := proto.CloneOf(e)
-	next.Presumed = false
-	next.Failed = s.GetFailed()
-	next.UpdatedUnixNano = max(s.GetNowUnixNano(), e.GetUpdatedUnixNano())
-	if s.GetNotRun() {
-		// Earlier attempts may have used something.
-		next.State = wire.EntryState_ENTRY_STATE_RELEASED
-		next.Billed = e.GetCarried()
-		return next
-	}
-	next.State = wire.EntryState_ENTRY_STATE_SETTLED
-	next.Billed = min(e.GetCarried()+max(s.GetTokens(), 0), e.GetReserved())
-	return next
+	return reply(wire.LedgerCode_LEDGER_CODE_SETTLED, next)
 }
 
 // end stores an ended entry and notes when it may be forgotten.
@@ -299,7 +243,7 @@
 func (m *Machine) budget(id string) *budget {
 	b := m.budgets[id]
 	if b == nil {
-		b = &budget{allotments: make(map[string]*wire.Allotment), hallTopups: make(map[string]int64)}
+		b = &budget{allotments: make(map[allotmentKey]*wire.Allotment), hallTopups: make(map[string]int64)}
 		m.budgets[id] = b
 	}
 	return b
@@ -331,11 +275,7 @@
 		return
 	}
 	b := m.budgets[e.GetBudget()]
-	next := proto.CloneOf(e)
-	next.State = wire.EntryState_ENTRY_STATE_SETTLED
-	next.Presumed = true
-	next.Billed = e.GetReserved()
-	next.UpdatedUnixNano = now
+	next := Presumed(e, now)
 	b.reserved -= e.GetReserved()
 	b.spent += next.GetBilled()
 	m.end(k, next)
@@ -364,9 +304,12 @@
 
 func (b *budget) state(id string) *wire.BudgetState {
 	s := &wire.BudgetState{Budget: id, Total: b.total, Spent: b.spent, Reserved: b.reserved, Allotted: b.allotted}
-	for _, h := range slices.Sorted(maps.Keys(b.allotments)) {
-		s.Allotments = append(s.Allotments, proto.CloneOf(b.allotments[h]))
+	for _, a := range b.allotments {
+		s.Allotments = append(s.Allotments, proto.CloneOf(a))
 	}
+	slices.SortFunc(s.Allotments, func(a, b *wire.Allotment) int {
+		return cmp.Or(cmp.Compare(a.GetHall(), b.GetHall()), cmp.Compare(a.GetKeeperIncarnation(), b.GetKeeperIncarnation()))
+	})
 	return s
 }
 
@@ -381,6 +324,37 @@
 	return b.state(string(id))
 }
 
+// BudgetsAfter returns the states of the budgets that follow an id, in order, at
+// most so many.
+func (m *Machine) BudgetsAfter(id string, most int) []*wire.BudgetState {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var ids []string
+	for b := range m.budgets {
+		if b > id {
+			ids = append(ids, b)
+		}
+	}
+	slices.Sort(ids)
+	var out []*wire.BudgetState
+	for _, b := range ids[:min(most, len(ids))] {
+		out = append(out, m.budgets[b].state(b))
+	}
+	return out
+}
+
+// Available returns what can still be reserved of a budget, and what is
+// reserved by requests under way.
+func (m *Machine) Available(id sumachead.BudgetID) (available, reserved sumachead.Tokens) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	b := m.budgets[string(id)]
+	if b == nil {
+		return 0, 0
+	}
+	return sumachead.Tokens(b.available()), sumachead.Tokens(b.reserved)
+}
+
 // Entry returns an entry, or nil. It must not be changed.
 func (m *Machine) Entry(w sumachead.WorkspaceID, k sumachead.RequestKey) *wire.Entry {
 	m.mu.RLock()
@@ -442,6 +416,9 @@
 		st.Broken = b.broken
 		s.Budgets = append(s.Budgets, st)
 	}
+	for _, h := range slices.Sorted(maps.Keys(m.halls)) {
+		s.Halls = append(s.Halls, m.halls[h])
+	}
 	s.Entries = slices.Collect(maps.Values(m.entries))
 	slices.SortFunc(s.Entries, func(a, b *wire.Entry) int {
 		return cmp.Or(
@@ -461,7 +438,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.budgets, m.entries = make(map[string]*budget), make(map[entryKey]*wire.Entry)
-	m.done, m.open = nil, deadlineHeap{}
+	m.done, m.open, m.halls = nil, deadlineHeap{}, make(map[string]*wire.Hall)
+	for _, h := range s.GetHalls() {
+		m.halls[h.GetHall()] = h
+	}
 	m.revision, m.violations = s.GetTotalsRevision(), s.GetViolations()
 	for _, st := range s.GetBudgets() {
 		b := m.budget(st.GetBudget())
@@ -469,13 +449,16 @@
 		b.broken = st.GetBroken()
 		maps.Copy(b.hallTopups, st.GetHallTopups())
 		for _, a := range st.GetAllotments() {
-			b.allotments[a.GetHall()] = a
+			b.allotments[allotmentKey{a.GetHall(), a.GetKeeperIncarnation()}] = a
 		}
 	}
 	for _, e := range s.GetEntries() {
 		k := entryKey{e.GetWorkspace(), e.GetKey()}
 		m.entries[k] = e
 		if e.GetState() == wire.EntryState_ENTRY_STATE_RESERVED {
+			if e.GetHall() != "" {
+				continue
+			}
 			m.open.add(k, e.GetDeadlineUnixNano())
 			continue
 		}
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -63,6 +63,8 @@
 	next  uint64
 	// round is the newest heartbeat round that the peer answered.
 	round uint64
+	// heardAt is when the peer last replied.
+	heardAt time.Duration
 	// snapshotAt is when a snapshot was last sent.
 	snapshotAt time.Duration
 	// probing holds back pipelined entries until next is confirmed.
@@ -129,7 +131,7 @@
 		snapIndex: snap.GetIndex(), snapTerm: snap.GetTerm(), snapMembers: snap.GetMembers(),
 		entries: entries, heardAt: now,
 	}
-	c.commit = c.snapIndex
+	c.commit = max(c.snapIndex, min(st.GetCommit(), c.lastIndex()))
 	c.applied = c.snapIndex
 	c.persisted = c.lastIndex()
 	c.unsaved = c.lastIndex() + 1
@@ -592,7 +594,7 @@
 func (c *Core) Ready() Ready {
 	r := Ready{Early: c.early, Late: c.late, Snapshot: c.snapOut}
 	if c.stateOut {
-		r.State = &wire.HardState{Term: c.term, Vote: c.vote}
+		r.State = c.HardState()
 	}
 	if c.unsaved <= c.lastIndex() {
 		r.Entries = c.slice(c.unsaved, c.lastIndex())
@@ -610,6 +612,11 @@
 	return r
 }
 
+// HardState returns what must be on disk before a message leaves.
+func (c *Core) HardState() *wire.HardState {
+	return &wire.HardState{Term: c.term, Vote: c.vote, Commit: c.commit}
+}
+
 // Compact drops the log up to index, which a snapshot now holds.
 func (c *Core) Compact(index uint64) {
 	term, ok := c.termAt(index)
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -157,6 +157,9 @@
 			f()
 		case <-ticker.C:
 			n.core.Tick(n.now())
+			if err := n.saveCommit(); err != nil {
+				return trace.Wrap(err, "group %s", n.Group)
+			}
 		}
 		if err := n.process(); err != nil {
 			return trace.Wrap(err, "group %s", n.Group)
@@ -164,6 +167,15 @@
 	}
 }
 
+// saveCommit writes down what is committed once the log is quiet, so that a
+// member that restarts while cut off knows what it knew.
+func (n *Node) saveCommit() error {
+	if n.core.commit == n.storage.state.GetCommit() || n.core.commit != n.core.lastIndex() || n.core.persisted != n.core.lastIndex() {
+		return nil
+	}
+	return n.storage.Save(n.core.HardState(), nil)
+}
+
 func (n *Node) shutDown() {
 	close(n.stopped)
 	n.failPending(ErrUncertain)
@@ -248,7 +260,11 @@
 
 func (n *Node) persist(r Ready) error {
 	if r.Snapshot == nil {
-		return n.storage.Save(r.State, r.Entries)
+		state := r.State
+		if state == nil && len(r.Entries) > 0 {
+			state = n.core.HardState()
+		}
+		return n.storage.Save(state, r.Entries)
 	}
 	if r.State != nil {
 		n.storage.state = r.State
@@ -440,6 +456,18 @@
 	})
 }
 
+// PeersActive lists the members that a leader has heard of within an election
+// timeout.
+func (n *Node) PeersActive(ctx context.Context) (map[string]bool, error) {
+	return call(ctx, n, func() map[string]bool {
+		active := make(map[string]bool)
+		for id, p := range n.core.peers {
+			active[id] = p.heardAt > 0 && n.now()-p.heardAt < n.Election
+		}
+		return active
+	})
+}
+
 // Transfer hands leadership to another member; it reports whether one was
 // found.
 func (n *Node) Transfer(ctx context.Context) (bool, error) {
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -230,6 +230,7 @@
 		return
 	}
 	p.round = max(p.round, m.GetRound())
+	p.heardAt = c.now
 	if m.GetReject() {
 		if m.GetLogIndex() >= p.match {
 			p.next = max(min(m.GetHint()+1, c.lastIndex()+1), p.match+1)
--- a/internal/router/deliver.go
+++ b/internal/router/deliver.go
@@ -20,16 +20,26 @@
 	readWait    = time.Second
 	// lostAfter is how long an agent may not answer before its request is
 	// given up.
-	lostAfter  = 3 * time.Second
+	lostAfter = 3 * time.Second
+	// startWithin is the same for taking a request in, where another server can
+	// run it as well.
+	startWithin = time.Second
+	// startSlack allows for clocks that differ between hosts.
+	startSlack = time.Second
 	retryPause = 50 * time.Millisecond
 )
 
 // start sends the attempt to its agent until that has taken it in or refused.
 func (d *dispatch) start() *sumachead.Refusal {
 	giveUpAt := time.Now().Add(lostAfter)
+	if !d.x.notRepeatable {
+		giveUpAt = time.Now().Add(startWithin)
+	}
+	run := d.runRequest()
+	run.StartByUnixNano = giveUpAt.Add(startSlack).UnixNano()
 	sent := false
 	for {
-		reply, err := d.call(d.runRequest())
+		reply, err := d.call(run)
 		if err == nil {
 			return d.started(reply, sent)
 		}
@@ -91,7 +101,7 @@
 		Body: x.work.body, ContentType: x.work.contentType, Method: x.work.method, Path: x.work.path,
 		Query: x.work.query, Stream: x.work.stream, NotRepeatable: x.notRepeatable,
 		Priority: uint32(x.priority), DeadlineUnixNano: x.deadline.UnixNano(),
-		Reserved: int64(x.work.bound), Epoch: uint64(d.to.epoch), FlatCost: int64(x.work.flatCost),
+		Hall: d.entry.GetHall(), Reserved: int64(x.work.bound), Epoch: uint64(d.to.epoch), FlatCost: int64(x.work.flatCost),
 	}
 }
 
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -9,12 +9,20 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/keeperclient"
 )
 
 const (
 	// ledgerTimeout bounds how long a request waits for the ledger. It covers
 	// the election of a new leader.
 	ledgerTimeout = 4 * time.Second
+	// journalTimeout bounds the wait for the hall's journal where the ledger
+	// can be asked instead.
+	journalTimeout = time.Second
+	// roomWait bounds the wait for a budget that is short only because of
+	// requests under way, as does this part of the time to the deadline.
+	roomWait  = 1500 * time.Millisecond
+	roomShare = 4
 	// budgetRetry is when to come back after a budget has refused.
 	budgetRetry = 10 * time.Second
 )
@@ -39,12 +47,12 @@
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
 	if !r.follower.MayServe(x.pool, time.Now()) {
-		return notRun(sumachead.ReasonSettingsStale, "the settings are not proved current", time.Now().Add(retrySoon))
+		return x.unsure(refuseSoon(sumachead.NotRun, sumachead.ReasonSettingsStale, "the settings are not proved current"))
 	}
 	r.retries.noteRequest(x.workspace)
 	d := &dispatch{Router: r, x: x, ctx: ctx}
 	if err := d.place(); err != nil {
-		return err
+		return x.unsure(sumachead.AsRefusal(err))
 	}
 	return d.reserve()
 }
@@ -67,13 +75,25 @@
 func (d *dispatch) reserve() error {
 	x := d.x
 	a := d.attempt()
-	ctx, cancel := context.WithTimeout(d.ctx, ledgerTimeout)
+	mayRedraw := !x.callersKey && keeperclient.HallOf(string(x.key), d.Config.Keepers) != ""
+	timeout := ledgerTimeout
+	if mayRedraw {
+		timeout = journalTimeout
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, timeout)
 	defer cancel()
-	reply, err := d.ledger.Reserve(ctx, &wire.ReserveRequest{
+	reply, err := d.reserveWithRoom(ctx, &wire.ReserveRequest{
 		Workspace: string(x.workspace.ID), Key: string(x.key), BodyHash: d.bodyHash(),
 		Budget: string(x.workspace.Budget), Amount: int64(x.work.bound), NotRepeatable: x.notRepeatable,
-		Attempt: a, DeadlineUnixNano: x.deadline.UnixNano(),
+		Attempt: a, DeadlineUnixNano: x.deadline.UnixNano(), Hall: string(d.Config.Hall),
 	})
+	if err != nil && mayRedraw && d.ctx.Err() == nil {
+		// The hall's journal is down. Nothing has been sent under the key, so
+		// that another one, of the ledger, serves as well.
+		_ = d.unreached(a, err)
+		x.setKey(d.drawKey(false))
+		return d.reserve()
+	}
 	if err != nil {
 		return d.unreached(a, err)
 	}
@@ -84,22 +104,38 @@
 	case wire.LedgerCode_LEDGER_CODE_EXISTS, wire.LedgerCode_LEDGER_CODE_SETTLED:
 		return d.join()
 	}
-	return refusedByLedger(reply)
+	f := refusedByLedger(reply)
+	if reply.GetPartial() {
+		return x.unsure(f)
+	}
+	return f
+}
+
+// reserveWithRoom reserves, and asks again for a short time while the budget is
+// short only because of the upper bounds of requests under way.
+func (d *dispatch) reserveWithRoom(ctx context.Context, r *wire.ReserveRequest) (*wire.LedgerReply, error) {
+	until := time.Now().Add(min(roomWait, time.Until(d.x.deadline)/roomShare))
+	for {
+		reply, err := d.ledger.Reserve(ctx, r)
+		if err != nil || !reply.GetRoomSoon() || time.Now().After(until) {
+			return reply, err
+		}
+	}
 }
 
-func refusedByLedger(reply *wire.LedgerReply) error {
+func refusedByLedger(reply *wire.LedgerReply) *sumachead.Refusal {
 	now := time.Now()
 	switch reply.GetCode() {
 	case wire.LedgerCode_LEDGER_CODE_KEY_CONFLICT:
-		return notRun(sumachead.ReasonKeyConflict, "the key was used for another request", time.Time{})
+		return refuseNotRun(sumachead.ReasonKeyConflict, "the key was used for another request", time.Time{})
 	case wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED:
-		return notRun(sumachead.ReasonBudgetExhausted, "the budget does not cover the request's upper bound", now.Add(budgetRetry))
+		return refuseNotRun(sumachead.ReasonBudgetExhausted, "the budget does not cover the request's upper bound", now.Add(budgetRetry))
 	case wire.LedgerCode_LEDGER_CODE_UNKNOWN_BUDGET:
-		return notRun(sumachead.ReasonNoBudget, "the workspace has no budget", now.Add(budgetRetry))
+		return refuseNotRun(sumachead.ReasonNoBudget, "the workspace has no budget", now.Add(budgetRetry))
 	case wire.LedgerCode_LEDGER_CODE_CLAIM_UNAVAILABLE:
-		return notRun(sumachead.ReasonClaimUnavailable, "the key can't be claimed here now", now.Add(retrySoon))
+		return refuseNotRun(sumachead.ReasonClaimUnavailable, "the key can't be claimed here now", now.Add(retrySoon))
 	}
-	return notRun(sumachead.ReasonInternal, "the ledger answered "+reply.GetCode().String(), now.Add(retrySoon))
+	return refuseNotRun(sumachead.ReasonInternal, "the ledger answered "+reply.GetCode().String(), now.Add(retrySoon))
 }
 
 // bodyHash tells one request from another under the same key. It covers what
@@ -119,10 +155,10 @@
 func (d *dispatch) unreached(a *wire.Attempt, err error) error {
 	d.settler.add(settleItem{settle: &wire.SettleRequest{
 		Workspace: string(d.x.workspace.ID), Key: string(d.x.key), NotRun: true, Owner: a.GetOwner(),
+		Hall: string(keeperclient.HallOf(string(d.x.key), d.Config.Keepers)),
 	}})
 	d.Log.Debug("The ledger was not reached.", "error", err)
-	return d.final(sumachead.Refuse(sumachead.NotRun, sumachead.ReasonLedgerUnreached,
-		"the ledger was not reached", time.Now().Add(retrySoon)))
+	return d.final(d.x.unsure(refuseSoon(sumachead.NotRun, sumachead.ReasonLedgerUnreached, "the ledger was not reached")))
 }
 
 // final widens a refusal's verdict by what earlier attempts may have done.
@@ -197,6 +233,7 @@
 func (d *dispatch) settle(s *wire.SettleRequest) {
 	s.Workspace, s.Key = d.entry.GetWorkspace(), d.entry.GetKey()
 	s.Attempt = d.entry.GetAttempt().GetNumber()
+	s.Hall = d.entry.GetHall()
 	d.settler.add(settleItem{settle: s, server: d.to})
 }
 
@@ -220,7 +257,7 @@
 	defer cancel()
 	reply, err := d.ledger.Reassign(ctx, &wire.ReassignRequest{
 		Workspace: d.entry.GetWorkspace(), Key: d.entry.GetKey(),
-		From: d.entry.GetAttempt().GetNumber(), Attempt: a, NotRun: notRun, Used: d.used,
+		From: d.entry.GetAttempt().GetNumber(), Attempt: a, NotRun: notRun, Used: d.used, Hall: d.entry.GetHall(),
 		DeadlineUnixNano: d.x.deadline.UnixNano(),
 	})
 	if err != nil {
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -30,7 +30,9 @@
 	body      []byte
 	work      work
 
-	key           sumachead.RequestKey
+	key sumachead.RequestKey
+	// callersKey: the caller chose the key, and may have sent it before.
+	callersKey    bool
 	deadline      time.Time
 	priority      sumachead.Priority
 	notRepeatable bool
@@ -71,5 +73,20 @@
 
 // notRun is a refusal before anything was dispatched.
 func notRun(reason sumachead.Reason, detail string, retryAt time.Time) error {
+	return refuseNotRun(reason, detail, retryAt)
+}
+
+func refuseNotRun(reason sumachead.Reason, detail string, retryAt time.Time) *sumachead.Refusal {
 	return sumachead.Refuse(sumachead.NotRun, reason, detail, retryAt)
 }
+
+// unsure widens a refusal that was made without a look at the ledger: when the
+// caller chose the key, an earlier copy of the request may have run.
+func (x *exchange) unsure(f *sumachead.Refusal) *sumachead.Refusal {
+	if !x.callersKey || f.Verdict != sumachead.NotRun {
+		return f
+	}
+	g := *f
+	g.Verdict = sumachead.MayHaveRun
+	return &g
+}
--- a/internal/router/filters.go
+++ b/internal/router/filters.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"sumachead"
+	"sumachead/internal/keeperclient"
 )
 
 // retrySoon is when to come back after a refusal that should pass quickly.
@@ -29,15 +30,30 @@
 			x.key = ""
 			return notRun(sumachead.ReasonBadRequest, HeaderKey+" is longer than 256 bytes", time.Time{})
 		}
-		if x.key == "" {
-			x.key = sumachead.RequestKey(uuid.NewString())
-		}
+		x.callersKey = x.key != ""
 		x.w.Header().Set(HeaderRequestID, x.id)
-		x.w.Header().Set(HeaderKey, string(x.key))
+		x.setKey(x.key)
+		if !x.callersKey {
+			x.setKey(r.drawKey(x.r.Header.Get(HeaderNotRepeatable) == "true"))
+		}
 		return next(x)
 	}
 }
 
+func (x *exchange) setKey(k sumachead.RequestKey) {
+	x.key = k
+	x.w.Header().Set(HeaderKey, string(k))
+}
+
+// drawKey returns a new key. One for a request that is not repeatable belongs
+// to this hall, so that it can be claimed here also while the hall is cut off.
+func (r *Router) drawKey(notRepeatable bool) sumachead.RequestKey {
+	if notRepeatable {
+		return sumachead.RequestKey(keeperclient.HallKey(r.Config.Hall, uuid.NewString()))
+	}
+	return sumachead.RequestKey(uuid.NewString())
+}
+
 // settingsFilter fixes the settings that the request is dealt with under. Under
 // settings that may be old nothing is refused for good: a workspace that they
 // lack may exist.
@@ -45,7 +61,7 @@
 	return func(x *exchange) error {
 		x.view = r.follower.View()
 		if x.view == nil || !r.follower.MayServeAny(time.Now()) {
-			return notRun(sumachead.ReasonSettingsStale, "the settings are not proved current", time.Now().Add(retrySoon))
+			return x.unsure(refuseSoon(sumachead.NotRun, sumachead.ReasonSettingsStale, "the settings are not proved current"))
 		}
 		return next(x)
 	}
@@ -93,7 +109,7 @@
 				return notRun(sumachead.ReasonBadRequest, HeaderDeadline+" is not an RFC 3339 time", time.Time{})
 			}
 			if !t.After(now) {
-				return notRun(sumachead.ReasonDeadlinePassed, "the deadline has passed", time.Time{})
+				return x.unsure(refuseNotRun(sumachead.ReasonDeadlinePassed, "the deadline has passed", time.Time{}))
 			}
 			if t.Before(x.deadline) {
 				x.deadline = t
@@ -146,7 +162,7 @@
 	return func(x *exchange) error {
 		w := x.workspace
 		if !r.limits.enter(w.ID, w.Limits.MaxConcurrent) {
-			return notRun(sumachead.ReasonBusy, "the workspace has too many requests open here", time.Now().Add(retrySoon))
+			return x.unsure(refuseSoon(sumachead.NotRun, sumachead.ReasonBusy, "the workspace has too many requests open here"))
 		}
 		defer r.limits.leave(w.ID)
 		return next(x)
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -15,8 +15,11 @@
 
 const (
 	helloTimeout = 500 * time.Millisecond
-	// downFor is how long a server whose agent was not reached is passed over.
-	downFor = time.Second
+	// probeEvery is how often an agent that was not reached is asked again.
+	// Until it has answered, its server is passed over.
+	probeEvery = 500 * time.Millisecond
+	// probeFor is how long it is asked; after that a request must ask.
+	probeFor = 10 * time.Minute
 )
 
 var errNoServer = errors.New("no backend server is left")
@@ -31,7 +34,8 @@
 	load        *wire.Load
 	loadAt      time.Time
 	outstanding int
-	downUntil   time.Time
+	// down: the agent was not reached, and is being probed.
+	down bool
 }
 
 // target is a link as one attempt uses it: with the process that it names.
@@ -49,15 +53,39 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load, l.loadAt, l.boot = load, time.Now(), load.GetBoot()
-	l.downUntil = time.Time{}
+	l.down = false
 }
 
-// markDown passes the server over for a while and forgets its process.
+// markDown passes the server over until its agent answers again, and forgets
+// its process.
 func (l *link) markDown() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.downUntil = time.Now().Add(downFor)
 	l.boot = ""
+	if l.down {
+		return
+	}
+	l.down = true
+	go l.probe(time.Now().Add(probeFor))
+}
+
+// probe asks the agent until it answers.
+func (l *link) probe(until time.Time) {
+	for time.Now().Before(until) {
+		time.Sleep(probeEvery)
+		l.mu.Lock()
+		down := l.down
+		l.mu.Unlock()
+		if !down {
+			return
+		}
+		if _, err := l.ask(context.Background()); err == nil {
+			return
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = false
 }
 
 func (l *link) open()  { l.count(1) }
@@ -77,11 +105,19 @@
 	if boot != "" {
 		return boot, nil
 	}
+	boot, err := l.ask(ctx)
+	if err != nil {
+		l.markDown()
+	}
+	return boot, err
+}
+
+// ask calls the agent and learns from its answer.
+func (l *link) ask(ctx context.Context) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	reply, err := rpc.Call[wire.HelloReply](ctx, l.client, "Agent.Hello", &wire.HelloRequest{})
 	if err != nil {
-		l.markDown()
 		return "", err
 	}
 	l.learn(reply.GetLoad())
@@ -114,25 +150,25 @@
 	return l
 }
 
-func (l *link) candidate(s *settings.ResolvedServer, now time.Time) (c sumachead.Candidate, up bool) {
+func (l *link) candidate(s *settings.ResolvedServer) (c sumachead.Candidate, up bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return sumachead.Candidate{
 		Server: s.ID, Hall: s.Hall, Address: s.Agent, Epoch: s.Epoch,
 		Load: l.load, LoadAt: l.loadAt, Outstanding: l.outstanding,
-	}, !now.Before(l.downUntil)
+	}, !l.down
 }
 
 // candidates lists the servers of a pool that may get new work. Those that
 // were not reached lately come back only when there is no other.
-func (r *Router) candidates(p *settings.ResolvedPool, now time.Time) []sumachead.Candidate {
+func (r *Router) candidates(p *settings.ResolvedPool) []sumachead.Candidate {
 	var up, down []sumachead.Candidate
 	for i := range p.Servers {
 		s := &p.Servers[i]
 		if s.State == settings.ServerLeaving {
 			continue
 		}
-		if c, ok := r.links.get(s).candidate(s, now); ok {
+		if c, ok := r.links.get(s).candidate(s); ok {
 			up = append(up, c)
 		} else {
 			down = append(down, c)
@@ -155,7 +191,7 @@
 		c, ok := r.Placer.Place(sumachead.PlaceRequest{
 			Hall: r.Config.Hall, Pool: pool.ID, Priority: x.priority,
 			Prefix: x.work.prefix, Tried: tried, Now: now,
-		}, r.candidates(pool, now))
+		}, r.candidates(pool))
 		if !ok {
 			break
 		}
--- a/internal/router/retry.go
+++ b/internal/router/retry.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// retryReserve lets a quiet workspace retry a few times at once.
-	retryReserve = 10.0
+	// retryReserve lets a workspace retry at once what was in flight at a
+	// server that dies.
+	retryReserve = 32.0
 	percent      = 100.0
 )
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -84,7 +83,7 @@
 func (r *Router) prepare() {
 	r.boot = string(r.Config.Node) + "/" + uuid.NewString()
 	r.metrics = newMetrics()
-	client := &keeperclient.Client{Keepers: r.Config.Keepers, Pool: r.Pool}
+	client := &keeperclient.Client{Keepers: r.Config.Keepers, Pool: r.Pool, Hall: r.Config.Hall}
 	r.ledger = client
 	r.links = newLinkTable(r.Pool)
 	r.settler = newSettler(r.ledger, r.links, r.Log.Named("settle"))
@@ -92,17 +91,10 @@
 	r.retries = &retryBudgets{}
 	r.follower = &follower.Follower{
 		Config: r.Config, Boot: sumachead.BootID(r.boot), Pool: r.Pool, Log: r.Log.Named("settings"),
-		Without:      []string{settings.KindBudgets, settings.KindTopups},
-		ServesCutOff: r.servesCutOff,
+		Without: []string{settings.KindBudgets, settings.KindTopups},
 	}
 }
 
-// servesCutOff reports whether the hall has a server whose pool serves while
-// cut off.
-func (r *Router) servesCutOff(v *settings.View) bool {
-	return slices.Contains(v.CutOffHalls(), r.Config.Hall)
-}
-
 func (r *Router) server() *telemetry.HTTPServer {
 	return &telemetry.HTTPServer{Address: r.Config.HTTP, TLS: r.CallerTLS, Handler: r.routes(), Drain: drainTimeout}
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -281,7 +281,7 @@
 		return
 	}
 	a := run()
-	_, _ = fmt.Fprintf(ts.Stdout(), "%s took=%dms\n%s\n", a, a.took.Milliseconds(), a.body)
+	_, _ = fmt.Fprintf(ts.Stdout(), "%s took=%dms\n%s\n", a, a.took.Milliseconds(), brief(a.body))
 	s.check(ts, name, a, want)
 }
 
@@ -289,11 +289,17 @@
 	for _, w := range strings.Split(want, ",") {
 		if !strings.Contains(a.String()+" ", w+" ") && w != "" {
 			s.dumpLogs(ts)
-			ts.Fatalf("call %s: want %s, got %s\n%s", name, w, a, a.body)
+			ts.Fatalf("call %s: want %s, got %s\n%s", name, w, a, brief(a.body))
 		}
 	}
 }
 
+// brief cuts a long body.
+func brief(s string) string {
+	const most = 400
+	return s[:min(len(s), most)]
+}
+
 // await [NAME WANT]... waits for the calls in the background, and checks some.
 func cmdAwait(ts *testscript.TestScript, _ bool, args []string) {
 	s := of(ts)
@@ -366,7 +372,7 @@
 	s := of(ts)
 	a, b := s.answers[args[0]], s.answers[args[1]]
 	if !a.whole || !b.whole || a.body != b.body {
-		ts.Fatalf("%s: %s\n%s\n%s: %s\n%s", args[0], a, a.body, args[1], b, b.body)
+		ts.Fatalf("%s: %s\n%s\n%s: %s\n%s", args[0], a, brief(a.body), args[1], b, brief(b.body))
 	}
 }
 
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -263,3 +263,16 @@
 	slices.Sort(hallTopups)
 	return total, hallTopups
 }
+
+// CutOffHalls lists the data halls with a server whose pool serves while cut
+// off.
+func (t *Tree) CutOffHalls() []sumachead.HallID {
+	var halls []sumachead.HallID
+	for _, s := range t.objects.Servers {
+		if t.objects.Pools[string(s.Pool)].CutOff != CutOffRefuse && !slices.Contains(halls, s.Hall) {
+			halls = append(halls, s.Hall)
+		}
+	}
+	slices.Sort(halls)
+	return halls
+}
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -87,8 +87,8 @@
 const (
 	// CutOffRefuse stops new work when the settings can't be proved current.
 	CutOffRefuse CutOffPolicy = "refuse"
-	// CutOffServe goes on with the newest settings known; a change is
-	// accepted only once the nodes of such pools have it.
+	// CutOffServe goes on with the newest settings known in the hall; while a
+	// hall is out of contact, no change is accepted.
 	CutOffServe CutOffPolicy = "serve"
 )
 
@@ -97,7 +97,7 @@
 	Kind     PoolKind         `json:"kind" doc:"model or service."`
 	Models   []string         `json:"models,omitempty" doc:"Names that callers may give as model (kind model)."`
 	CallCost sumachead.Tokens `json:"call_cost,omitempty" doc:"Tokens that one call costs (kind service)."`
-	CutOff   CutOffPolicy     `json:"cut_off,omitempty" doc:"refuse (when left out) or serve: what a data hall does that is cut off from the keepers' quorum."`
+	CutOff   CutOffPolicy     `json:"cut_off,omitempty" doc:"serve (when left out) or refuse: what a data hall does that is wholly cut off from the keepers' quorum."`
 	// StuckAfter is how long a started answer may bring nothing.
 	StuckAfter Duration `json:"stuck_after,omitzero" doc:"An answer that brings nothing for this long is given up; 10s when left out."`
 }
--- a/internal/settings/view.go
+++ b/internal/settings/view.go
@@ -97,7 +97,7 @@
 func (v *View) addPools(o *Objects) {
 	_ = each(o.Pools, func(id string, p Pool) error {
 		if p.CutOff == "" {
-			p.CutOff = CutOffRefuse
+			p.CutOff = CutOffServe
 		}
 		if p.StuckAfter.Duration == 0 {
 			p.StuckAfter.Duration = defaultStuckAfter
@@ -215,16 +215,3 @@
 	f.session, f.revision, f.objects = r.GetSession(), r.GetRevision(), o
 	return NewView(sumachead.Revision(f.revision), &f.objects), nil
 }
-
-// CutOffHalls lists the data halls with a server whose pool serves while cut
-// off.
-func (v *View) CutOffHalls() []sumachead.HallID {
-	var halls []sumachead.HallID
-	for _, s := range v.servers {
-		p := v.pools[s.Pool]
-		if p != nil && p.CutOff == CutOffServe && !slices.Contains(halls, s.Hall) {
-			halls = append(halls, s.Hall)
-		}
-	}
-	return halls
-}
--- a/internal/tool/budget.go
+++ b/internal/tool/budget.go
@@ -44,7 +44,7 @@
 		available := b.GetTotal() - b.GetSpent() - b.GetReserved() - b.GetAllotted()
 		s.app.printf("%-24s %14d %14d %14d %14d %14d\n", b.GetBudget(), b.GetTotal(), b.GetSpent(), b.GetReserved(), b.GetAllotted(), available)
 		for _, a := range b.GetAllotments() {
-			s.app.printf("  data hall %-12s holds %d\n", a.GetHall(), a.GetHeld())
+			s.app.printf("  data hall %-12s holds %d (journal %s)\n", a.GetHall(), a.GetHeld(), a.GetKeeperIncarnation())
 		}
 	}
 	s.app.printf("violations: %d\n", reply.GetViolations())
@@ -54,6 +54,7 @@
 type budgetTopup struct {
 	app  *app
 	ID   string `long:"id" description:"id of the top-up; a repeated one changes nothing"`
+	Hall string `long:"hall" description:"data hall that takes the top-up itself, for while it is cut off"`
 	Args struct {
 		Budget string           `positional-arg-name:"BUDGET" required:"true"`
 		Tokens sumachead.Tokens `positional-arg-name:"TOKENS" required:"true"`
@@ -72,6 +73,9 @@
 	if s.ID == "" {
 		s.ID = "t-" + uuid.NewString()
 	}
+	if s.Hall != "" {
+		return s.toHall(ctx, c)
+	}
 	data, err := strictjson.Encode(settings.Topup{Tokens: s.Args.Tokens})
 	if err != nil {
 		return err
@@ -100,6 +104,41 @@
 	}
 }
 
+// toHall gives the top-up to a hall's journal. The id belongs to the hall, so
+// that a repetition finds the same journal.
+func (s *budgetTopup) toHall(ctx context.Context, c *keeperclient.Client) error {
+	h := sumachead.HallID(s.Hall)
+	id := keeperclient.HallKey(h, s.ID)
+	_, err := keeperclient.CallHall[wire.Empty](ctx, c, h, "Hall.Topup",
+		&wire.HallTopupRequest{Budget: s.Args.Budget, TopupId: id, Tokens: int64(s.Args.Tokens)})
+	if err != nil {
+		return exit(ExitFailed, "repeat the command with --id %s: %w", s.ID, err)
+	}
+	s.app.printf("top-up %s is in force in %s\n", id, h)
+	return nil
+}
+
+type budgetWriteOff struct {
+	app  *app
+	Args struct {
+		Budget      string `positional-arg-name:"BUDGET" required:"true"`
+		Hall        string `positional-arg-name:"HALL" required:"true"`
+		Incarnation string `positional-arg-name:"INCARNATION" required:"true"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute implements flags.Commander.
+func (s *budgetWriteOff) Execute([]string) error {
+	c, ctx, cancel, err := s.app.connect()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	_, err = keeperclient.Call[wire.Empty](ctx, c, keeperclient.GroupLedger, "Ledger.WriteOff",
+		&wire.WriteOff{Budget: s.Args.Budget, Hall: s.Args.Hall, KeeperIncarnation: s.Args.Incarnation})
+	return err
+}
+
 func (s *budgetTopup) exists(have, want []byte) error {
 	if string(have) != string(want) {
 		return exit(ExitConflict, "top-up %s exists with other content: %s", s.ID, have)
--- a/internal/tool/settings.go
+++ b/internal/tool/settings.go
@@ -108,8 +108,9 @@
 }
 
 type changeOptions struct {
-	ChangeID string  `long:"change-id" description:"id of the change; repeat it to send the same change again"`
-	Base     *uint64 `long:"base" description:"revision that the change was made against; the newest when left out"`
+	ChangeID string   `long:"change-id" description:"id of the change; repeat it to send the same change again"`
+	Base     *uint64  `long:"base" description:"revision that the change was made against; the newest when left out"`
+	Down     []string `long:"hall-down" description:"data hall that is known to be down: do not wait for it"`
 }
 
 type settingsSet struct {
@@ -141,7 +142,7 @@
 		base = &revision
 	}
 	return s.app.change(ctx, c, &wire.ChangeRequest{
-		ChangeId: s.ChangeID, BaseRevision: *base,
+		ChangeId: s.ChangeID, BaseRevision: *base, HallsDown: s.Down,
 		Objects: []*wire.SettingsObject{{Path: s.Args.Path, Json: []byte(s.Args.JSON)}},
 	})
 }
@@ -185,7 +186,7 @@
 	if s.Base != nil {
 		revision = *s.Base
 	}
-	return s.app.change(ctx, c, &wire.ChangeRequest{ChangeId: s.ChangeID, BaseRevision: revision, Objects: changes})
+	return s.app.change(ctx, c, &wire.ChangeRequest{ChangeId: s.ChangeID, BaseRevision: revision, Objects: changes, HallsDown: s.Down})
 }
 
 // keepTopups drops removals of top-ups: those that operators made on the
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -101,8 +101,11 @@
 	return ExitFailed
 }
 
-// groupSettings is the command that the settings commands stand below.
-const groupSettings = "settings"
+// The commands that others stand below.
+const (
+	groupSettings = "settings"
+	groupBudget   = "budget"
+)
 
 // command is one row of the table of commands.
 type command struct {
@@ -121,9 +124,10 @@
 		{groupSettings, "history", "list the changes", &settingsHistory{app: a}},
 		{groupSettings, "reference", "print the page of all settings", &settingsReference{app: a}},
 		{groupSettings, "check", "check a tree's file", &settingsCheck{app: a}},
-		{"", "budget", "show and top up budgets", &struct{}{}},
-		{"budget", "show", "print budgets", &budgetShow{app: a}},
-		{"budget", "topup", "add tokens to a budget", &budgetTopup{app: a}},
+		{"", groupBudget, "show and top up budgets", &struct{}{}},
+		{groupBudget, "show", "print budgets", &budgetShow{app: a}},
+		{groupBudget, "topup", "add tokens to a budget", &budgetTopup{app: a}},
+		{groupBudget, "write-off", "count what a lost journal held as spent", &budgetWriteOff{app: a}},
 		{"", "status", "print keepers, leaders and nodes", &status{app: a}},
 		{"", "entries", "look up ledger entries", &entries{app: a}},
 		{"", "keeper", "manage keepers", &struct{}{}},
