Scenarios for every promise; leases, epochs and stuck answers mended

Failures found: - takeover: a change could lower a server's epoch (exit 0). Trees refuse it now. - planned_stop: a whole answer of 2.5 s was given up as stuck after 2 s, since nothing shows whether it moves. A new leader took its tree for empty before it had applied the log, and skipped the wait for older leases. Emptiness counts only under a read barrier, and a node with an empty tree is not current. Ruled out: a lost lease entry (the table had the router at revision 1).

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -84,6 +84,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := newWatch(pool.StuckAfter.Duration, func() { cancel(errStuck) })
+	if watchesWhole(r, pool) {
+		watch.stop()
+	}
 	defer watch.stop()
 	began := time.Now()
 	resp, err := b.send(ctx, r)
@@ -185,6 +188,8 @@
 // modelAnswer is what the agent looks at in an answer or a chunk of one.
 type modelAnswer struct {
 	ID      string           `json:"id"`
+	Created int64            `json:"created,omitzero"`
+	Model   string           `json:"model,omitzero"`
 	Usage   *usage           `json:"usage"`
 	Choices []jsontext.Value `json:"choices"`
 }
@@ -196,6 +201,12 @@
 	return sumachead.Tokens(u.Prompt + u.Completion)
 }
 
+// watchesWhole reports whether an answer that comes in one piece may take as
+// long as the deadline allows: nothing shows whether it is stuck.
+func watchesWhole(r *wire.RunRequest, pool *settings.ResolvedPool) bool {
+	return pool.Kind == settings.ModelPool && !r.GetStream() && !r.GetAssemble()
+}
+
 func relayModel(x *run, r *wire.RunRequest, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
 	if err := refusedByServer(resp); err != nil {
 		return 0, err
@@ -209,8 +220,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return 0, sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonServerFailed, "the backend server answered "+resp.Status, time.Now().Add(retrySoon))
 	}
-	if r.GetStream() {
-		return relayStream(x, resp, body)
+	switch {
+	case r.GetAssemble():
+		return relayAssembled(x, resp, body)
+	case r.GetStream():
+		s := &streamCheck{sink: &passOn{run: x}}
+		return s.relay(resp, body)
 	}
 	return relayWhole(x, resp, body)
 }
@@ -244,12 +259,10 @@
 	return m.Usage.tokens(), nil
 }
 
-// relayStream passes server-sent events on as they come. The answer is whole
-// when it ended with its mark, after a usage report, under one id.
-func relayStream(x *run, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
-	s := &streamCheck{}
+// relay takes server-sent events in as they come. The answer is whole when it
+// ended with its mark, after a usage report, under one id.
+func (s *streamCheck) relay(resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
 	lines := bufio.NewReaderSize(body, readBuffer)
-	begun := false
 	var event []byte
 	for {
 		line, err := lines.ReadBytes('\n')
@@ -266,11 +279,7 @@
 		if s.ended && s.usage == nil {
 			return s.tokens(), badAnswer("the stream has no usage")
 		}
-		if !begun {
-			x.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
-			begun = true
-		}
-		x.write(event)
+		s.sink.event(resp, event)
 		if s.ended {
 			return s.tokens(), nil
 		}
@@ -278,8 +287,33 @@
 	}
 }
 
+// eventSink takes a stream in.
+type eventSink interface {
+	// chunk is called for the data of each event, in order.
+	chunk(m *modelAnswer) error
+	// event is called with each whole event as it came.
+	event(resp *http.Response, raw []byte)
+}
+
+// passOn is the sink that passes events on as they come.
+type passOn struct {
+	run   *run
+	begun bool
+}
+
+func (p *passOn) chunk(*modelAnswer) error { return nil }
+
+func (p *passOn) event(resp *http.Response, raw []byte) {
+	if !p.begun {
+		p.run.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
+		p.begun = true
+	}
+	p.run.write(raw)
+}
+
 // streamCheck follows a stream's events.
 type streamCheck struct {
+	sink  eventSink
 	id    string
 	usage *usage
 	// chunks counts the events that carry text: at least one token each.
@@ -327,5 +361,5 @@
 	if len(m.Choices) > 0 {
 		s.chunks++
 	}
-	return nil
+	return s.sink.chunk(&m)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,11 +8,13 @@
 	"net/url"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/gravitational/trace"
 
 	"sumachead"
 	"sumachead/internal/place"
+	"sumachead/internal/settings"
 	"sumachead/internal/strictjson"
 )
 
@@ -37,7 +39,10 @@
 	LogLevel string           `json:"log_level,omitempty" doc:"debug, info (when left out), warn or error."`
 	Keepers  []Keeper         `json:"keepers" doc:"All keepers of the system."`
 	Data     string           `json:"data,omitempty" doc:"Data folder (keeper)."`
-	Agent    *Agent           `json:"agent,omitempty" doc:"What the agent stands beside (agent)."`
+	// PresumeAfter is how long after its deadline an entry that no witness
+	// settled is billed by presumption.
+	PresumeAfter settings.Duration `json:"presume_after,omitzero" doc:"How long after its deadline a request that nobody has settled is billed its upper bound (keeper); 60s when left out."`
+	Agent        *Agent            `json:"agent,omitempty" doc:"What the agent stands beside (agent)."`
 	// Placement is for measuring against the baselines.
 	Placement string `json:"placement,omitempty" doc:"weighted (when left out), round_robin or least_outstanding (router)."`
 	TLS       TLS    `json:"tls" doc:"TLS between processes and towards callers."`
@@ -74,6 +79,9 @@
 	CallerKey  string `json:"caller_key,omitempty" doc:"PEM file of its key."`
 }
 
+// defaultPresumeAfter is how long witnesses of a run have to settle it.
+const defaultPresumeAfter = time.Minute
+
 // defaultRetainedBytes is what an agent keeps of finished answers.
 const defaultRetainedBytes = 16 << 20
 
@@ -152,6 +160,9 @@
 		if c.Data == "" {
 			return trace.BadParameter("data: missing")
 		}
+		if c.PresumeAfter.Duration == 0 {
+			c.PresumeAfter.Duration = defaultPresumeAfter
+		}
 		return checkAddress("rpc", c.RPC)
 	}
 	return trace.BadParameter("role: %q is none of router, agent and keeper", c.Role)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -56,8 +56,12 @@
 // View returns the settings in force; nil before the first sync.
 func (f *Follower) View() *settings.View { return f.view.Load() }
 
-// Current reports whether the settings are proved current at now.
+// Current reports whether the settings are proved current at now. A tree in
+// which nothing was ever set counts as none.
 func (f *Follower) Current(now time.Time) bool {
+	if v := f.View(); v == nil || v.Revision == 0 {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return now.Before(f.currentAsOf.Add(settings.CurrencyLease))
--- a/internal/keeper/controllers.go
+++ b/internal/keeper/controllers.go
@@ -18,12 +18,9 @@
 const (
 	// EntryRetention is how long an ended entry answers for its key.
 	EntryRetention = 30 * time.Minute
-	// presumeAfter is how long after its deadline an entry that no witness
-	// settled is billed by presumption.
-	presumeAfter = time.Minute
-	expireEvery  = 5 * time.Second
-	membersEvery = 300 * time.Millisecond
-	totalsEvery  = 20 * time.Millisecond
+	expireEvery    = time.Second
+	membersEvery   = 300 * time.Millisecond
+	totalsEvery    = 20 * time.Millisecond
 )
 
 // runControllers starts the loops that act where this keeper leads.
@@ -84,7 +81,7 @@
 		k.try(ctx, "expiry", &wire.LedgerCommand{Command: &wire.LedgerCommand_Expire{Expire: &wire.Expire{
 			NowUnixNano:           now.UnixNano(),
 			RetainBeforeUnixNano:  now.Add(-EntryRetention).UnixNano(),
-			PresumeBeforeUnixNano: now.Add(-presumeAfter).UnixNano(),
+			PresumeBeforeUnixNano: now.Add(-k.Config.PresumeAfter.Duration).UnixNano(),
 		}}})
 	})
 }
@@ -93,7 +90,7 @@
 func (k *Keeper) journalExpiryLoop(ctx context.Context) error {
 	return every(ctx, expireEvery, func() {
 		now := time.Now()
-		if err := k.journal.Expire(now, now.Add(-presumeAfter)); err != nil && ctx.Err() == nil {
+		if err := k.journal.Expire(now, now.Add(-k.Config.PresumeAfter.Duration)); err != nil && ctx.Err() == nil {
 			k.Log.Warn("Expiry in the journal failed.", "error", err)
 		}
 	})
@@ -120,6 +117,19 @@
 	return trace.Wrap(err)
 }
 
+// treeIsEmpty reports whether no change was ever made. Only a leader that has
+// applied all that may be committed can tell.
+func (k *Keeper) treeIsEmpty(ctx context.Context) bool {
+	if _, revision, _ := k.machine.Current(); revision > 0 {
+		return false
+	}
+	if k.settings.node.ReadBarrier(ctx) != nil {
+		return false
+	}
+	_, revision, _ := k.machine.Current()
+	return revision == 0
+}
+
 // contacts reports which halls' keepers are in contact with this leader of the
 // settings group.
 func (k *Keeper) contacts(ctx context.Context) map[sumachead.HallID]bool {
@@ -187,8 +197,7 @@
 	return every(ctx, watchEvery, func() {
 		k.noteLeader(time.Now())
 		if s := k.settings.node.Status(); s.GetLeader() == string(k.Config.Node) {
-			_, revision, _ := k.machine.Current()
-			k.nodes.lead(s.GetTerm(), revision == 0, time.Now())
+			k.nodes.lead(s.GetTerm(), k.treeIsEmpty(ctx), time.Now())
 			if rounds++; rounds%contactEvery == 0 {
 				k.nodes.contact(k.contacts(ctx), time.Now())
 			}
--- a/internal/keeper/nodes.go
+++ b/internal/keeper/nodes.go
@@ -47,11 +47,10 @@
 func (t *nodeTable) lead(term uint64, emptyTree bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.leadLocked(term, now)
 	if emptyTree {
-		t.term, t.started = term, now.Add(-settings.CurrencyLease)
-		return
+		t.started = now.Add(-settings.CurrencyLease)
 	}
-	t.leadLocked(term, now)
 }
 
 func (t *nodeTable) leadLocked(term uint64, now time.Time) {
--- a/internal/router/deliver.go
+++ b/internal/router/deliver.go
@@ -99,7 +99,7 @@
 		Workspace: d.entry.GetWorkspace(), Key: d.entry.GetKey(), Attempt: d.entry.GetAttempt().GetNumber(),
 		Server: string(d.to.server), Boot: d.to.boot,
 		Body: x.work.body, ContentType: x.work.contentType, Method: x.work.method, Path: x.work.path,
-		Query: x.work.query, Stream: x.work.stream, NotRepeatable: x.notRepeatable,
+		Query: x.work.query, Stream: x.work.stream, Assemble: x.work.assemble, NotRepeatable: x.notRepeatable,
 		Priority: uint32(x.priority), DeadlineUnixNano: x.deadline.UnixNano(),
 		Hall: d.entry.GetHall(), Reserved: int64(x.work.bound), Epoch: uint64(d.to.epoch), FlatCost: int64(x.work.flatCost),
 	}
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -50,6 +50,8 @@
 	contentType string
 	body        []byte
 	stream      bool
+	// assemble: the backend server streams, the caller gets one whole.
+	assemble bool
 	// bound is the most that it can cost.
 	bound sumachead.Tokens
 	// flatCost is what a plain service's call costs.
--- a/internal/router/work.go
+++ b/internal/router/work.go
@@ -54,7 +54,9 @@
 	}
 	limit := x.answerLimit(q.outputLimit())
 	q.MaxTokens, q.MaxCompletionTokens = &limit, nil
-	if q.Stream {
+	wantsStream := q.Stream
+	assemble := !q.Stream && q.plain()
+	if q.Stream = q.Stream || assemble; q.Stream {
 		if q.StreamOptions == nil {
 			q.StreamOptions = &streamOptions{}
 		}
@@ -74,7 +76,7 @@
 	}
 	x.work = work{
 		method: "POST", path: "/v1/chat/completions", contentType: "application/json",
-		body: body, stream: q.Stream,
+		body: body, stream: wantsStream, assemble: assemble,
 		// No tokenizer makes more tokens than there are bytes.
 		bound:  sumachead.Tokens(int64(len(x.body)) + promptOverhead + answers*limit),
 		prefix: xxhash.Sum64(q.Messages[:min(len(q.Messages), prefixBytes)]),
@@ -82,6 +84,24 @@
 	return nil
 }
 
+// plain reports whether the answer will be of text alone, so that its parts can
+// be put together.
+func (q *chatRequest) plain() bool {
+	if q.N != nil && *q.N > 1 {
+		return false
+	}
+	var rest map[string]jsontext.Value
+	if len(q.Rest) > 0 && json.Unmarshal(q.Rest, &rest) != nil {
+		return false
+	}
+	for _, name := range []string{"tools", "functions", "logprobs", "modalities", "audio", "web_search_options"} {
+		if _, ok := rest[name]; ok {
+			return false
+		}
+	}
+	return true
+}
+
 // outputLimit returns the caller's wish; 0 when there is none.
 func (q *chatRequest) outputLimit() int64 {
 	switch {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +20,7 @@
 	"sumachead/internal/daemon/daemoncmd"
 	"sumachead/internal/settings"
 	"sumachead/internal/standin/standincmd"
+	"sumachead/internal/tool"
 )
 
 func TestMain(m *testing.M) {
@@ -44,6 +47,7 @@
 			"freeze": cmdFreeze, "thaw": cmdThaw, "wipe-disk": cmdWipe, "cut": cmdCut, "heal": cmdHeal,
 			"tool": cmdTool, "call": cmdCall, "calls": cmdCalls, "await": cmdAwait, "sleep": cmdSleep,
 			"fault": cmdFault, "budget": cmdBudget, "runs": cmdRuns, "same": cmdSame,
+			"edit": cmdEdit, "race": cmdRace, "changes": cmdChanges, "until": cmdUntil, "own": cmdOwn,
 		},
 	})
 }
@@ -98,14 +102,14 @@
 }
 
 // system [keepers=3] [routers=2] [engines=2] [bookings=1] [slots=8]
-// [budget=N] [cost=N] [cut_off=refuse|serve] [token=2ms] starts a system.
+// [budget=N] [cost=N] [cut_off=refuse|serve] [token=2ms] [presume=60s] starts a system.
 func cmdSystem(ts *testscript.TestScript, _ bool, args []string) {
 	sh := shape{keepers: 3, routers: 2, engines: 2, bookings: 1, slots: 8, budget: 1000000, callCost: 10}
 	var cutOff string
 	options(ts, args, map[string]func(string) error{
 		"keepers": toInt(&sh.keepers), "routers": toInt(&sh.routers), "engines": toInt(&sh.engines),
 		"bookings": toInt(&sh.bookings), "slots": toInt(&sh.slots), "budget": toInt(&sh.budget),
-		"cost": toInt(&sh.callCost), "cut_off": toString(&cutOff),
+		"cost": toInt(&sh.callCost), "cut_off": toString(&cutOff), "presume": toDuration(&sh.presume),
 		"token": func(v string) error { sh.engineArgs = append(sh.engineArgs, "--token", v); return nil },
 	})
 	sh.cutOff = settings.CutOffPolicy(cutOff)
@@ -294,6 +298,81 @@
 	}
 }
 
+// edit PATH FIELD VALUE [TOOL OPTIONS...] sets one field of an object of the
+// tree; the exit code is in $EXIT.
+func cmdEdit(ts *testscript.TestScript, neg bool, args []string) {
+	s := of(ts)
+	var out bytes.Buffer
+	if code := s.sys.tool(&out, "settings", "get", args[0]); code != 0 {
+		ts.Fatalf("%s", out.String())
+	}
+	var object map[string]any
+	ts.Check(json.Unmarshal(out.Bytes(), &object))
+	var value any
+	ts.Check(json.Unmarshal([]byte(args[2]), &value))
+	object[args[1]] = value
+	data, err := json.Marshal(object)
+	ts.Check(err)
+	cmdTool(ts, neg, append([]string{"settings", "set", args[0], string(data)}, args[3:]...))
+}
+
+// race N BASE lets N operators make different changes against one revision:
+// one must win and the others be shown the winner.
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	codes := make([]int, n)
+	outs := make([]bytes.Buffer, n)
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() {
+			codes[i] = s.sys.tool(&outs[i], "settings", "set", "--base", args[1], "budgets/masar", fmt.Sprintf(`{"note":"operator %d"}`, i))
+		})
+	}
+	all.Wait()
+	won := 0
+	for i, code := range codes {
+		switch {
+		case code == 0:
+			won++
+		case code != tool.ExitConflict || !strings.Contains(outs[i].String(), "is change"):
+			ts.Fatalf("operator %d: exit %d: %s", i, code, outs[i].String())
+		}
+	}
+	if won != 1 {
+		ts.Fatalf("%d operators won: %v", won, codes)
+	}
+}
+
+// changes N makes N changes of the tree, one after another.
+func cmdChanges(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for i := range n {
+		var out bytes.Buffer
+		if code := of(ts).sys.tool(&out, "settings", "set", "budgets/masar", fmt.Sprintf(`{"note":"change %d"}`, i)); code != 0 {
+			ts.Fatalf("change %d: exit %d: %s", i, code, out.String())
+		}
+	}
+}
+
+// until DURATION PATTERN TOOL ARGS... runs the tool until its output matches.
+func cmdUntil(ts *testscript.TestScript, _ bool, args []string) {
+	var within time.Duration
+	ts.Check(toDuration(&within)(args[0]))
+	pattern := regexp.MustCompile(args[1])
+	var out bytes.Buffer
+	err := eventually(within, args[1], func() bool {
+		out.Reset()
+		of(ts).sys.tool(&out, args[2:]...)
+		return pattern.Match(out.Bytes())
+	})
+	if err != nil {
+		ts.Fatalf("%v: %s", err, out.String())
+	}
+}
+
 // brief cuts a long body.
 func brief(s string) string {
 	const most = 400
@@ -376,6 +455,21 @@
 	}
 }
 
+// own checks that every whole answer of a model is of its own request alone.
+func cmdOwn(ts *testscript.TestScript, _ bool, _ []string) {
+	word := regexp.MustCompile(`clerks/([^/ ]+)/\d+#`)
+	for key, a := range of(ts).answers {
+		if !a.whole {
+			continue
+		}
+		for _, m := range word.FindAllStringSubmatch(a.body, -1) {
+			if m[1] != key {
+				ts.Fatalf("the answer of %s holds words of %s", key, m[1])
+			}
+		}
+	}
+}
+
 // runs PREFIX KEY N checks how often the stand-ins named PREFIX... began a
 // request of the workspace; KEY may be "all".
 func cmdRuns(ts *testscript.TestScript, _ bool, args []string) {
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -59,6 +59,7 @@
 	cutOff                              settings.CutOffPolicy
 	callCost                            int64
 	engineArgs                          []string
+	presume                             time.Duration
 }
 
 // process is one process of a system.
@@ -227,7 +228,7 @@
 	}
 	switch p.role {
 	case "keeper":
-		c.RPC, c.Data = p.rpc, p.data
+		c.RPC, c.Data, c.PresumeAfter.Duration = p.rpc, p.data, s.shape.presume
 	case "agent":
 		c.RPC = p.rpc
 		server := strings.TrimPrefix(p.name, "agent-")
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -66,7 +66,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewTree(o)
+	next, err := NewTree(o)
+	if err != nil {
+		return nil, err
+	}
+	return next, t.checkEpochs(next)
+}
+
+// checkEpochs refuses a change that lowers a backend server's epoch: an old
+// owner would be let in again.
+func (t *Tree) checkEpochs(next *Tree) error {
+	return each(next.objects.Servers, func(id string, s Server) error {
+		if old := t.objects.Servers[id].Epoch; s.Epoch < old {
+			return trace.BadParameter("servers.%s.epoch: %d is below %d, which was in force", id, s.Epoch, old)
+		}
+		return nil
+	})
 }
 
 // check reports the first fault, in a fixed order: replicas must agree on it.
