--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -269,9 +269,7 @@
 	c.heartbeatAt = c.now + c.cfg.Heartbeat
 	c.round++
 	c.rounds = append(c.rounds, roundStart{c.round, c.now})
-	for id := range c.peers {
-		c.sendAppend(id, true)
-	}
+	c.eachPeer(func(id string) { c.sendAppend(id, true) })
 }
 
 // quorumAckedAt returns when the newest round that a quorum answered began.
@@ -461,10 +459,17 @@
 	return false
 }
 
-func (c *Core) broadcast() {
-	for id := range c.peers {
-		c.sendAppend(id, false)
+// eachPeer calls f for each member but this one, always in the same order.
+func (c *Core) eachPeer(f func(id string)) {
+	for _, m := range c.members.GetMembers() {
+		if c.peers[m.GetId()] != nil {
+			f(m.GetId())
+		}
 	}
+}
+
+func (c *Core) broadcast() {
+	c.eachPeer(func(id string) { c.sendAppend(id, false) })
 	c.advanceCommit()
 }
 
@@ -475,11 +480,11 @@
 		return false
 	}
 	best := ""
-	for id, p := range c.peers {
-		if c.isVoter(id) && (best == "" || p.match > c.peers[best].match) {
+	c.eachPeer(func(id string) {
+		if c.isVoter(id) && (best == "" || c.peers[id].match > c.peers[best].match) {
 			best = id
 		}
-	}
+	})
 	if best == "" {
 		return false
 	}
