--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,9 @@
 generate:
 	GOBIN=$(TOOLS) $(GO) install $(PROTOC_GEN_GO)
 	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=module=sumachead api/wire.proto
+
+# Mixes faults at random under load and checks every invariant; SEED repeats a
+# run.
+SOAK ?= 60s
+soak:
+	SOAK=$(SOAK) SEED=$(SEED) $(GO) test -race -count=1 -v -timeout 4h -run TestSoak ./internal/scenario | grep -v DEBUG
