--- a/internal/agent/queue.go
+++ b/internal/agent/queue.go
@@ -12,6 +12,13 @@
 	queuePerSlot = 4
 	// firstServiceTime is assumed until a request has finished.
 	firstServiceTime = 200 * time.Millisecond
+	// urgentShare is the part of the slots, one in so many, that only urgent
+	// requests get while there are any about.
+	urgentShare = 8
+	// leastShared is the least number of slots from which one is kept back.
+	leastShared = 4
+	// urgentMemory is for how long an urgent request counts as being about.
+	urgentMemory = 30 * time.Second
 	// averageWeight is the weight of the newest value in moving averages.
 	averageWeight = 0.1
 )
@@ -33,6 +40,8 @@
 	running int
 	waiting []*ticket // by priority, then by arrival
 	service time.Duration
+	// urgentAt is when the last urgent request came.
+	urgentAt time.Time
 }
 
 // enter takes a place. It returns nil when there is no room; then retryAt is
@@ -41,7 +50,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t = &ticket{priority: p, admitted: make(chan struct{}), shed: make(chan struct{})}
-	if q.running < q.slots && len(q.waiting) == 0 {
+	if p == sumachead.PriorityUrgent {
+		q.urgentAt = now
+	}
+	if q.running < q.limit(p, now) && len(q.waiting) == 0 || q.overtakes(p) {
 		q.running++
 		close(t.admitted)
 		return t, time.Time{}
@@ -53,6 +65,20 @@
 	return t, time.Time{}
 }
 
+// limit returns how many requests may run before one of a priority must wait.
+func (q *queue) limit(p sumachead.Priority, now time.Time) int {
+	if p == sumachead.PriorityUrgent || q.slots < leastShared || now.Sub(q.urgentAt) > urgentMemory {
+		return q.slots
+	}
+	return q.slots - max(q.slots/urgentShare, 1)
+}
+
+// overtakes reports whether an urgent request may take a slot that is free
+// although less urgent ones wait.
+func (q *queue) overtakes(p sumachead.Priority) bool {
+	return p == sumachead.PriorityUrgent && q.running < q.slots && (len(q.waiting) == 0 || q.waiting[0].priority < p)
+}
+
 // shedBelow drops the newest of the least urgent, if less urgent than p.
 func (q *queue) shedBelow(p sumachead.Priority) bool {
 	if len(q.waiting) == 0 {
@@ -103,7 +129,8 @@
 }
 
 func (q *queue) admitLocked() {
-	for q.running < q.slots && len(q.waiting) > 0 {
+	now := time.Now()
+	for len(q.waiting) > 0 && q.running < q.limit(q.waiting[0].priority, now) {
 		t := q.waiting[0]
 		q.waiting = q.waiting[1:]
 		q.running++
--- a/internal/allot/allot.go
+++ b/internal/allot/allot.go
@@ -1,9 +1,9 @@
 // Package allot decides how much of a budget each data hall holds for the time
 // when it is cut off.
 //
-// [Plan] is the policy in use: halls hold in proportion to their demand, and
-// give back as a budget runs low. [Equal] and [Leases] are baselines for
-// measuring.
+// The [Policy] in use goes by [Plan]: halls hold half of the allotments equally
+// and half in proportion to their demand, and give back as a budget runs low.
+// The others are baselines for measuring.
 package allot
 
 import (
@@ -16,11 +16,12 @@
 
 const (
 	// allottedPart is the part of a budget that is out in allotments, in
-	// percent; the rest pays without a recall.
-	allottedPart = 75
+	// percent; the rest pays without a recall. This and equalPart are those
+	// that refused least falsely in the admission experiment.
+	allottedPart = 90
 	// equalPart is the part of the allotments that is shared equally, in
 	// percent: a hall without demand so far may need some too.
-	equalPart = 20
+	equalPart = 50
 	// horizon is the time for which a hall's demand is covered at the most.
 	horizon = time.Hour
 	// floorTokens is the least that the horizon's bound comes to.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 
 	"sumachead"
+	"sumachead/internal/allot"
 	"sumachead/internal/place"
 	"sumachead/internal/settings"
 	"sumachead/internal/strictjson"
@@ -43,9 +44,10 @@
 	// settled is billed by presumption.
 	PresumeAfter settings.Duration `json:"presume_after,omitzero" doc:"How long after its deadline a request that nobody has settled is billed its upper bound (keeper); 60s when left out."`
 	Agent        *Agent            `json:"agent,omitempty" doc:"What the agent stands beside (agent)."`
-	// Placement is for measuring against the baselines.
-	Placement string `json:"placement,omitempty" doc:"weighted (when left out), round_robin or least_outstanding (router)."`
-	TLS       TLS    `json:"tls" doc:"TLS between processes and towards callers."`
+	// Allotments and Placement are for measuring against the baselines.
+	Allotments string `json:"allotments,omitempty" doc:"demand (when left out), equal, central or leases (keeper): how data halls' allotments are sized; all but demand are baselines."`
+	Placement  string `json:"placement,omitempty" doc:"weighted (when left out), round_robin or least_outstanding (router)."`
+	TLS        TLS    `json:"tls" doc:"TLS between processes and towards callers."`
 }
 
 // Keeper is one keeper's address.
@@ -160,6 +162,9 @@
 		if c.Data == "" {
 			return trace.BadParameter("data: missing")
 		}
+		if allot.New(c.Allotments) == nil {
+			return trace.BadParameter("allotments: unknown policy %q", c.Allotments)
+		}
 		if c.PresumeAfter.Duration == 0 {
 			c.PresumeAfter.Duration = defaultPresumeAfter
 		}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -25,7 +25,9 @@
 	go func() { done <- j.Run(ctx) }()
 	return j, func() {
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 	}
 }
 
--- a/internal/keeper/allotments.go
+++ b/internal/keeper/allotments.go
@@ -122,7 +122,7 @@
 // recallFor recalls tokens when a budget refused although other halls hold
 // some; it reports whether trying again makes sense.
 func (k *Keeper) recallFor(budget string, amount int64, but string, reply *wire.LedgerReply) bool {
-	if reply.GetCode() != wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED || reply.GetBudget().GetAllotted() == 0 {
+	if !k.allotments.Recalls() || reply.GetCode() != wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED || reply.GetBudget().GetAllotted() == 0 {
 		return false
 	}
 	recalled, _, _ := k.recalls.group.Do(budget, func() (any, error) {
@@ -261,7 +261,7 @@
 			Demand: k.demand.Rate(b.GetBudget(), string(h), time.Now()),
 		})
 	}
-	for _, step := range allot.Plan(in) {
+	for _, step := range k.allotments.Plan(in) {
 		hall := string(step.Hall)
 		if step.Tokens < 0 {
 			k.recall(held[hall], -step.Tokens)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -53,10 +53,11 @@
 	clients  *keeperclient.Client
 
 	// holds: this keeper holds its hall's journal.
-	holds   bool
-	journal *journal.Journal
-	demand  *allot.Demand
-	recalls *recallState
+	holds      bool
+	allotments allot.Policy
+	journal    *journal.Journal
+	demand     *allot.Demand
+	recalls    *recallState
 	// leaderless is since when the ledger has no leader, in Unix nanoseconds;
 	// 0 when it has one.
 	leaderless atomic.Int64
@@ -81,6 +82,7 @@
 	k.nodes = newNodeTable()
 	k.clients = &keeperclient.Client{Keepers: k.Config.Keepers, Pool: k.Pool, Hall: k.Config.Hall}
 	k.demand, k.recalls = &allot.Demand{}, &recallState{}
+	k.allotments = allot.New(k.Config.Allotments)
 	if err := k.listen(probe); err != nil {
 		return err
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -53,21 +53,34 @@
 
 say() { printf '\n== %s\n' "$*"; }
 
+if [ $((${DEMO_ENGINES:-2})) -gt 6 ]; then echo "demo: at most 6 engines" >&2; exit 2; fi
 say "starting"
 for i in 1 2 3; do
   daemon "keeper-$i" keeper "hall-$i" "\"rpc\":\"127.0.0.1:710$i\",\"http\":\"127.0.0.1:711$i\",\"data\":\"$dir/keeper-$i\""
 done
+# Measurements ask for more engines, other slots, another placement.
 slots=${DEMO_SLOTS:-16}
-sed "s/\"slots\": 16/\"slots\": $slots/" examples/settings.json >"$dir/settings.json"
-start engine-1 "$bin/sumachead-standin" --listen 127.0.0.1:7301 --slots "$slots"
-start engine-2 "$bin/sumachead-standin" --listen 127.0.0.1:7302 --slots "$slots"
+placement=${DEMO_PLACEMENT:-weighted}
+engines=$((${DEMO_ENGINES:-2} + 0))
+cp examples/settings.json "$dir/settings.json"
+sed -i "s/\"slots\": 16/\"slots\": $slots/" "$dir/settings.json"
+agent() { # number server hall
+  daemon "agent-$1" agent "$3" "\"rpc\":\"127.0.0.1:720$1\",\"http\":\"127.0.0.1:721$1\",\"agent\":{\"server\":\"$2\",\"backend\":\"http://127.0.0.1:730$1\"}"
+}
+start engine-1 "$bin/sumachead-standin" --listen 127.0.0.1:7301 --slots "$slots" ${DEMO_ENGINE_ARGS:-}
+start engine-2 "$bin/sumachead-standin" --listen 127.0.0.1:7302 --slots "$slots" ${DEMO_ENGINE_ARGS:-}
 start booking "$bin/sumachead-standin" --listen 127.0.0.1:7303 --kind service
-for i in 1 2 3; do
-  server=(x assistant-1 assistant-2 booking-1)
-  daemon "agent-$i" agent "hall-$i" "\"rpc\":\"127.0.0.1:720$i\",\"http\":\"127.0.0.1:721$i\",\"agent\":{\"server\":\"${server[$i]}\",\"backend\":\"http://127.0.0.1:730$i\"}"
+agent 1 assistant-1 hall-1
+agent 2 assistant-2 hall-2
+agent 3 booking-1 hall-1
+for ((i = 4; i < 2 + engines; i++)); do
+  hall=hall-$((i % 3 + 1))
+  start "engine-$i" "$bin/sumachead-standin" --listen "127.0.0.1:730$i" --slots "$slots" ${DEMO_ENGINE_ARGS:-}
+  agent "$i" "assistant-$i" "$hall"
+  sed -i "s#\"servers\": {#&\n    \"assistant-$i\": {\"pool\": \"assistant\", \"hall\": \"$hall\", \"agent\": \"127.0.0.1:720$i\", \"slots\": $slots, \"epoch\": 1},#" "$dir/settings.json"
 done
-daemon router-1 router hall-1 '"http":"127.0.0.1:7001"'
-daemon router-2 router hall-2 '"http":"127.0.0.1:7002"'
+daemon router-1 router hall-1 "\"http\":\"127.0.0.1:7001\",\"placement\":\"$placement\""
+daemon router-2 router hall-2 "\"http\":\"127.0.0.1:7002\",\"placement\":\"$placement\""
 cat >"$dir/tool.json" <<EOF
 {"keepers":$keepers,"tls":$tls}
 EOF
