TLS between all processes and towards callers; make demo runs with it

Cause: the demo ran in the clear, and certificates had to come from elsewhere. Before: no TLS shown.

--- a/internal/tool/load.go
+++ b/internal/tool/load.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"crypto/x509"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
@@ -14,6 +16,7 @@
 
 type loadCommand struct {
 	app           *app
+	roots         *x509.CertPool
 	URLs          []string      `long:"url" required:"true" description:"router, as in http://host:port; may be repeated"`
 	Key           string        `long:"key" required:"true" description:"bearer key of the workspace"`
 	Budget        string        `long:"budget" description:"budget of the workspace: reports overspend and false refusals"`
@@ -29,7 +32,7 @@
 	Priority      string        `long:"priority" description:"urgent, normal or batch"`
 	NoStream      bool          `long:"no-stream" description:"ask for whole answers"`
 	NotRepeatable bool          `long:"not-repeatable" description:"mark the requests as not repeatable"`
-	Insecure      bool          `long:"insecure" description:"do not check the routers' certificates"`
+	CA            string        `long:"ca" description:"PEM file of the authority that signed the routers' certificates"`
 }
 
 // loadResult is what the command prints.
@@ -54,6 +57,9 @@
 
 // Execute implements flags.Commander.
 func (l *loadCommand) Execute([]string) error {
+	if err := l.readCA(); err != nil {
+		return err
+	}
 	result := &loadResult{}
 	if l.Direct != "" {
 		result.Direct = l.run([]string{l.Direct})
@@ -81,8 +87,24 @@
 	return nil
 }
 
+// readCA reads the authority's file, if there is one.
+func (l *loadCommand) readCA() error {
+	if l.CA == "" {
+		return nil
+	}
+	pem, err := os.ReadFile(l.CA)
+	if err != nil {
+		return exit(ExitUsage, "--ca: %w", err)
+	}
+	l.roots = x509.NewCertPool()
+	if !l.roots.AppendCertsFromPEM(pem) {
+		return exit(ExitUsage, "--ca: %s holds no certificate", l.CA)
+	}
+	return nil
+}
+
 func (l *loadCommand) run(urls []string) *load.Report {
-	t := &http.Transport{MaxIdleConnsPerHost: l.Callers, TLSClientConfig: &tls.Config{InsecureSkipVerify: l.Insecure}}
+	t := &http.Transport{MaxIdleConnsPerHost: l.Callers, TLSClientConfig: &tls.Config{RootCAs: l.roots}}
 	return load.Run(context.Background(), &load.Plan{
 		URLs: urls, Key: l.Key, Model: l.Model, Service: l.Service, Callers: l.Callers,
 		Prompt: l.Prompt, Prompts: l.Prompts, MaxTokens: l.MaxTokens, Rate: l.Rate, Priority: l.Priority,
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -132,6 +132,8 @@
 		{"", "entries", "look up ledger entries", &entries{app: a}},
 		{"", "keeper", "manage keepers", &struct{}{}},
 		{"keeper", "remove", "take a keeper out for good", &keeperRemove{app: a}},
+		{"", "tls", "make certificates", &struct{}{}},
+		{"tls", "init", "make an authority, and certificates for processes", &tlsInit{app: a}},
 		{"", "load", "run a load against a router", &loadCommand{app: a}},
 	}
 	for _, c := range commands {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Starts three keepers, two routers, three agents and their stand-ins on
-# loopback, sends requests, kills the leading keeper, sends again, checks every
+# loopback, with TLS between all of them, sends requests, kills the leading keeper, sends again, checks every
 # budget's figures, and stops everything. Exits non-zero if a figure is off.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -25,7 +25,9 @@
 keepers='[{"id":"keeper-1","hall":"hall-1","address":"127.0.0.1:7101"},
  {"id":"keeper-2","hall":"hall-2","address":"127.0.0.1:7102"},
  {"id":"keeper-3","hall":"hall-3","address":"127.0.0.1:7103"}]'
-tls='{"off":true}'
+tls() { # name
+  echo "{\"ca\":\"$dir/tls/ca.pem\",\"cert\":\"$dir/tls/$1.pem\",\"key\":\"$dir/tls/$1-key.pem\"}"
+}
 
 start() { # name command...
   local name=$1
@@ -37,7 +39,7 @@
 
 daemon() { # name role hall fields
   cat >"$dir/$1.json" <<EOF
-{"role":"$2","node":"$1","hall":"$3","keepers":$keepers,"tls":$tls,$4}
+{"role":"$2","node":"$1","hall":"$3","keepers":$keepers,"tls":$(tls "$1"),$4}
 EOF
   start "$1" "$bin/sumacheadd" --config "$dir/$1.json"
 }
@@ -55,6 +57,7 @@
 
 if [ $((${DEMO_ENGINES:-2})) -gt 6 ]; then echo "demo: at most 6 engines" >&2; exit 2; fi
 say "starting"
+"$bin/sumachead" tls init --dir "$dir/tls" --address 127.0.0.1 keeper-{1..3} router-{1,2} agent-{1..7} operator
 for i in 1 2 3; do
   daemon "keeper-$i" keeper "hall-$i" "\"rpc\":\"127.0.0.1:710$i\",\"http\":\"127.0.0.1:711$i\",\"data\":\"$dir/keeper-$i\""
 done
@@ -82,7 +85,7 @@
 daemon router-1 router hall-1 "\"http\":\"127.0.0.1:7001\",\"placement\":\"$placement\""
 daemon router-2 router hall-2 "\"http\":\"127.0.0.1:7002\",\"placement\":\"$placement\""
 cat >"$dir/tool.json" <<EOF
-{"keepers":$keepers,"tls":$tls}
+{"keepers":$keepers,"tls":$(tls operator)}
 EOF
 export SUMACHEAD_CONFIG=$dir/tool.json
 tool() { "$bin/sumachead" "$@"; }
@@ -92,16 +95,16 @@
 say "applying the settings tree"
 tool settings check "$dir/settings.json"
 tool settings apply "$dir/settings.json"
-wait_for 10 "routers" curl -sf http://127.0.0.1:7001/readyz
-wait_for 10 "routers" curl -sf http://127.0.0.1:7002/readyz
+wait_for 10 "routers" curl -sf --cacert "$dir/tls/ca.pem" https://127.0.0.1:7001/readyz
+wait_for 10 "routers" curl -sf --cacert "$dir/tls/ca.pem" https://127.0.0.1:7002/readyz
 
 chat() { # router key
-  curl -sS --max-time 20 -N "http://127.0.0.1:$1/v1/chat/completions" -H 'Authorization: Bearer clerks-key' \
+  curl -sS --cacert "$dir/tls/ca.pem" --max-time 20 -N "https://127.0.0.1:$1/v1/chat/completions" -H 'Authorization: Bearer clerks-key' \
     -H "Idempotency-Key: $2" -H 'Content-Type: application/json' \
     -d '{"model":"assistant","stream":true,"max_tokens":12,"messages":[{"role":"user","content":"Plan a trip from Ajloun to the clinic."}]}'
 }
 hold() { # router key
-  curl -sS --max-time 20 "http://127.0.0.1:$1/v1/services/booking/holds" -H 'Authorization: Bearer clerks-key' \
+  curl -sS --cacert "$dir/tls/ca.pem" --max-time 20 "https://127.0.0.1:$1/v1/services/booking/holds" -H 'Authorization: Bearer clerks-key' \
     -H "Idempotency-Key: $2" -H 'Sumachead-Not-Repeatable: true' -H 'Sumachead-Priority: urgent' \
     -H 'Content-Type: application/json' -d '{"seat":4}'
 }
@@ -132,7 +135,7 @@
 hold 7001 hold-2 >/dev/null
 
 say "a load of 32 callers"
-tool load --url http://127.0.0.1:7001 --url http://127.0.0.1:7002 --key bays-key --budget consortium --callers 32 --duration 3s
+tool load --ca "$dir/tls/ca.pem" --url https://127.0.0.1:7001 --url https://127.0.0.1:7002 --key bays-key --budget consortium --callers 32 --duration 3s
 
 say "the ledger"
 settled() { tool budget show --json masar | grep -q '"reserved": *"0"'; }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -9,7 +9,7 @@
 DEMO_ONLY_START=1 source scripts/demo.sh
 "$bin/sumachead" budget topup --id measure masar 1000000000
 say "load: $callers callers, $duration"
-tool load --url http://127.0.0.1:7001 --url http://127.0.0.1:7002 --key clerks-key --budget masar \
+tool load --ca "$dir/tls/ca.pem" --url https://127.0.0.1:7001 --url https://127.0.0.1:7002 --key clerks-key --budget masar \
   --direct http://127.0.0.1:7301 --callers "$callers" --duration "$duration" "$@"
 say "memory and processor time"
 for name in $(printf '%s\n' "${!pid_of[@]}" | sort); do
--- a/scripts/placement.sh
+++ b/scripts/placement.sh
@@ -16,7 +16,7 @@
     # shellcheck disable=SC1091
     source scripts/demo.sh >/dev/null
     tool budget topup --id measure masar 1000000000 >/dev/null
-    urls=(--url http://127.0.0.1:7001 --url http://127.0.0.1:7002)
+    urls=(--ca "$dir/tls/ca.pem" --url https://127.0.0.1:7001 --url https://127.0.0.1:7002)
     load() { tool load --json "${urls[@]}" --key clerks-key --duration "${seconds}s" "$@"; }
     load --callers 16 --rate 20 --priority urgent --max-tokens 4 --prompts 8 --duration 3s >"$dir/idle.json"
     case $2 in
