--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,7 +25,7 @@
 	// deliverTimeout bounds how long a planned stop waits for routers to
 	// fetch finished answers.
 	deliverTimeout = 5 * time.Second
-	sweepEvery     = time.Second
+	sweepEvery     = 250 * time.Millisecond
 )
 
 // Agent is one agent process. Set the exported fields before Run.
@@ -41,6 +41,7 @@
 	runs     *runTable
 	queue    *queue
 	backend  *backend
+	health   *health
 	metrics  *metrics
 	stopping atomic.Bool
 
@@ -83,7 +84,8 @@
 	a.metrics = newMetrics()
 	a.runs = newRunTable(a.Config.Agent.RetainedBytes)
 	a.queue = &queue{}
-	a.backend = newBackend(a.Config.Agent.Backend)
+	a.health = &health{}
+	a.backend = newBackend(a.Config.Agent.Backend, a.health)
 	a.follower = &follower.Follower{
 		Config: a.Config, Boot: a.boot, Pool: a.Pool, Log: a.Log.Named("settings"),
 		Without: []string{settings.KindWorkspaces, settings.KindBudgets, settings.KindTopups, settings.KindBranches},
@@ -142,10 +144,24 @@
 		case <-t.C:
 			a.runs.sweep(time.Now())
 			a.queue.setSlots(a.slots())
+			if _, yes := a.suspect(time.Now()); yes {
+				a.queue.shedAll()
+			}
 		}
 	}
 }
 
+// suspect reports whether the backend server seems to be stuck, and until when
+// to stay away. Plain services send nothing until they are done, so that only
+// model engines are judged.
+func (a *Agent) suspect(now time.Time) (until time.Time, yes bool) {
+	_, pool := a.own(a.follower.View())
+	if pool == nil || pool.Kind != settings.ModelPool {
+		return time.Time{}, false
+	}
+	return a.health.suspect(pool.StuckAfter.Duration, now)
+}
+
 func (a *Agent) slots() int {
 	if s, _ := a.own(a.follower.View()); s != nil {
 		return int(s.Slots)
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -42,15 +42,16 @@
 type backend struct {
 	base   string
 	client *http.Client
+	health *health
 
 	mu    sync.Mutex // guards first
 	first time.Duration
 }
 
-func newBackend(base string) *backend {
+func newBackend(base string, h *health) *backend {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &backend{
-		base: strings.TrimSuffix(base, "/"),
+		base: strings.TrimSuffix(base, "/"), health: h,
 		client: &http.Client{
 			// A connection serves one request: one that the server has just
 			// closed can't be told from one on which a request was lost.
@@ -83,22 +84,32 @@
 func (b *backend) do(ctx context.Context, x *run, r *wire.RunRequest, pool *settings.ResolvedPool) (sumachead.Tokens, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatch(pool.StuckAfter.Duration, func() { cancel(errStuck) })
+	watch := newWatch(pool.StuckAfter.Duration, func() {
+		b.health.stuck(time.Now())
+		cancel(errStuck)
+	})
 	if watchesWhole(r, pool) {
 		watch.stop()
 	}
 	defer watch.stop()
 	began := time.Now()
+	b.health.began(began)
+	whole := false
+	defer func() { b.health.ended(whole) }()
 	resp, err := b.send(ctx, r)
 	if err != nil {
 		return 0, stuckOr(ctx, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body := &watched{Reader: io.LimitReader(resp.Body, maxAnswerBytes+1), watch: watch, first: func() { b.noteFirst(time.Since(began)) }}
+	body := &watched{
+		Reader: io.LimitReader(resp.Body, maxAnswerBytes+1), watch: watch, health: b.health,
+		first: func() { b.noteFirst(time.Since(began)) },
+	}
 	if pool.Kind == settings.ServicePool {
 		return relayService(x, r, resp, body)
 	}
 	tokens, err := relayModel(x, r, resp, body)
+	whole = err == nil
 	return tokens, stuckOr(ctx, err)
 }
 
--- a/internal/agent/queue.go
+++ b/internal/agent/queue.go
@@ -93,6 +93,16 @@
 	return true
 }
 
+// shedAll drops all that wait: the server is stuck, others may not be.
+func (q *queue) shedAll() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, t := range q.waiting {
+		close(t.shed)
+	}
+	q.waiting = nil
+}
+
 func (q *queue) insert(t *ticket) {
 	i := len(q.waiting)
 	for i > 0 && q.waiting[i-1].priority < t.priority {
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -170,6 +170,9 @@
 	if server.State == "leaving" {
 		return refuse(sumachead.ReasonLeaving, "the backend server is leaving")
 	}
+	if until, yes := a.suspect(now); yes {
+		return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonStuck, "the backend server seems to be stuck", until)
+	}
 	if r == nil {
 		return nil
 	}
@@ -223,6 +226,7 @@
 		FirstTokenMicros: a.backend.firstToken().Microseconds(),
 		Leaving:          a.stopping.Load(),
 	}
+	_, l.Stuck = a.suspect(time.Now())
 	if v := a.follower.View(); v != nil {
 		l.Revision = uint64(v.Revision)
 		if s := v.Server(a.Config.Agent.Server); s != nil && s.State == "leaving" {
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -22,9 +22,10 @@
 // watched is a reader that feeds a watch and notes the first byte.
 type watched struct {
 	io.Reader
-	watch *watch
-	first func()
-	once  sync.Once
+	watch  *watch
+	health *health
+	first  func()
+	once   sync.Once
 }
 
 // Read implements io.Reader.
@@ -33,6 +34,7 @@
 	if n > 0 {
 		r.once.Do(r.first)
 		r.watch.fed()
+		r.health.heard(time.Now())
 	}
 	return n, err
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -133,7 +133,7 @@
 // noteCutOff takes in what a keeper without a quorum says: that of the own hall
 // counts.
 func (f *Follower) noteCutOff(reply *wire.SyncReply, k config.Keeper, asked time.Time) {
-	if k.Hall != f.Config.Hall || reply.GetLeader() != "" {
+	if k.Hall != f.Config.Hall || !reply.GetCutOff() || reply.GetRevision() == 0 {
 		return
 	}
 	f.mu.Lock()
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -277,6 +277,18 @@
 	return err
 }
 
+// Introduce writes a first record to a new journal, by which the ledger learns
+// that it has taken the place of one that was lost.
+func (j *Journal) Introduce() error {
+	_, err := j.do(func() *wire.LedgerReply {
+		if j.seq == 0 {
+			j.write(&wire.JournalRecord{})
+		}
+		return nil
+	})
+	return err
+}
+
 // Expire presumes the bills of entries whose deadline passed before presume,
 // and forgets merged entries that ended long ago.
 func (j *Journal) Expire(now, presume time.Time) error {
--- a/internal/keeper/allotments.go
+++ b/internal/keeper/allotments.go
@@ -34,15 +34,19 @@
 	topupsEvery  = 500 * time.Millisecond
 )
 
+// errNotIntroduced has the caller try again: the ledger does not know yet that
+// this journal has taken the place of a lost one.
+var errNotIntroduced = errors.New("the ledger does not know this journal yet")
+
 var errForeignTopup = errors.New("the top-up's id does not belong to this hall")
 
-// leaderlessFor returns how long the ledger has had no leader, as far as this
+// leaderlessFor returns how long the group has had no leader, as far as this
 // keeper knows; 0 when it has one.
-func (k *Keeper) leaderlessFor(now time.Time) time.Duration {
-	if k.money.node.Status().GetLeader() != "" {
+func (g *group) leaderlessFor(now time.Time) time.Duration {
+	if g.node.Status().GetLeader() != "" {
 		return 0
 	}
-	since := k.leaderless.Load()
+	since := g.leaderless.Load()
 	if since == 0 {
 		return time.Nanosecond
 	}
@@ -50,16 +54,21 @@
 }
 
 // noteLeader keeps the time since when there is no leader.
-func (k *Keeper) noteLeader(now time.Time) {
-	if k.money.node.Status().GetLeader() != "" {
-		k.leaderless.Store(0)
+func (g *group) noteLeader(now time.Time) {
+	if g.node.Status().GetLeader() != "" {
+		g.leaderless.Store(0)
 		return
 	}
-	k.leaderless.CompareAndSwap(0, now.UnixNano())
+	g.leaderless.CompareAndSwap(0, now.UnixNano())
 }
 
 // mergeLoop brings the journal's records to the ledger while it has a leader.
 func (k *Keeper) mergeLoop(ctx context.Context) error {
+	if k.identity.GetJoined() {
+		if err := k.journal.Introduce(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	return every(ctx, mergeEvery, func() {
 		if k.money.node.Status().GetLeader() == "" {
 			return
--- a/internal/keeper/controllers.go
+++ b/internal/keeper/controllers.go
@@ -195,7 +195,9 @@
 	)
 	rounds := 0
 	return every(ctx, watchEvery, func() {
-		k.noteLeader(time.Now())
+		for _, g := range k.groups() {
+			g.noteLeader(time.Now())
+		}
 		if s := k.settings.node.Status(); s.GetLeader() == string(k.Config.Node) {
 			k.nodes.lead(s.GetTerm(), k.treeIsEmpty(ctx), time.Now())
 			if rounds++; rounds%contactEvery == 0 {
--- a/internal/keeper/founding.go
+++ b/internal/keeper/founding.go
@@ -140,6 +140,7 @@
 	}
 	k.Log.Warn("Joining a running system with an empty folder.", "incarnation", k.identity.GetIncarnation())
 	k.identity.Joined = true
+	k.identity.JoinedUnixNano = time.Now().UnixNano()
 	return k.saveIdentity()
 }
 
--- a/internal/keeper/hallservice.go
+++ b/internal/keeper/hallservice.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/gravitational/trace"
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
@@ -18,6 +19,8 @@
 	cutOffAfter = 3 * time.Second
 	// grantTimeout bounds a journal's question for more tokens.
 	grantTimeout = 700 * time.Millisecond
+	// claimMergeTimeout bounds how long a claim waits to be in the ledger too.
+	claimMergeTimeout = 400 * time.Millisecond
 	// grantFactor is how many requests of the size at hand a question covers.
 	grantFactor = 32
 )
@@ -32,18 +35,82 @@
 		reply.Code = wire.LedgerCode_LEDGER_CODE_CLAIM_UNAVAILABLE
 		return nil
 	}
-	r.NowUnixNano = time.Now().UnixNano()
-	k.demand.Note(r.GetBudget(), r.GetHall(), r.GetAmount(), time.Now())
+	now := time.Now()
+	r.NowUnixNano = now.UnixNano()
+	k.demand.Note(r.GetBudget(), r.GetHall(), r.GetAmount(), now)
+	if k.answerForLostJournal(r, reply, now) {
+		return nil
+	}
 	got, err := k.journal.Reserve(r)
-	if err == nil && got.GetCode() == wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED && k.askGrant(r.GetBudget(), r.GetAmount()) {
-		got, err = k.journal.Reserve(r)
+	if err == nil && got.GetCode() == wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED {
+		if err = k.askGrant(r.GetBudget(), r.GetAmount()); err == nil {
+			got, err = k.journal.Reserve(r)
+		}
 	}
 	if err == nil {
 		got, err = k.reserveWithRoom(r, got)
 	}
+	if err == nil {
+		k.mergeClaim()
+	}
 	return k.hallReply("reserve", got, err, reply)
 }
 
+// answerForLostJournal answers for keys that an earlier journal of this hall
+// may have claimed: those that it merged are in the ledger, and of those that
+// it did not nothing is known. They may have run, until they would have been
+// forgotten anyway.
+func (k *Keeper) answerForLostJournal(r *wire.ReserveRequest, reply *wire.LedgerReply, now time.Time) bool {
+	if !k.identity.GetJoined() || k.journal.Entry(r.GetWorkspace(), r.GetKey()) != nil {
+		return false
+	}
+	held := now.Before(time.Unix(0, k.identity.GetJoinedUnixNano()).Add(EntryRetention))
+	e := k.ledgerEntry(r.GetWorkspace(), r.GetKey(), held)
+	if e != nil && e.GetState() != wire.EntryState_ENTRY_STATE_RELEASED {
+		reply.Code, _ = ledger.Claim(e, r)
+		if reply.GetCode() == wire.LedgerCode_LEDGER_CODE_GRANTED {
+			reply.Code = wire.LedgerCode_LEDGER_CODE_SETTLED
+		}
+		reply.Entry = e
+		return true
+	}
+	if held {
+		reply.Code, reply.Partial = wire.LedgerCode_LEDGER_CODE_CLAIM_UNAVAILABLE, true
+		return true
+	}
+	return false
+}
+
+// ledgerEntry returns a key's entry in the ledger: from this keeper's copy or,
+// as that may still be catching up, from the leader.
+func (k *Keeper) ledgerEntry(workspace, key string, ask bool) *wire.Entry {
+	e := k.ledger.Entry(sumachead.WorkspaceID(workspace), sumachead.RequestKey(key))
+	if e != nil || !ask {
+		return e
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimMergeTimeout)
+	defer cancel()
+	reply, err := keeperclient.Call[wire.LookupReply](ctx, k.clients, keeperclient.GroupLedger, "Ledger.Lookup",
+		&wire.LookupRequest{Workspace: workspace, Key: key, Budget: "-"})
+	if err != nil || len(reply.GetEntries()) == 0 {
+		return nil
+	}
+	return reply.GetEntries()[0]
+}
+
+// mergeClaim brings a claim to the ledger before it is answered, where the
+// ledger is reached: a disk that is lost then takes no claim with it.
+func (k *Keeper) mergeClaim() {
+	if k.money.leaderlessFor(time.Now()) > 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimMergeTimeout)
+	defer cancel()
+	if err := k.mergeOnce(ctx); err != nil {
+		k.Log.Debug("A claim is in the journal only.", "error", err)
+	}
+}
+
 // reserveWithRoom repeats a reservation that the journal refused, once requests
 // under way have given back enough.
 func (k *Keeper) reserveWithRoom(r *wire.ReserveRequest, got *wire.LedgerReply) (*wire.LedgerReply, error) {
@@ -68,8 +135,9 @@
 }
 
 // askGrant asks the ledger for tokens and waits until this keeper's copy of
-// the ledger shows them.
-func (k *Keeper) askGrant(budget string, amount int64) bool {
+// the ledger shows them. An error means that it was not reached: the caller
+// should try again, unless the hall has been cut off for long.
+func (k *Keeper) askGrant(budget string, amount int64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
 	defer cancel()
 	id := sumachead.BudgetID(budget)
@@ -78,13 +146,19 @@
 		Budget: budget, Hall: string(k.Config.Hall), KeeperIncarnation: k.identity.GetIncarnation(),
 		Amount: max(amount*grantFactor, amount), Partial: true,
 	})
-	if err != nil || reply.GetCode() != wire.LedgerCode_LEDGER_CODE_GRANTED {
-		return false
+	if err != nil && k.money.leaderlessFor(time.Now()) >= cutOffAfter {
+		return nil
+	}
+	if err != nil {
+		return keeperclient.EncodeError(&raft.NotLeaderError{})
+	}
+	if reply.GetCode() != wire.LedgerCode_LEDGER_CODE_GRANTED {
+		return nil
 	}
 	waitUntil(ctx, func() bool {
 		return k.ledger.Granted(id, k.Config.Hall, k.identity.GetIncarnation()) > before
 	})
-	return ctx.Err() == nil
+	return trace.Wrap(ctx.Err())
 }
 
 // Reassign moves an entry of the journal to its next attempt.
@@ -101,6 +175,9 @@
 		x.NowUnixNano = now
 	}
 	got, err := s.keeper.journal.Settle(b)
+	if err == nil {
+		err = s.keeper.settleLost(b, got)
+	}
 	for _, r := range got {
 		s.keeper.metrics.journalReplies.WithLabelValues("settle", r.GetCode().String()).Inc()
 		reply.Replies = append(reply.Replies, &wire.LedgerReply{Code: r.GetCode()})
@@ -108,6 +185,32 @@
 	return err
 }
 
+// settleLost passes outcomes of entries that a lost journal may have had to the
+// ledger.
+func (k *Keeper) settleLost(b *wire.SettleBatch, got []*wire.LedgerReply) error {
+	lost := &wire.SettleBatch{}
+	for i, s := range b.GetSettles() {
+		if got[i].GetCode() == wire.LedgerCode_LEDGER_CODE_NO_ENTRY && s.GetOwner() == "" {
+			lost.Settles = append(lost.Settles, s)
+		}
+	}
+	if len(lost.GetSettles()) == 0 || !k.identity.GetJoined() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+	defer cancel()
+	replies, err := keeperclient.Call[wire.LedgerReplies](ctx, k.clients, keeperclient.GroupLedger, "Ledger.Settle", lost)
+	if err != nil {
+		return err
+	}
+	for _, r := range replies.GetReplies() {
+		if r.GetCode() == wire.LedgerCode_LEDGER_CODE_EXISTS {
+			return errNotIntroduced
+		}
+	}
+	return nil
+}
+
 // Topup takes tokens that were bought while the hall is cut off. The id must
 // belong to the hall, so that no other side takes it too.
 func (s *hallService) Topup(r *wire.HallTopupRequest, _ *wire.Empty) error {
@@ -134,7 +237,7 @@
 // reserveCutOff serves a reservation from the hall's own account while the
 // ledger has no leader. An error means that the caller should try on.
 func (k *Keeper) reserveCutOff(r *wire.ReserveRequest, reply *wire.LedgerReply) error {
-	lost := k.leaderlessFor(time.Now())
+	lost := k.money.leaderlessFor(time.Now())
 	noLeader := keeperclient.EncodeError(&raft.NotLeaderError{})
 	if lost == 0 || !k.holds || r.GetHall() != string(k.Config.Hall) {
 		return noLeader
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -58,18 +58,17 @@
 	journal    *journal.Journal
 	demand     *allot.Demand
 	recalls    *recallState
-	// leaderless is since when the ledger has no leader, in Unix nanoseconds;
-	// 0 when it has one.
-	leaderless atomic.Int64
-
-	mergeMu sync.Mutex // guards merged, and keeps merges in order
-	merged  uint64
+	mergeMu    sync.Mutex // guards merged, and keeps merges in order
+	merged     uint64
 }
 
 // group is one replicated group of this keeper.
 type group struct {
 	node   *raft.Node
 	sender *sender
+	// leaderless is since when the group has no leader, in Unix nanoseconds; 0
+	// when it has one.
+	leaderless atomic.Int64
 }
 
 // Run serves until ctx ends, then hands leadership over and stops.
--- a/internal/keeper/ledgerservice.go
+++ b/internal/keeper/ledgerservice.go
@@ -52,7 +52,7 @@
 	k := s.keeper
 	now := time.Now()
 	r.NowUnixNano = now.UnixNano()
-	if k.leaderlessFor(now) > 0 {
+	if k.money.leaderlessFor(now) > 0 {
 		return k.reserveCutOff(r, reply)
 	}
 	c := &wire.LedgerCommand{Command: &wire.LedgerCommand_Reserve{Reserve: r}}
--- a/internal/keeper/settingsservice.go
+++ b/internal/keeper/settingsservice.go
@@ -11,6 +11,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/raft"
 	"sumachead/internal/settings"
 )
 
@@ -21,6 +22,11 @@
 // more than the currency lease, after which a silent node has stopped itself.
 const acceptWait = settings.CurrencyLease + 3*time.Second
 
+// silentAfter is how long a keeper has no leader before it says that it is cut
+// off. A leader notices sooner that it has lost the keeper, and lets no change
+// pass for accepted in the time that nodes then go by the keeper's word.
+const silentAfter = 2 * raft.DefaultElection
+
 // settingsService serves the settings tree to nodes and operators.
 type settingsService struct{ keeper *Keeper }
 
@@ -131,6 +137,7 @@
 	proto.Merge(reply, answer)
 	reply.Current = current
 	reply.Leader = k.settings.node.Status().GetLeader()
+	reply.CutOff = k.settings.leaderlessFor(time.Now()) >= silentAfter
 	return nil
 }
 
--- a/internal/ledger/allotment.go
+++ b/internal/ledger/allotment.go
@@ -61,6 +61,9 @@
 }
 
 func (m *Machine) mergeRecord(r *wire.MergeRequest, x *wire.JournalRecord) {
+	if x.GetBudget() == "" {
+		return // a journal's first record, which only introduces it
+	}
 	b := m.budget(x.GetBudget())
 	a := b.allotment(x.GetBudget(), r.GetHall(), r.GetKeeperIncarnation())
 	if id := x.GetTopupId(); id != "" {
@@ -104,13 +107,37 @@
 		return
 	}
 	b.spent += x.GetBill()
+	e.Journal = a.GetKeeperIncarnation()
 	if e.GetState() == wire.EntryState_ENTRY_STATE_RESERVED {
 		m.entries[k] = e
+		m.open.add(k, e.GetDeadlineUnixNano())
 		return
 	}
 	m.end(k, e)
 }
 
+// isOrphan reports whether an entry is of a journal that was lost: another one
+// has taken its hall's place. The ledger then decides about it.
+func (m *Machine) isOrphan(e *wire.Entry) bool {
+	h := m.halls[e.GetHall()]
+	return e.GetHall() != "" && h != nil && h.GetKeeperIncarnation() != e.GetJournal()
+}
+
+// endOrphan ends an entry of a lost journal: its escrow pays, if it was not
+// written off.
+func (m *Machine) endOrphan(k entryKey, e, next *wire.Entry) {
+	b := m.budgets[e.GetBudget()]
+	bill := next.GetBilled() - e.GetBilled()
+	if a := b.allotments[allotmentKey{e.GetHall(), e.GetJournal()}]; a != nil {
+		bill = min(bill, a.GetHeld())
+		a.Held -= bill
+		b.allotted -= bill
+		b.spent += bill
+	}
+	m.end(k, next)
+	m.verify(e.GetBudget())
+}
+
 // isGhost reports whether have is a reservation that reached the ledger late,
 // after its own router had been granted the same attempt by the hall.
 func isGhost(have, e *wire.Entry) bool {
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -50,8 +50,10 @@
 	budgets map[string]*budget
 	entries map[entryKey]*wire.Entry
 	// done holds the keys of ended entries in the order in which they ended.
-	done     []endedEntry
-	open     deadlineHeap
+	done []endedEntry
+	open deadlineHeap
+	// later are entries to look at again at the next expiry.
+	later    []deadlineItem
 	halls    map[string]*wire.Hall
 	revision uint64
 	// violations counts what must never happen.
@@ -191,7 +193,7 @@
 		}
 		return reply(wire.LedgerCode_LEDGER_CODE_NO_ENTRY, nil)
 	}
-	if e.GetHall() != "" {
+	if e.GetHall() != "" && !m.isOrphan(e) {
 		return reply(wire.LedgerCode_LEDGER_CODE_EXISTS, e) // the hall's journal decides
 	}
 	ends, lateRun := Ends(e, s)
@@ -203,6 +205,10 @@
 	}
 	b := m.budgets[e.GetBudget()]
 	next := Ended(e, s)
+	if e.GetHall() != "" {
+		m.endOrphan(k, e, next)
+		return reply(wire.LedgerCode_LEDGER_CODE_SETTLED, next)
+	}
 	if e.GetPresumed() {
 		b.spent -= e.GetBilled()
 	} else {
@@ -260,6 +266,10 @@
 		m.open.drop()
 		m.presume(k, deadline, x.GetNowUnixNano())
 	}
+	for _, i := range m.later {
+		m.open.add(i.key, i.deadline)
+	}
+	m.later = nil
 	n := 0
 	for n < len(m.done) && n < maxExpirePerCommand && m.done[n].at < x.GetRetainBeforeUnixNano() {
 		m.forget(m.done[n])
@@ -271,7 +281,11 @@
 // presume bills the reservation: the request may have run and used all of it.
 func (m *Machine) presume(k entryKey, deadline, now int64) {
 	e := m.entries[k]
-	if e.GetState() != wire.EntryState_ENTRY_STATE_RESERVED || e.GetDeadlineUnixNano() != deadline || e.GetHall() != "" {
+	if e.GetState() != wire.EntryState_ENTRY_STATE_RESERVED || e.GetDeadlineUnixNano() != deadline {
+		return
+	}
+	if e.GetHall() != "" {
+		m.presumeOfHall(k, e, now)
 		return
 	}
 	b := m.budgets[e.GetBudget()]
@@ -282,6 +296,16 @@
 	m.verify(e.GetBudget())
 }
 
+// presumeOfHall presumes an entry of a lost journal; one of a journal that
+// lives comes up again later.
+func (m *Machine) presumeOfHall(k entryKey, e *wire.Entry, now int64) {
+	if m.isOrphan(e) {
+		m.endOrphan(k, e, Presumed(e, now))
+		return
+	}
+	m.later = append(m.later, deadlineItem{k, e.GetDeadlineUnixNano()})
+}
+
 func (m *Machine) forget(d endedEntry) {
 	e := m.entries[d.key]
 	if e != nil && e.GetState() != wire.EntryState_ENTRY_STATE_RESERVED && e.GetUpdatedUnixNano() <= d.at {
@@ -376,8 +400,14 @@
 	if r.GetWorkspace() == "" {
 		return out
 	}
+	if r.GetKey() != "" {
+		if e := m.entries[entryKey{r.GetWorkspace(), r.GetKey()}]; e != nil {
+			out.Entries = append(out.Entries, e)
+		}
+		return out
+	}
 	for k, e := range m.entries {
-		if k.workspace == r.GetWorkspace() && (r.GetKey() == "" || r.GetKey() == k.key) {
+		if k.workspace == r.GetWorkspace() {
 			out.Entries = append(out.Entries, e)
 		}
 	}
@@ -456,9 +486,6 @@
 		k := entryKey{e.GetWorkspace(), e.GetKey()}
 		m.entries[k] = e
 		if e.GetState() == wire.EntryState_ENTRY_STATE_RESERVED {
-			if e.GetHall() != "" {
-				continue
-			}
 			m.open.add(k, e.GetDeadlineUnixNano())
 			continue
 		}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -34,14 +34,25 @@
 	return nil
 }
 
-// fit drops the candidates that were tried or are known to be leaving.
+// stuckFor is for how long what an agent told of a stuck server is believed;
+// then a request may find out.
+const stuckFor = 3 * time.Second
+
+// fit drops the candidates that were tried or are known to be leaving, and those
+// that are stuck if there are others.
 func fit(r sumachead.PlaceRequest, cs []sumachead.Candidate) []sumachead.Candidate {
-	var out []sumachead.Candidate
+	var out, stuck []sumachead.Candidate
 	for _, c := range cs {
-		if slices.Contains(r.Tried, c.Server) || c.Load.GetLeaving() {
-			continue
+		switch {
+		case slices.Contains(r.Tried, c.Server) || c.Load.GetLeaving():
+		case c.Load.GetStuck() && r.Now.Sub(c.LoadAt) < stuckFor:
+			stuck = append(stuck, c)
+		default:
+			out = append(out, c)
 		}
-		out = append(out, c)
+	}
+	if len(out) == 0 {
+		return stuck
 	}
 	return out
 }
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -87,10 +87,11 @@
 		Budget: string(x.workspace.Budget), Amount: int64(x.work.bound), NotRepeatable: x.notRepeatable,
 		Attempt: a, DeadlineUnixNano: x.deadline.UnixNano(), Hall: string(d.Config.Hall),
 	})
-	if err != nil && mayRedraw && d.ctx.Err() == nil {
-		// The hall's journal is down. Nothing has been sent under the key, so
-		// that another one, of the ledger, serves as well.
-		_ = d.unreached(a, err)
+	unavailable := reply.GetCode() == wire.LedgerCode_LEDGER_CODE_CLAIM_UNAVAILABLE
+	if (err != nil || unavailable) && mayRedraw && d.ctx.Err() == nil {
+		// The hall's journal is down, or new. Nothing has been sent under the
+		// key, so that another one, of the ledger, serves as well.
+		d.withdraw(a)
 		x.setKey(d.drawKey(false))
 		return d.reserve()
 	}
@@ -153,12 +154,17 @@
 // this router could have dispatched the attempt, and it has not. The
 // reservation, if there is one, is given back when the ledger is reached.
 func (d *dispatch) unreached(a *wire.Attempt, err error) error {
+	d.withdraw(a)
+	d.Log.Debug("The ledger was not reached.", "error", err)
+	return d.final(d.x.unsure(refuseSoon(sumachead.NotRun, sumachead.ReasonLedgerUnreached, "the ledger was not reached")))
+}
+
+// withdraw gives an attempt's reservation back, should there be one.
+func (d *dispatch) withdraw(a *wire.Attempt) {
 	d.settler.add(settleItem{settle: &wire.SettleRequest{
 		Workspace: string(d.x.workspace.ID), Key: string(d.x.key), NotRun: true, Owner: a.GetOwner(),
 		Hall: string(keeperclient.HallOf(string(d.x.key), d.Config.Keepers)),
 	}})
-	d.Log.Debug("The ledger was not reached.", "error", err)
-	return d.final(d.x.unsure(refuseSoon(sumachead.NotRun, sumachead.ReasonLedgerUnreached, "the ledger was not reached")))
 }
 
 // final widens a refusal's verdict by what earlier attempts may have done.
