--- a/interfaces.go
+++ b/interfaces.go
@@ -12,8 +12,9 @@
 type StateMachine interface {
 	// Apply carries out one command and returns its result.
 	Apply(index uint64, command []byte) any
-	// Snapshot returns the whole state.
-	Snapshot() ([]byte, error)
+	// Snapshot captures the whole state and returns what encodes it. The
+	// capture is quick; the encoding may run beside later calls of Apply.
+	Snapshot() (encode func() ([]byte, error))
 	// Restore replaces the whole state.
 	Restore(data []byte) error
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -121,7 +121,7 @@
 
 // restore replaces the machine by one that was restored from its snapshot.
 func (d *model) restore(t *rapid.T) {
-	data, err := d.m.Snapshot()
+	data, err := d.m.Snapshot()()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -129,7 +129,7 @@
 	if err := next.Restore(data); err != nil {
 		t.Fatal(err)
 	}
-	again, err := next.Snapshot()
+	again, err := next.Snapshot()()
 	if err != nil || string(again) != string(data) {
 		t.Fatalf("a restored snapshot differs: %v", err)
 	}
--- a/internal/ledger/machine.go
+++ b/internal/ledger/machine.go
@@ -435,21 +435,26 @@
 }
 
 // Snapshot implements sumachead.StateMachine.
-func (m *Machine) Snapshot() ([]byte, error) {
+func (m *Machine) Snapshot() func() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	s := &wire.LedgerSnapshot{TotalsRevision: m.revision, Violations: m.violations}
 	for _, id := range slices.Sorted(maps.Keys(m.budgets)) {
 		b := m.budgets[id]
 		st := b.state(id)
-		st.HallTopups = b.hallTopups
+		st.HallTopups = maps.Clone(b.hallTopups)
 		st.Broken = b.broken
 		s.Budgets = append(s.Budgets, st)
 	}
 	for _, h := range slices.Sorted(maps.Keys(m.halls)) {
 		s.Halls = append(s.Halls, m.halls[h])
 	}
+	// Entries are replaced, never changed: the list alone is the capture.
 	s.Entries = slices.Collect(maps.Values(m.entries))
+	return func() ([]byte, error) { return encodeSnapshot(s) }
+}
+
+func encodeSnapshot(s *wire.LedgerSnapshot) ([]byte, error) {
 	slices.SortFunc(s.Entries, func(a, b *wire.Entry) int {
 		return cmp.Or(
 			cmp.Compare(a.GetUpdatedUnixNano(), b.GetUpdatedUnixNano()),
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,88 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+func candidates(n int) []sumachead.Candidate {
+	var cs []sumachead.Candidate
+	for i := range n {
+		cs = append(cs, sumachead.Candidate{
+			Server: sumachead.ServerID(fmt.Sprintf("s%d", i)), Hall: sumachead.HallID(fmt.Sprintf("h%d", i%3)),
+			Load: &wire.Load{Slots: 8, FirstTokenMicros: 20000}, LoadAt: time.Now(),
+		})
+	}
+	return cs
+}
+
+func TestNobodyPlacesWhereItMustNot(t *testing.T) {
+	for _, policy := range []string{PolicyWeighted, PolicyRoundRobin, PolicyLeastOutstanding} {
+		t.Run(policy, func(t *testing.T) {
+			p := New(policy)
+			cs := candidates(4)
+			cs[0].Load.Leaving = true
+			cs[1].Load.Stuck = true
+			r := sumachead.PlaceRequest{Hall: "h0", Tried: []sumachead.ServerID{"s2"}, Now: time.Now()}
+			for i := range 100 {
+				r.Prefix = uint64(i)
+				if c, ok := p.Place(r, cs); !ok || c.Server != "s3" {
+					t.Fatalf("placed at %v", c.Server)
+				}
+			}
+			r.Tried = append(r.Tried, "s3")
+			if c, ok := p.Place(r, cs); !ok || c.Server != "s1" {
+				t.Errorf("a stuck server is better than none; got %v", c.Server)
+			}
+			r.Tried = append(r.Tried, "s1")
+			if _, ok := p.Place(r, cs); ok {
+				t.Error("placed although none is left")
+			}
+		})
+	}
+}
+
+func TestPrefixStaysHomeUntilLoaded(t *testing.T) {
+	p := &Weighted{}
+	cs := candidates(6)
+	r := sumachead.PlaceRequest{Hall: "h0", Prefix: 42, Now: time.Now()}
+	home, _ := p.Place(r, cs)
+	for range 50 {
+		if c, _ := p.Place(r, cs); c.Server != home.Server {
+			t.Fatalf("the prefix went to %v, its home is %v", c.Server, home.Server)
+		}
+	}
+	for i := range cs {
+		if cs[i].Server == home.Server {
+			cs[i].Load.Running, cs[i].Load.Queued = 8, 20
+		}
+	}
+	away := 0
+	for range 50 {
+		if c, _ := p.Place(r, cs); c.Server != home.Server {
+			away++
+		}
+	}
+	if away < 40 {
+		t.Errorf("only %d of 50 left an overloaded home", away)
+	}
+}
+
+func TestWeightedPrefersShortQueues(t *testing.T) {
+	p := &Weighted{}
+	cs := candidates(2)
+	cs[0].Load.Running, cs[0].Load.Queued = 8, 30
+	good := 0
+	for range 200 {
+		if c, _ := p.Place(sumachead.PlaceRequest{Hall: "h0", Now: time.Now()}, cs); c.Server == "s1" {
+			good++
+		}
+	}
+	if good < 120 {
+		t.Errorf("%d of 200 went to the idle server", good)
+	}
+}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -71,6 +71,8 @@
 	appliedIndex uint64
 	snapIndex    uint64
 	wasLeader    bool
+	// preparing is the snapshot that is being written; nil for none.
+	preparing *preparation
 	// publishedMembers is the configuration that status shows.
 	publishedMembers *wire.Members
 
@@ -157,7 +159,7 @@
 			f()
 		case <-ticker.C:
 			n.core.Tick(n.now())
-			if err := n.saveCommit(); err != nil {
+			if err := n.tidy(); err != nil {
 				return trace.Wrap(err, "group %s", n.Group)
 			}
 		}
@@ -167,6 +169,14 @@
 	}
 }
 
+// tidy does what can wait for a quiet moment.
+func (n *Node) tidy() error {
+	if err := n.saveCommit(); err != nil {
+		return err
+	}
+	return n.compact()
+}
+
 // saveCommit writes down what is committed once the log is quiet, so that a
 // member that restarts while cut off knows what it knew.
 func (n *Node) saveCommit() error {
@@ -177,6 +187,7 @@
 }
 
 func (n *Node) shutDown() {
+	n.dropPrepared()
 	close(n.stopped)
 	n.failPending(ErrUncertain)
 	if err := n.storage.Close(); err != nil {
@@ -269,6 +280,7 @@
 	if r.State != nil {
 		n.storage.state = r.State
 	}
+	n.dropPrepared()
 	if err := n.Machine.Restore(r.Snapshot.GetData()); err != nil {
 		return err
 	}
@@ -326,15 +338,45 @@
 	if n.appliedIndex-n.snapIndex < n.SnapshotEvery {
 		return nil
 	}
-	data, err := n.Machine.Snapshot()
-	if err != nil {
-		return err
+	if n.preparing != nil {
+		return n.usePrepared()
 	}
 	index := n.appliedIndex
 	term, _ := n.core.termAt(index)
-	snap := &wire.Snapshot{Index: index, Term: term, Members: n.core.MembersAt(index), Data: data}
-	after := n.core.slice(index+1, n.core.unsaved-1)
-	if err := n.storage.SaveSnapshot(snap, after); err != nil {
+	snap := &wire.Snapshot{Index: index, Term: term, Members: n.core.MembersAt(index)}
+	encode := n.Machine.Snapshot()
+	done := make(chan error, 1)
+	n.preparing = &preparation{snap, done}
+	go func() {
+		var err error
+		if snap.Data, err = encode(); err == nil {
+			err = n.storage.PrepareSnapshot(snap)
+		}
+		done <- err
+	}()
+	return nil
+}
+
+// preparation is a snapshot that is being encoded and written beside the log.
+type preparation struct {
+	snap *wire.Snapshot
+	done chan error
+}
+
+// usePrepared takes the snapshot into use once it is written.
+func (n *Node) usePrepared() error {
+	p := n.preparing
+	select {
+	case err := <-p.done:
+		n.preparing = nil
+		if err != nil {
+			return err
+		}
+	default:
+		return nil
+	}
+	index := p.snap.GetIndex()
+	if err := n.storage.UsePrepared(p.snap, n.core.slice(index+1, n.core.unsaved-1)); err != nil {
 		return err
 	}
 	n.core.Compact(index)
@@ -342,6 +384,18 @@
 	return nil
 }
 
+// dropPrepared waits for a snapshot that is being written, and forgets it: a
+// newer one has come from the leader.
+func (n *Node) dropPrepared() {
+	if n.preparing == nil {
+		return
+	}
+	if err := <-n.preparing.done; err != nil {
+		n.Log.Warn("A snapshot was not written.", "error", err)
+	}
+	n.preparing = nil
+}
+
 // publish makes the state visible to Status.
 func (n *Node) publish() {
 	c := n.core
--- a/internal/raft/node_test.go
+++ b/internal/raft/node_test.go
@@ -27,10 +27,11 @@
 	return r.value
 }
 
-func (r *register) Snapshot() ([]byte, error) {
+func (r *register) Snapshot() func() ([]byte, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return []byte(strconv.Itoa(r.value)), nil
+	value := r.value
+	return func() ([]byte, error) { return []byte(strconv.Itoa(value)), nil }
 }
 
 func (r *register) Restore(data []byte) (err error) {
--- a/internal/raft/storage.go
+++ b/internal/raft/storage.go
@@ -16,6 +16,7 @@
 
 const (
 	snapshotFile  = "snapshot"
+	preparedFile  = "snapshot.next"
 	segmentPrefix = "log-"
 )
 
@@ -165,11 +166,29 @@
 // SaveSnapshot stores a snapshot and starts a new log file that holds only the
 // entries after it.
 func (s *Storage) SaveSnapshot(snap *wire.Snapshot, after []*wire.LogEntry) error {
+	if err := s.PrepareSnapshot(snap); err != nil {
+		return err
+	}
+	return s.UsePrepared(snap, after)
+}
+
+// PrepareSnapshot writes a snapshot beside the one in use. It may run beside
+// other methods, once at a time.
+func (s *Storage) PrepareSnapshot(snap *wire.Snapshot) error {
 	data, err := proto.Marshal(snap)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := wal.WriteFile(filepath.Join(s.dir, snapshotFile), data); err != nil {
+	return wal.WriteFile(filepath.Join(s.dir, preparedFile), data)
+}
+
+// UsePrepared puts the prepared snapshot in the place of the one in use and
+// starts a new log file that holds only the entries after it.
+func (s *Storage) UsePrepared(snap *wire.Snapshot, after []*wire.LogEntry) error {
+	if err := os.Rename(filepath.Join(s.dir, preparedFile), filepath.Join(s.dir, snapshotFile)); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := wal.SyncFolder(s.dir); err != nil {
 		return err
 	}
 	s.snapshot = snap
--- a/internal/settings/machine.go
+++ b/internal/settings/machine.go
@@ -106,17 +106,18 @@
 }
 
 // Snapshot implements sumachead.StateMachine.
-func (m *Machine) Snapshot() ([]byte, error) {
+func (m *Machine) Snapshot() func() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	objects, err := m.tree.objects.Wire()
-	if err != nil {
-		return nil, err
+	tree := m.tree
+	s := &wire.SettingsSnapshot{Session: m.Session, Revision: m.revision, History: slices.Clone(m.history)}
+	return func() (data []byte, err error) {
+		if s.Objects, err = tree.objects.Wire(); err != nil {
+			return nil, err
+		}
+		data, err = proto.Marshal(s)
+		return data, trace.Wrap(err)
 	}
-	data, err := proto.Marshal(&wire.SettingsSnapshot{
-		Session: m.Session, Revision: m.revision, Objects: objects, History: m.history,
-	})
-	return data, trace.Wrap(err)
 }
 
 // Restore implements sumachead.StateMachine.
