--- a/internal/scenario/soak_test.go
+++ b/internal/scenario/soak_test.go
@@ -345,7 +345,7 @@
 	for _, o := range slices.Sorted(maps.Keys(s.outcomes)) {
 		s.t.Logf("  %5d %s", s.outcomes[o], o)
 	}
-	if s.t.Failed() && os.Getenv("SOAK_LOGS") != "" {
+	if os.Getenv("SOAK_LOGS") != "" {
 		_ = os.CopyFS(os.Getenv("SOAK_LOGS"), os.DirFS(s.sys.dir))
 	}
 }
