--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"sumachead/internal/config"
 	"sumachead/internal/follower"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/loop"
 	"sumachead/internal/rpc"
 	"sumachead/internal/settings"
 	"sumachead/internal/telemetry"
@@ -135,20 +136,14 @@
 }
 
 func (a *Agent) sweepLoop(ctx context.Context) error {
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			a.runs.sweep(time.Now())
-			a.queue.setSlots(a.slots())
-			if _, yes := a.suspect(time.Now()); yes {
-				a.queue.shedAll()
-			}
+	return loop.Every(ctx, sweepEvery, func() {
+		now := time.Now()
+		a.runs.sweep(now)
+		a.queue.setSlots(a.slots())
+		if _, yes := a.suspect(now); yes {
+			a.queue.shedAll()
 		}
-	}
+	})
 }
 
 // suspect reports whether the backend server seems to be stuck, and until when
--- a/internal/agent/assemble.go
+++ b/internal/agent/assemble.go
@@ -91,8 +91,8 @@
 
 func (a *assembly) event(*http.Response, []byte) {}
 
-// whole returns the answer in one piece.
-func (a *assembly) whole(u *usage) ([]byte, error) {
+// encode returns the answer in one piece.
+func (a *assembly) encode(u *usage) ([]byte, error) {
 	if a.role == "" {
 		a.role = "assistant"
 	}
@@ -103,19 +103,17 @@
 	})
 }
 
-// relayAssembled takes a stream in and passes it on as one whole.
-func relayAssembled(x *run, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
-	a := &assembly{}
-	s := &streamCheck{sink: a}
-	tokens, err := s.relay(resp, body)
+// assemble takes a stream in and passes it on as one whole.
+func (m *modelRelay) assemble(resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
+	tokens, err := m.stream.relay(resp, body)
 	if err != nil {
 		return tokens, err
 	}
-	data, err := a.whole(s.usage)
+	data, err := m.whole.encode(m.stream.usage)
 	if err != nil {
 		return tokens, badAnswer(err.Error())
 	}
-	x.begin(http.StatusOK, "application/json")
-	x.write(data)
+	m.run.begin(http.StatusOK, "application/json")
+	m.run.write(data)
 	return tokens, nil
 }
--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/go-json-experiment/json"
-	"github.com/go-json-experiment/json/jsontext"
 	"github.com/gravitational/trace"
 
 	"sumachead"
@@ -24,8 +23,9 @@
 
 // Headers that the agent sets towards the backend server.
 const (
-	headerRequestID = "X-Request-Id"
-	headerEpoch     = "Sumachead-Epoch"
+	headerRequestID  = "X-Request-Id"
+	headerEpoch      = "Sumachead-Epoch"
+	headerResumeFrom = "X-Resume-From"
 )
 
 const (
@@ -35,6 +35,9 @@
 	readBuffer     = 16 << 10
 )
 
+// errBroken tells that a stream ended before its end mark.
+var errBroken = errors.New("the stream broke off")
+
 // errStuck ends a request whose answer has stopped coming.
 var errStuck = errors.New("the backend server sends nothing")
 
@@ -88,17 +91,30 @@
 		b.health.stuck(time.Now())
 		cancel(errStuck)
 	})
-	if watchesWhole(r, pool) {
+	defer watch.stop()
+	whole := false
+	if silentUntilDone(r, pool) {
 		watch.stop()
+	} else {
+		b.health.began(time.Now())
+		defer func() { b.health.ended(whole) }()
 	}
-	defer watch.stop()
+	m := newModelRelay(x, r)
+	tokens, err := b.exchange(ctx, x, r, pool, watch, m)
+	if errors.Is(err, errBroken) && pool.Resume && m.stream.chunks > 0 {
+		tokens, err = b.exchange(ctx, x, r, pool, watch, m)
+	}
+	whole = err == nil
+	return tokens, stuckOr(ctx, err)
+}
+
+// exchange sends the request, or asks the engine to go on with an answer that
+// broke off, and takes in what comes.
+func (b *backend) exchange(ctx context.Context, x *run, r *wire.RunRequest, pool *settings.ResolvedPool, watch *watch, m *modelRelay) (sumachead.Tokens, error) {
 	began := time.Now()
-	b.health.began(began)
-	whole := false
-	defer func() { b.health.ended(whole) }()
-	resp, err := b.send(ctx, r)
+	resp, err := b.send(ctx, r, m.stream.chunks)
 	if err != nil {
-		return 0, stuckOr(ctx, err)
+		return 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body := &watched{
@@ -108,9 +124,7 @@
 	if pool.Kind == settings.ServicePool {
 		return relayService(x, r, resp, body)
 	}
-	tokens, err := relayModel(x, r, resp, body)
-	whole = err == nil
-	return tokens, stuckOr(ctx, err)
+	return m.take(resp, body)
 }
 
 // stuckOr replaces err by a refusal when the watch ended the request.
@@ -121,7 +135,9 @@
 	return err
 }
 
-func (b *backend) send(ctx context.Context, r *wire.RunRequest) (*http.Response, error) {
+// send sends the request; from is the number of the answer's chunks that are
+// here already.
+func (b *backend) send(ctx context.Context, r *wire.RunRequest, from int64) (*http.Response, error) {
 	url := b.base + r.GetPath()
 	if r.GetQuery() != "" {
 		url += "?" + r.GetQuery()
@@ -135,6 +151,9 @@
 		req.Header.Set("Content-Type", r.GetContentType())
 	}
 	req.Header.Set(headerRequestID, requestID(r))
+	if from > 0 {
+		req.Header.Set(headerResumeFrom, strconv.FormatInt(from, 10))
+	}
 	req.Header.Set(headerEpoch, strconv.FormatUint(r.GetEpoch(), 10))
 	resp, err := b.client.Do(req)
 	if err == nil {
@@ -190,86 +209,6 @@
 	return sumachead.Tokens(r.GetFlatCost()), nil
 }
 
-// usage is the part of a model answer that counts.
-type usage struct {
-	Prompt     int64 `json:"prompt_tokens"`
-	Completion int64 `json:"completion_tokens"`
-}
-
-// modelAnswer is what the agent looks at in an answer or a chunk of one.
-type modelAnswer struct {
-	ID      string           `json:"id"`
-	Created int64            `json:"created,omitzero"`
-	Model   string           `json:"model,omitzero"`
-	Usage   *usage           `json:"usage"`
-	Choices []jsontext.Value `json:"choices"`
-}
-
-func (u *usage) tokens() sumachead.Tokens {
-	if u == nil {
-		return 0
-	}
-	return sumachead.Tokens(u.Prompt + u.Completion)
-}
-
-// watchesWhole reports whether an answer that comes in one piece may take as
-// long as the deadline allows: nothing shows whether it is stuck.
-func watchesWhole(r *wire.RunRequest, pool *settings.ResolvedPool) bool {
-	return pool.Kind == settings.ModelPool && !r.GetStream() && !r.GetAssemble()
-}
-
-func relayModel(x *run, r *wire.RunRequest, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
-	if err := refusedByServer(resp); err != nil {
-		return 0, err
-	}
-	if err := checkEcho(resp, r); err != nil {
-		return 0, err
-	}
-	if resp.StatusCode/100 == 4 {
-		return relayRejected(x, resp, body)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return 0, sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonServerFailed, "the backend server answered "+resp.Status, time.Now().Add(retrySoon))
-	}
-	switch {
-	case r.GetAssemble():
-		return relayAssembled(x, resp, body)
-	case r.GetStream():
-		s := &streamCheck{sink: &passOn{run: x}}
-		return s.relay(resp, body)
-	}
-	return relayWhole(x, resp, body)
-}
-
-// relayRejected passes on that the engine finds fault with the request: a
-// whole answer that used no tokens.
-func relayRejected(x *run, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
-	data, err := io.ReadAll(body)
-	if err != nil {
-		return 0, trace.Wrap(err)
-	}
-	x.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
-	x.write(data)
-	return 0, nil
-}
-
-func relayWhole(x *run, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
-	data, err := io.ReadAll(body)
-	if err != nil {
-		return 0, trace.Wrap(err)
-	}
-	var m modelAnswer
-	if err := json.Unmarshal(data, &m); err != nil || len(data) > maxAnswerBytes {
-		return 0, badAnswer("the answer is not whole JSON of a fair size")
-	}
-	if m.Usage == nil {
-		return 0, badAnswer("the answer has no usage")
-	}
-	x.begin(resp.StatusCode, resp.Header.Get("Content-Type"))
-	x.write(data)
-	return m.Usage.tokens(), nil
-}
-
 // relay takes server-sent events in as they come. The answer is whole when it
 // ended with its mark, after a usage report, under one id.
 func (s *streamCheck) relay(resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
@@ -278,7 +217,7 @@
 	for {
 		line, err := lines.ReadBytes('\n')
 		if err != nil {
-			return s.tokens(), trace.Wrap(err, "the stream broke off")
+			return s.tokens(), errors.Join(errBroken, err)
 		}
 		event = append(event, line...)
 		if len(bytes.TrimSpace(line)) > 0 {
@@ -332,14 +271,6 @@
 	ended  bool
 }
 
-// tokens returns what is known to have been used.
-func (s *streamCheck) tokens() sumachead.Tokens {
-	if s.usage != nil {
-		return s.usage.tokens()
-	}
-	return sumachead.Tokens(s.chunks)
-}
-
 const (
 	eventPrefix = "data:"
 	endMark     = "[DONE]"
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -8,7 +8,7 @@
 const (
 	// suspectPart is the part of a pool's stuck_after, one in so many, for which
 	// a busy server may bring nothing at all before new work goes elsewhere.
-	suspectPart = 4
+	suspectPart = 2
 	// firstRest and longestRest bound how long a server that was found stuck
 	// gets no work; the time doubles until an answer is whole again.
 	firstRest   = time.Second
--- a/internal/agent/queue_test.go
+++ b/internal/agent/queue_test.go
@@ -77,7 +77,7 @@
 func TestHealth(t *testing.T) {
 	start := time.Now()
 	at := func(d time.Duration) time.Time { return start.Add(d) }
-	const stuckAfter = 4 * time.Second
+	const stuckAfter = 2 * time.Second
 	h := &health{}
 	suspect := func(d time.Duration) bool {
 		_, yes := h.suspect(stuckAfter, at(d))
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -6,6 +6,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/settings"
 )
 
 const (
@@ -167,7 +168,7 @@
 	if !a.follower.MayServe(pool, now) {
 		return refuse(sumachead.ReasonSettingsStale, "the settings are not proved current")
 	}
-	if server.State == "leaving" {
+	if server.State == settings.ServerLeaving {
 		return refuse(sumachead.ReasonLeaving, "the backend server is leaving")
 	}
 	if until, yes := a.suspect(now); yes {
@@ -190,10 +191,10 @@
 
 // holdsEpoch notes the epochs seen and reports whether the request's is the
 // highest.
-func (a *Agent) holdsEpoch(settings, request sumachead.Epoch) bool {
+func (a *Agent) holdsEpoch(inForce, request sumachead.Epoch) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.epoch = max(a.epoch, settings)
+	a.epoch = max(a.epoch, inForce, request)
 	return request >= a.epoch
 }
 
@@ -229,7 +230,7 @@
 	_, l.Stuck = a.suspect(time.Now())
 	if v := a.follower.View(); v != nil {
 		l.Revision = uint64(v.Revision)
-		if s := v.Server(a.Config.Agent.Server); s != nil && s.State == "leaving" {
+		if s := v.Server(a.Config.Agent.Server); s != nil && s.State == settings.ServerLeaving {
 			l.Leaving = true
 		}
 	}
--- a/internal/agent/settle.go
+++ b/internal/agent/settle.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/loop"
 )
 
 const (
@@ -19,41 +21,50 @@
 
 // settleLoop settles ended requests whose router has not: it may have died.
 func (a *Agent) settleLoop(ctx context.Context) error {
-	t := time.NewTicker(settleEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			a.settleOverdue(ctx, time.Now())
-		}
-	}
+	return loop.Every(ctx, settleEvery, func() { a.settleOverdue(ctx, time.Now()) })
 }
 
-// settleOverdue settles one batch.
+// overdue is what one account, the ledger's or a hall's, has to be told.
+type overdue struct {
+	runs  []*run
+	batch wire.SettleBatch
+}
+
+// settleOverdue settles a batch at each account. One that is not reached holds
+// up no other.
 func (a *Agent) settleOverdue(ctx context.Context, now time.Time) {
-	var runs []*run
-	batch := &wire.SettleBatch{}
+	accounts := make(map[string]*overdue)
 	a.runs.each(func(r *run) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if r.end == nil || r.settled || now.Sub(r.endedAt) < settleAfter || len(runs) == settleBatch {
+		if r.end == nil || r.settled || now.Sub(r.endedAt) < settleAfter {
 			return
 		}
-		runs = append(runs, r)
-		batch.Settles = append(batch.Settles, r.report())
+		o := accounts[r.request.GetHall()]
+		if o == nil {
+			o = &overdue{}
+			accounts[r.request.GetHall()] = o
+		}
+		if len(o.runs) < settleBatch {
+			o.runs = append(o.runs, r)
+			o.batch.Settles = append(o.batch.Settles, r.report())
+		}
 	})
-	if len(runs) == 0 {
-		return
+	var all sync.WaitGroup
+	for _, o := range accounts {
+		all.Go(func() { a.settleAt(ctx, o) })
 	}
+	all.Wait()
+}
+
+func (a *Agent) settleAt(ctx context.Context, o *overdue) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	if err := a.keepers.Settle(ctx, batch); err != nil {
-		a.Log.Warn("Settling failed; it is tried again.", "requests", len(runs), "error", err)
+	if err := a.keepers.Settle(ctx, &o.batch); err != nil {
+		a.Log.Warn("Settling failed; it is tried again.", "requests", len(o.runs), "error", err)
 		return
 	}
-	for _, r := range runs {
+	for _, r := range o.runs {
 		r.markSettled()
 	}
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -208,7 +208,9 @@
 		if !fresh {
 			return reply(code, e)
 		}
-		if ledger.UsedBefore(e, r) > j.available(e.GetBudget()) {
+		// What is available may show as less than nothing for a while, after a
+		// restart with an old copy of the ledger.
+		if used := ledger.UsedBefore(e, r); used > 0 && used > j.available(e.GetBudget()) {
 			return reply(wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED, e)
 		}
 		next := ledger.Moved(e, r)
--- a/internal/keeper/allotments.go
+++ b/internal/keeper/allotments.go
@@ -15,6 +15,7 @@
 	"sumachead/internal/allot"
 	"sumachead/internal/config"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/loop"
 	"sumachead/internal/rpc"
 )
 
@@ -69,7 +70,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	return every(ctx, mergeEvery, func() {
+	return loop.Every(ctx, mergeEvery, func() {
 		if k.money.node.Status().GetLeader() == "" {
 			return
 		}
@@ -193,7 +194,7 @@
 // allotLoop sizes the halls' allotments where this keeper leads the ledger.
 func (k *Keeper) allotLoop(ctx context.Context) error {
 	next := ""
-	return every(ctx, allotEvery, func() {
+	return loop.Every(ctx, allotEvery, func() {
 		if !k.money.node.Leading() {
 			return
 		}
@@ -285,7 +286,7 @@
 
 // hallTopupsLoop writes top-ups that halls took while cut off into the tree.
 func (k *Keeper) hallTopupsLoop(ctx context.Context) error {
-	return every(ctx, topupsEvery, func() {
+	return loop.Every(ctx, topupsEvery, func() {
 		if !k.settings.node.Leading() {
 			return
 		}
--- a/internal/keeper/controllers.go
+++ b/internal/keeper/controllers.go
@@ -11,6 +11,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/loop"
 	"sumachead/internal/settings"
 	"sumachead/internal/strictjson"
 )
@@ -37,24 +38,10 @@
 	}
 }
 
-// every calls f at an interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) error {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			f()
-		}
-	}
-}
-
 // totalsLoop carries the budgets' totals from the settings tree to the ledger.
 // It works at the ledger's leader, from its own copy of the tree.
 func (k *Keeper) totalsLoop(ctx context.Context) error {
-	return every(ctx, totalsEvery, func() {
+	return loop.Every(ctx, totalsEvery, func() {
 		tree, revision, _ := k.machine.Current()
 		if !k.money.node.Leading() || revision <= k.ledger.TotalsRevision() {
 			return
@@ -73,7 +60,7 @@
 
 // expiryLoop presumes and forgets entries.
 func (k *Keeper) expiryLoop(ctx context.Context) error {
-	return every(ctx, expireEvery, func() {
+	return loop.Every(ctx, expireEvery, func() {
 		if !k.money.node.Leading() {
 			return
 		}
@@ -88,7 +75,7 @@
 
 // journalExpiryLoop presumes and forgets entries of the hall's journal.
 func (k *Keeper) journalExpiryLoop(ctx context.Context) error {
-	return every(ctx, expireEvery, func() {
+	return loop.Every(ctx, expireEvery, func() {
 		now := time.Now()
 		if err := k.journal.Expire(now, now.Add(-k.Config.PresumeAfter.Duration)); err != nil && ctx.Err() == nil {
 			k.Log.Warn("Expiry in the journal failed.", "error", err)
@@ -154,7 +141,7 @@
 
 // membersLoop gives learners that have caught up their vote.
 func (k *Keeper) membersLoop(ctx context.Context) error {
-	return every(ctx, membersEvery, func() {
+	return loop.Every(ctx, membersEvery, func() {
 		for _, g := range k.groups() {
 			if g.node.Leading() {
 				k.promote(ctx, g)
@@ -194,7 +181,7 @@
 		contactEvery = 10 // rounds
 	)
 	rounds := 0
-	return every(ctx, watchEvery, func() {
+	return loop.Every(ctx, watchEvery, func() {
 		for _, g := range k.groups() {
 			g.noteLeader(time.Now())
 		}
--- a/internal/keeper/hallservice.go
+++ b/internal/keeper/hallservice.go
@@ -4,12 +4,14 @@
 	"context"
 	"time"
 
-	"github.com/gravitational/trace"
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/ledger"
+	"sumachead/internal/loop"
 	"sumachead/internal/raft"
+
+	"github.com/gravitational/trace"
 )
 
 const (
@@ -140,8 +142,6 @@
 func (k *Keeper) askGrant(budget string, amount int64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
 	defer cancel()
-	id := sumachead.BudgetID(budget)
-	before := k.ledger.Granted(id, k.Config.Hall, k.identity.GetIncarnation())
 	reply, err := k.clients.Grant(ctx, &wire.Grant{
 		Budget: budget, Hall: string(k.Config.Hall), KeeperIncarnation: k.identity.GetIncarnation(),
 		Amount: max(amount*grantFactor, amount), Partial: true,
@@ -155,12 +155,25 @@
 	if reply.GetCode() != wire.LedgerCode_LEDGER_CODE_GRANTED {
 		return nil
 	}
-	waitUntil(ctx, func() bool {
-		return k.ledger.Granted(id, k.Config.Hall, k.identity.GetIncarnation()) > before
+	// The copy may still be replaying its log after a restart: it is waited for
+	// until it shows this very grant.
+	granted := k.grantedIn(reply.GetBudget())
+	loop.Until(ctx, pollEvery, func() bool {
+		return k.ledger.Granted(sumachead.BudgetID(budget), k.Config.Hall, k.identity.GetIncarnation()) >= granted
 	})
 	return trace.Wrap(ctx.Err())
 }
 
+// grantedIn returns what a budget's state says was granted to this journal.
+func (k *Keeper) grantedIn(b *wire.BudgetState) sumachead.Tokens {
+	for _, a := range b.GetAllotments() {
+		if a.GetHall() == string(k.Config.Hall) && a.GetKeeperIncarnation() == k.identity.GetIncarnation() {
+			return sumachead.Tokens(a.GetGrantedTotal())
+		}
+	}
+	return 0
+}
+
 // Reassign moves an entry of the journal to its next attempt.
 func (s *hallService) Reassign(r *wire.ReassignRequest, reply *wire.LedgerReply) error {
 	r.NowUnixNano = time.Now().UnixNano()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -27,6 +27,7 @@
 	"sumachead/internal/journal"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/ledger"
+	"sumachead/internal/loop"
 	"sumachead/internal/raft"
 	"sumachead/internal/rpc"
 	"sumachead/internal/settings"
@@ -36,6 +37,9 @@
 // stopTimeout bounds the hand-over of leadership on a planned stop.
 const stopTimeout = 2 * time.Second
 
+// pollEvery is how often a state that gives no sign is looked at.
+const pollEvery = 10 * time.Millisecond
+
 // Keeper is one keeper process. Set the exported fields before Run.
 type Keeper struct {
 	Config *config.Config
@@ -219,19 +223,7 @@
 			if ok, err := g.node.Transfer(ctx); err != nil || !ok {
 				break
 			}
-			waitUntil(ctx, func() bool { return !g.node.Leading() })
-		}
-	}
-}
-
-// waitUntil polls done until it holds or ctx ends.
-func waitUntil(ctx context.Context, done func() bool) {
-	const pollEvery = 10 * time.Millisecond
-	for !done() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pollEvery):
+			loop.Until(ctx, pollEvery, func() bool { return !g.node.Leading() })
 		}
 	}
 }
--- a/internal/keeper/settingsservice.go
+++ b/internal/keeper/settingsservice.go
@@ -11,6 +11,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/loop"
 	"sumachead/internal/raft"
 	"sumachead/internal/settings"
 )
@@ -84,7 +85,7 @@
 func (k *Keeper) awaitLedger(revision uint64) []string {
 	ctx, cancel := context.WithTimeout(context.Background(), acceptWait)
 	defer cancel()
-	waitUntil(ctx, func() bool { return k.ledger.TotalsRevision() >= revision })
+	loop.Until(ctx, pollEvery, func() bool { return k.ledger.TotalsRevision() >= revision })
 	if ctx.Err() != nil {
 		return []string{"the ledger"}
 	}
--- /dev/null
+++ b/internal/raft/election.go
@@ -0,0 +1,136 @@
+package raft
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sumachead/api/wire"
+)
+
+func (c *Core) resetElection() {
+	spread := int64(c.cfg.Election)
+	c.electionAt = c.now + c.cfg.Election + time.Duration(c.cfg.Rand(spread))
+}
+
+func (c *Core) setTerm(term uint64, vote string) {
+	c.term, c.vote, c.stateOut = term, vote, true
+}
+
+func (c *Core) becomeFollower(term uint64, leader string) {
+	if term > c.term {
+		c.setTerm(term, "")
+	}
+	c.role, c.leader, c.peers, c.votes = Follower, leader, nil, nil
+	c.transferTo = ""
+	c.resetElection()
+}
+
+// campaign starts a pre-vote round, or a real election on a transfer.
+func (c *Core) campaign(transfer bool) {
+	c.resetElection()
+	if !c.isVoter(c.cfg.ID) {
+		return
+	}
+	c.leader = ""
+	c.votes = map[string]bool{c.cfg.ID: true}
+	if transfer {
+		c.startElection(true)
+		return
+	}
+	c.role = PreCandidate
+	c.requestVotes(wire.RaftKind_RAFT_KIND_PRE_VOTE, c.term+1, false)
+	c.countVotes()
+}
+
+func (c *Core) startElection(transfer bool) {
+	c.role = Candidate
+	c.setTerm(c.term+1, c.cfg.ID)
+	c.votes = map[string]bool{c.cfg.ID: true}
+	c.resetElection()
+	c.requestVotes(wire.RaftKind_RAFT_KIND_VOTE, c.term, transfer)
+	c.countVotes()
+}
+
+func (c *Core) requestVotes(kind wire.RaftKind, term uint64, transfer bool) {
+	for _, m := range c.voters() {
+		if m.GetId() == c.cfg.ID {
+			continue
+		}
+		c.sendLate(m, &wire.RaftMessage{
+			Kind: kind, Term: term, Transfer: transfer,
+			LogIndex: c.lastIndex(), LogTerm: c.lastTerm(),
+		})
+	}
+}
+
+func (c *Core) countVotes() {
+	granted := 0
+	for _, m := range c.voters() {
+		if c.votes[m.GetId()] {
+			granted++
+		}
+	}
+	if granted < c.quorum() {
+		return
+	}
+	if c.role == PreCandidate {
+		c.startElection(false)
+		return
+	}
+	c.becomeLeader()
+}
+
+func (c *Core) becomeLeader() {
+	c.role, c.leader, c.votes = Leader, c.cfg.ID, nil
+	c.peers = make(map[string]*progress)
+	c.rounds = nil
+	c.quorumAt = c.now
+	c.transferTo = ""
+	c.trackPeers()
+	c.appendFirst()
+	c.beat()
+}
+
+// appendFirst appends the entry by which a new leader commits what came before.
+// The first leader of a group writes the founders down, so that a member that
+// joins later learns them from the log.
+func (c *Core) appendFirst() {
+	if c.memberIndex > 0 {
+		c.append(wire.EntryKind_ENTRY_KIND_NOOP, nil)
+		return
+	}
+	data, err := proto.Marshal(c.members)
+	if err != nil {
+		panic("raft: members do not encode: " + err.Error())
+	}
+	c.append(wire.EntryKind_ENTRY_KIND_MEMBERS, data)
+}
+
+// Transfer hands leadership to the most advanced voter; ok is false when there
+// is none.
+func (c *Core) Transfer() bool {
+	if c.role != Leader {
+		return false
+	}
+	best := ""
+	c.eachPeer(func(id string) {
+		if c.isVoter(id) && (best == "" || c.peers[id].match > c.peers[best].match) {
+			best = id
+		}
+	})
+	if best == "" {
+		return false
+	}
+	c.transferTo, c.transferAt = best, c.now+c.cfg.Election
+	c.sendTimeoutNow()
+	return true
+}
+
+func (c *Core) sendTimeoutNow() {
+	p := c.peers[c.transferTo]
+	if p == nil || p.match < c.lastIndex() {
+		return
+	}
+	c.sendLate(c.member(c.transferTo), &wire.RaftMessage{Kind: wire.RaftKind_RAFT_KIND_TIMEOUT_NOW, Term: c.term})
+}
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -159,12 +159,22 @@
 	return d.final(d.x.unsure(refuseSoon(sumachead.NotRun, sumachead.ReasonLedgerUnreached, "the ledger was not reached")))
 }
 
-// withdraw gives an attempt's reservation back, should there be one.
+// withdraw gives an attempt's reservation back, should there be one: in the
+// hall's journal, or in the ledger and, as that may have been cut off, in the
+// journal of this hall. The entry stays when an earlier attempt may have run.
 func (d *dispatch) withdraw(a *wire.Attempt) {
-	d.settler.add(settleItem{settle: &wire.SettleRequest{
-		Workspace: string(d.x.workspace.ID), Key: string(d.x.key), NotRun: true, Owner: a.GetOwner(),
-		Hall: string(keeperclient.HallOf(string(d.x.key), d.Config.Keepers)),
-	}})
+	if d.mayHaveRun {
+		return
+	}
+	accounts := []sumachead.HallID{"", d.Config.Hall}
+	if h := keeperclient.HallOf(string(d.x.key), d.Config.Keepers); h != "" {
+		accounts = []sumachead.HallID{h}
+	}
+	for _, h := range accounts {
+		d.settler.add(settleItem{settle: &wire.SettleRequest{
+			Workspace: string(d.x.workspace.ID), Key: string(d.x.key), NotRun: true, Owner: a.GetOwner(), Hall: string(h),
+		}})
+	}
 }
 
 // final widens a refusal's verdict by what earlier attempts may have done.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -86,7 +86,7 @@
 	client := &keeperclient.Client{Keepers: r.Config.Keepers, Pool: r.Pool, Hall: r.Config.Hall}
 	r.ledger = client
 	r.links = newLinkTable(r.Pool)
-	r.settler = newSettler(r.ledger, r.links, r.Log.Named("settle"))
+	r.settler = newSettler(r.ledger, r.Log.Named("settle"))
 	r.limits = &concurrency{}
 	r.retries = &retryBudgets{}
 	r.follower = &follower.Follower{
--- a/internal/router/settler.go
+++ b/internal/router/settler.go
@@ -9,6 +9,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/loop"
 	"sumachead/internal/rpc"
 )
 
@@ -36,7 +37,6 @@
 // the agents settle themselves.
 type settler struct {
 	ledger sumachead.Ledger
-	links  *linkTable
 	log    hclog.Logger
 	queue  chan settleItem
 	open   sync.WaitGroup
@@ -45,9 +45,9 @@
 	acks map[*rpc.Client]*wire.AckRequest
 }
 
-func newSettler(l sumachead.Ledger, links *linkTable, log hclog.Logger) *settler {
+func newSettler(l sumachead.Ledger, log hclog.Logger) *settler {
 	return &settler{
-		ledger: l, links: links, log: log,
+		ledger: l, log: log,
 		queue: make(chan settleItem, settleQueue), acks: make(map[*rpc.Client]*wire.AckRequest),
 	}
 }
@@ -68,16 +68,7 @@
 	for range settleWorkers {
 		go s.work(ctx)
 	}
-	t := time.NewTicker(ackEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			s.sendAcks(ctx)
-		}
-	}
+	return loop.Every(ctx, ackEvery, func() { s.sendAcks(ctx) })
 }
 
 func (s *settler) work(ctx context.Context) {
@@ -86,7 +77,7 @@
 		case <-ctx.Done():
 			return
 		case i := <-s.queue:
-			s.settle(ctx, s.gather(i))
+			s.settleAll(ctx, s.gather(i))
 		}
 	}
 }
@@ -107,6 +98,23 @@
 	return items
 }
 
+// settleAll settles a batch. A hall's journal that is not reached holds up
+// nothing but its own part.
+func (s *settler) settleAll(ctx context.Context, items []settleItem) {
+	parts := make(map[string][]settleItem)
+	for _, i := range items {
+		parts[i.settle.GetHall()] = append(parts[i.settle.GetHall()], i)
+	}
+	for hall, part := range parts {
+		if hall != "" {
+			go s.settle(ctx, part)
+		}
+	}
+	if len(parts[""]) > 0 {
+		s.settle(ctx, parts[""])
+	}
+}
+
 func (s *settler) settle(ctx context.Context, items []settleItem) {
 	defer s.open.Add(-len(items))
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
--- /dev/null
+++ b/internal/scenario/operators_test.go
@@ -0,0 +1,102 @@
+package scenario
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"sumachead/internal/tool"
+)
+
+// tool ARGS... runs the operators' tool; its output goes to stdout.
+func cmdTool(ts *testscript.TestScript, neg bool, args []string) {
+	var out bytes.Buffer
+	code := of(ts).sys.tool(&out, args...)
+	_, _ = ts.Stdout().Write(out.Bytes())
+	ts.Setenv("EXIT", strconv.Itoa(code))
+	if (code != 0) != neg {
+		ts.Fatalf("exit code %d: %s", code, out.String())
+	}
+}
+
+// edit PATH FIELD VALUE [TOOL OPTIONS...] sets one field of an object of the
+// tree; the exit code is in $EXIT.
+func cmdEdit(ts *testscript.TestScript, neg bool, args []string) {
+	s := of(ts)
+	var out bytes.Buffer
+	if code := s.sys.tool(&out, "settings", "get", args[0]); code != 0 {
+		ts.Fatalf("%s", out.String())
+	}
+	var object map[string]any
+	ts.Check(json.Unmarshal(out.Bytes(), &object))
+	var value any
+	ts.Check(json.Unmarshal([]byte(args[2]), &value))
+	object[args[1]] = value
+	data, err := json.Marshal(object)
+	ts.Check(err)
+	cmdTool(ts, neg, append([]string{"settings", "set", args[0], string(data)}, args[3:]...))
+}
+
+// race N BASE lets N operators make different changes against one revision:
+// one must win and the others be shown the winner.
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	codes := make([]int, n)
+	outs := make([]bytes.Buffer, n)
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() {
+			codes[i] = s.sys.tool(&outs[i], "settings", "set", "--base", args[1], "budgets/masar", fmt.Sprintf(`{"note":"operator %d"}`, i))
+		})
+	}
+	all.Wait()
+	won := 0
+	for i, code := range codes {
+		switch {
+		case code == 0:
+			won++
+		case code != tool.ExitConflict || !strings.Contains(outs[i].String(), "is change"):
+			ts.Fatalf("operator %d: exit %d: %s", i, code, outs[i].String())
+		}
+	}
+	if won != 1 {
+		ts.Fatalf("%d operators won: %v", won, codes)
+	}
+}
+
+// changes N makes N changes of the tree, one after another.
+func cmdChanges(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	for i := range n {
+		var out bytes.Buffer
+		if code := of(ts).sys.tool(&out, "settings", "set", "budgets/masar", fmt.Sprintf(`{"note":"change %d"}`, i)); code != 0 {
+			ts.Fatalf("change %d: exit %d: %s", i, code, out.String())
+		}
+	}
+}
+
+// until DURATION PATTERN TOOL ARGS... runs the tool until its output matches.
+func cmdUntil(ts *testscript.TestScript, _ bool, args []string) {
+	var within time.Duration
+	ts.Check(toDuration(&within)(args[0]))
+	pattern := regexp.MustCompile(args[1])
+	var out bytes.Buffer
+	err := eventually(within, args[1], func() bool {
+		out.Reset()
+		of(ts).sys.tool(&out, args[2:]...)
+		return pattern.Match(out.Bytes())
+	})
+	if err != nil {
+		ts.Fatalf("%v: %s", err, out.String())
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -1,13 +1,9 @@
 package scenario
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
-	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -20,7 +16,6 @@
 	"sumachead/internal/daemon/daemoncmd"
 	"sumachead/internal/settings"
 	"sumachead/internal/standin/standincmd"
-	"sumachead/internal/tool"
 )
 
 func TestMain(m *testing.M) {
@@ -236,17 +231,6 @@
 	}
 }
 
-// tool ARGS... runs the operators' tool; its output goes to stdout.
-func cmdTool(ts *testscript.TestScript, neg bool, args []string) {
-	var out bytes.Buffer
-	code := of(ts).sys.tool(&out, args...)
-	_, _ = ts.Stdout().Write(out.Bytes())
-	ts.Setenv("EXIT", strconv.Itoa(code))
-	if (code != 0) != neg {
-		ts.Fatalf("exit code %d: %s", code, out.String())
-	}
-}
-
 func parseCall(ts *testscript.TestScript, args []string) (q request, name, want string) {
 	q = request{router: "router-1", tokens: 8, bearer: workspaceKey, timeout: 30 * time.Second}
 	rest := options(ts, args, map[string]func(string) error{
@@ -298,81 +282,6 @@
 	}
 }
 
-// edit PATH FIELD VALUE [TOOL OPTIONS...] sets one field of an object of the
-// tree; the exit code is in $EXIT.
-func cmdEdit(ts *testscript.TestScript, neg bool, args []string) {
-	s := of(ts)
-	var out bytes.Buffer
-	if code := s.sys.tool(&out, "settings", "get", args[0]); code != 0 {
-		ts.Fatalf("%s", out.String())
-	}
-	var object map[string]any
-	ts.Check(json.Unmarshal(out.Bytes(), &object))
-	var value any
-	ts.Check(json.Unmarshal([]byte(args[2]), &value))
-	object[args[1]] = value
-	data, err := json.Marshal(object)
-	ts.Check(err)
-	cmdTool(ts, neg, append([]string{"settings", "set", args[0], string(data)}, args[3:]...))
-}
-
-// race N BASE lets N operators make different changes against one revision:
-// one must win and the others be shown the winner.
-func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
-	s := of(ts)
-	n, err := strconv.Atoi(args[0])
-	ts.Check(err)
-	codes := make([]int, n)
-	outs := make([]bytes.Buffer, n)
-	var all sync.WaitGroup
-	for i := range n {
-		all.Go(func() {
-			codes[i] = s.sys.tool(&outs[i], "settings", "set", "--base", args[1], "budgets/masar", fmt.Sprintf(`{"note":"operator %d"}`, i))
-		})
-	}
-	all.Wait()
-	won := 0
-	for i, code := range codes {
-		switch {
-		case code == 0:
-			won++
-		case code != tool.ExitConflict || !strings.Contains(outs[i].String(), "is change"):
-			ts.Fatalf("operator %d: exit %d: %s", i, code, outs[i].String())
-		}
-	}
-	if won != 1 {
-		ts.Fatalf("%d operators won: %v", won, codes)
-	}
-}
-
-// changes N makes N changes of the tree, one after another.
-func cmdChanges(ts *testscript.TestScript, _ bool, args []string) {
-	n, err := strconv.Atoi(args[0])
-	ts.Check(err)
-	for i := range n {
-		var out bytes.Buffer
-		if code := of(ts).sys.tool(&out, "settings", "set", "budgets/masar", fmt.Sprintf(`{"note":"change %d"}`, i)); code != 0 {
-			ts.Fatalf("change %d: exit %d: %s", i, code, out.String())
-		}
-	}
-}
-
-// until DURATION PATTERN TOOL ARGS... runs the tool until its output matches.
-func cmdUntil(ts *testscript.TestScript, _ bool, args []string) {
-	var within time.Duration
-	ts.Check(toDuration(&within)(args[0]))
-	pattern := regexp.MustCompile(args[1])
-	var out bytes.Buffer
-	err := eventually(within, args[1], func() bool {
-		out.Reset()
-		of(ts).sys.tool(&out, args[2:]...)
-		return pattern.Match(out.Bytes())
-	})
-	if err != nil {
-		ts.Fatalf("%v: %s", err, out.String())
-	}
-}
-
 // brief cuts a long body.
 func brief(s string) string {
 	const most = 400
@@ -436,68 +345,3 @@
 	ts.Check(toDuration(&d)(args[0]))
 	time.Sleep(d)
 }
-
-// fault SERVER JSON switches a stand-in's faults.
-func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
-	p, err := of(ts).sys.resolve(args[0])
-	ts.Check(err)
-	resp, err := http.Post("http://"+p.http+"/admin/faults", "application/json", strings.NewReader(args[1]))
-	ts.Check(err)
-	_ = resp.Body.Close()
-}
-
-// same A B checks that two calls got the same whole answer.
-func cmdSame(ts *testscript.TestScript, _ bool, args []string) {
-	s := of(ts)
-	a, b := s.answers[args[0]], s.answers[args[1]]
-	if !a.whole || !b.whole || a.body != b.body {
-		ts.Fatalf("%s: %s\n%s\n%s: %s\n%s", args[0], a, brief(a.body), args[1], b, brief(b.body))
-	}
-}
-
-// own checks that every whole answer of a model is of its own request alone.
-func cmdOwn(ts *testscript.TestScript, _ bool, _ []string) {
-	word := regexp.MustCompile(`clerks/([^/ ]+)/\d+#`)
-	for key, a := range of(ts).answers {
-		if !a.whole {
-			continue
-		}
-		for _, m := range word.FindAllStringSubmatch(a.body, -1) {
-			if m[1] != key {
-				ts.Fatalf("the answer of %s holds words of %s", key, m[1])
-			}
-		}
-	}
-}
-
-// runs PREFIX KEY N checks how often the stand-ins named PREFIX... began a
-// request of the workspace; KEY may be "all".
-func cmdRuns(ts *testscript.TestScript, _ bool, args []string) {
-	all, err := of(ts).sys.record(args[0])
-	ts.Check(err)
-	want, err := strconv.Atoi(args[2])
-	ts.Check(err)
-	got := 0
-	for _, r := range all {
-		if args[1] == "all" || strings.HasPrefix(r.ID, "clerks/"+args[1]+"/") {
-			got++
-		}
-	}
-	if got != want {
-		ts.Fatalf("%s ran %d times, want %d", args[1], got, want)
-	}
-}
-
-// budget [settled] checks the budget: no violation, nothing beyond the total.
-// With "settled" it waits until nothing is reserved, and compares the bill
-// with what the stand-ins really made, but for the slack=N tokens given.
-func cmdBudget(ts *testscript.TestScript, _ bool, args []string) {
-	s := of(ts)
-	slack, bill := int64(0), int64(-1)
-	rest := options(ts, args, map[string]func(string) error{"slack": toInt(&slack), "spent": toInt(&bill)})
-	settled := len(rest) > 0 && rest[0] == "settled"
-	if err := s.sys.checkBudget(settled, slack, bill); err != nil {
-		s.dumpLogs(ts)
-		ts.Fatalf("%v", err)
-	}
-}
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -62,23 +61,6 @@
 	presume                             time.Duration
 }
 
-// process is one process of a system.
-type process struct {
-	name    string
-	role    string
-	hall    string
-	command string
-	args    []string
-	ip      string
-	rpc     string // own address
-	http    string
-	data    string
-	relay   *relay
-	cmd     *exec.Cmd
-	done    chan struct{}
-	frozen  bool
-}
-
 // system is a set of processes on loopback.
 type system struct {
 	dir       string
@@ -242,68 +224,6 @@
 	return os.WriteFile(p.args[1], data, 0o600)
 }
 
-// start starts a process; its output goes to a file.
-func (s *system) start(p *process) error {
-	log, err := os.OpenFile(s.path(p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = log.Close() }()
-	p.cmd = exec.Command(p.command, p.args...)
-	p.cmd.Stdout, p.cmd.Stderr = log, log
-	p.cmd.Env = append(os.Environ(), "GORACE=halt_on_error=1")
-	if err := p.cmd.Start(); err != nil {
-		return err
-	}
-	p.done = make(chan struct{})
-	go func(cmd *exec.Cmd, done chan struct{}) {
-		_ = cmd.Wait()
-		close(done)
-	}(p.cmd, p.done)
-	return nil
-}
-
-func (p *process) running() bool {
-	if p.cmd == nil {
-		return false
-	}
-	select {
-	case <-p.done:
-		return false
-	default:
-		return true
-	}
-}
-
-func (p *process) signal(sig syscall.Signal) {
-	if p.running() {
-		_ = p.cmd.Process.Signal(sig)
-	}
-}
-
-// kill ends a process at once.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	if p.done != nil {
-		<-p.done
-	}
-	p.frozen = false
-}
-
-// stop ends a process as planned; it must exit with 0.
-func (p *process) stop() error {
-	p.signal(syscall.SIGTERM)
-	select {
-	case <-p.done:
-	case <-time.After(stopTimeout):
-		return fmt.Errorf("%s did not stop within %v", p.name, stopTimeout)
-	}
-	if code := p.cmd.ProcessState.ExitCode(); code != 0 {
-		return fmt.Errorf("%s exited with %d", p.name, code)
-	}
-	return nil
-}
-
 // startAll starts everything, applies the tree and waits until routers serve.
 func (s *system) startAll() error {
 	for _, p := range s.processes {
@@ -379,18 +299,6 @@
 	}
 }
 
-// crashes lists the processes whose logs show a panic or a data race.
-func (s *system) crashes() []string {
-	var names []string
-	for _, name := range s.order {
-		data, _ := os.ReadFile(s.path(name + ".log"))
-		if bytes.Contains(data, []byte("DATA RACE")) || bytes.Contains(data, []byte("\npanic: ")) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // leader returns the name of the keeper that leads a group.
 func (s *system) leader(g sumachead.GroupID) string {
 	votes := make(map[string]int)
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -98,6 +98,7 @@
 	Models   []string         `json:"models,omitempty" doc:"Names that callers may give as model (kind model)."`
 	CallCost sumachead.Tokens `json:"call_cost,omitempty" doc:"Tokens that one call costs (kind service)."`
 	CutOff   CutOffPolicy     `json:"cut_off,omitempty" doc:"serve (when left out) or refuse: what a data hall does that is wholly cut off from the keepers' quorum."`
+	Resume   bool             `json:"resume,omitempty" doc:"The engines resume a stream that broke off: the request comes again with X-Resume-From, the number of chunks that arrived."`
 	// StuckAfter is how long a started answer may bring nothing.
 	StuckAfter Duration `json:"stuck_after,omitzero" doc:"An answer that brings nothing for this long is given up; 10s when left out."`
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -63,15 +64,16 @@
 func (a *answer) play() {
 	prompt := fmt.Sprintf("%s", a.q.Messages)
 	a.prompt = len(prompt)/4 + 1
-	a.s.note(func() { a.run.Tokens = int64(a.prompt) })
-	if !a.s.pause(a.r.Context(), a.s.prefill(prompt), a.f) {
+	from, _ := strconv.Atoi(a.r.Header.Get("X-Resume-From"))
+	a.s.note(func() { a.run.Tokens = int64(a.prompt + from) })
+	if from == 0 && !a.s.pause(a.r.Context(), a.s.prefill(prompt), a.f) {
 		return
 	}
 	n := a.q.MaxTokens
 	if a.q.Answer > 0 {
 		n = min(n, a.q.Answer)
 	}
-	for i := range n {
+	for i := from; i < n; i++ {
 		if !a.token(i) {
 			return
 		}
@@ -107,6 +109,9 @@
 	if a.f.Truncate > 0 && i >= a.f.Truncate {
 		panic(http.ErrAbortHandler)
 	}
+	if a.f.BreakOnce > 0 && i >= a.f.BreakOnce && a.r.Header.Get("X-Resume-From") == "" {
+		panic(http.ErrAbortHandler)
+	}
 	if !a.s.pause(a.r.Context(), a.s.Token, a.f) {
 		return false
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -39,6 +39,8 @@
 	MixedID bool `json:"mixed_id"`
 	// Truncate: the connection breaks off after this many tokens.
 	Truncate int `json:"truncate"`
+	// BreakOnce: like Truncate, but a resumed answer goes on to its end.
+	BreakOnce int `json:"break_once"`
 	// NoUsage: the answer does not say what it used.
 	NoUsage bool `json:"no_usage"`
 	// LoseAnswer: the request runs, but its answer is never sent.
@@ -129,8 +131,11 @@
 		return nil, s.faults, false
 	}
 	s.epoch = max(s.epoch, epoch)
-	run := &Run{ID: r.Header.Get("X-Request-Id"), Path: r.URL.Path}
-	s.runs = append(s.runs, run)
+	run := s.resumed(r)
+	if run == nil {
+		run = &Run{ID: r.Header.Get("X-Request-Id"), Path: r.URL.Path}
+		s.runs = append(s.runs, run)
+	}
 	echo := run.ID
 	if s.faults.Crossed {
 		echo = "another"
@@ -139,6 +144,20 @@
 	return run, s.faults, true
 }
 
+// resumed returns the run that a request asks to go on with; nil for none. The
+// caller holds mu.
+func (s *Server) resumed(r *http.Request) *Run {
+	if r.Header.Get("X-Resume-From") == "" {
+		return nil
+	}
+	for _, run := range s.runs {
+		if run.ID == r.Header.Get("X-Request-Id") && !run.Whole {
+			return run
+		}
+	}
+	return nil
+}
+
 // note changes a run's record.
 func (s *Server) note(f func()) {
 	s.mu.Lock()
--- a/internal/tool/budget.go
+++ b/internal/tool/budget.go
@@ -27,11 +27,10 @@
 
 // Execute implements flags.Commander.
 func (s *budgetShow) Execute([]string) error {
-	c, ctx, cancel, err := s.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
+	return s.app.with(s.run)
+}
+
+func (s *budgetShow) run(ctx context.Context, c *keeperclient.Client) error {
 	reply, err := lookup(ctx, c, &wire.LookupRequest{Budget: s.Args.Budget})
 	if err != nil {
 		return err
@@ -65,11 +64,10 @@
 // the tree, so that it never conflicts with another change: it is made again
 // on the newest revision until it is in.
 func (s *budgetTopup) Execute([]string) error {
-	c, ctx, cancel, err := s.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
+	return s.app.with(s.run)
+}
+
+func (s *budgetTopup) run(ctx context.Context, c *keeperclient.Client) error {
 	if s.ID == "" {
 		s.ID = "t-" + uuid.NewString()
 	}
@@ -129,12 +127,11 @@
 
 // Execute implements flags.Commander.
 func (s *budgetWriteOff) Execute([]string) error {
-	c, ctx, cancel, err := s.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	_, err = keeperclient.Call[wire.Empty](ctx, c, keeperclient.GroupLedger, "Ledger.WriteOff",
+	return s.app.with(s.run)
+}
+
+func (s *budgetWriteOff) run(ctx context.Context, c *keeperclient.Client) error {
+	_, err := keeperclient.Call[wire.Empty](ctx, c, keeperclient.GroupLedger, "Ledger.WriteOff",
 		&wire.WriteOff{Budget: s.Args.Budget, Hall: s.Args.Hall, KeeperIncarnation: s.Args.Incarnation})
 	return err
 }
--- a/internal/tool/load.go
+++ b/internal/tool/load.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sumachead/api/wire"
+	"sumachead/internal/keeperclient"
 	"sumachead/internal/load"
 )
 
@@ -117,19 +118,19 @@
 	if l.Budget == "" {
 		return nil, nil
 	}
-	c, ctx, cancel, err := l.app.connect()
-	if err != nil {
-		return nil, err
-	}
-	defer cancel()
-	reply, err := lookup(ctx, c, &wire.LookupRequest{Budget: l.Budget})
-	if err != nil {
-		return nil, err
-	}
-	if len(reply.GetBudgets()) != 1 {
-		return nil, exit(ExitUsage, "no budget %q", l.Budget)
-	}
-	return reply.GetBudgets()[0], nil
+	var state *wire.BudgetState
+	err := l.app.with(func(ctx context.Context, c *keeperclient.Client) error {
+		reply, err := lookup(ctx, c, &wire.LookupRequest{Budget: l.Budget})
+		if err != nil {
+			return err
+		}
+		if len(reply.GetBudgets()) != 1 {
+			return exit(ExitUsage, "no budget %q", l.Budget)
+		}
+		state = reply.GetBudgets()[0]
+		return nil
+	})
+	return state, err
 }
 
 // money waits until all is settled and compares. A refusal counts as false
--- a/internal/tool/settings.go
+++ b/internal/tool/settings.go
@@ -84,11 +84,10 @@
 
 // Execute implements flags.Commander.
 func (s *settingsGet) Execute([]string) error {
-	c, ctx, cancel, err := s.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
+	return s.app.with(s.run)
+}
+
+func (s *settingsGet) run(ctx context.Context, c *keeperclient.Client) error {
 	t, revision, err := fetchTree(ctx, c)
 	if err != nil {
 		return err
@@ -128,11 +127,10 @@
 	if s.Remove != (s.Args.JSON == "") {
 		return exit(ExitUsage, "give either the object's JSON or --remove")
 	}
-	c, ctx, cancel, err := s.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
+	return s.app.with(s.run)
+}
+
+func (s *settingsSet) run(ctx context.Context, c *keeperclient.Client) error {
 	base := s.Base
 	if base == nil {
 		_, revision, err := fetchTree(ctx, c)
@@ -163,11 +161,10 @@
 	if err != nil {
 		return err
 	}
-	c, ctx, cancel, err := s.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
+	return s.app.with(func(ctx context.Context, c *keeperclient.Client) error { return s.run(ctx, c, want) })
+}
+
+func (s *settingsApply) run(ctx context.Context, c *keeperclient.Client, want *settings.Tree) error {
 	have, revision, err := fetchTree(ctx, c)
 	if err != nil {
 		return err
@@ -226,11 +223,10 @@
 
 // Execute implements flags.Commander.
 func (s *settingsHistory) Execute([]string) error {
-	c, ctx, cancel, err := s.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
+	return s.app.with(s.run)
+}
+
+func (s *settingsHistory) run(ctx context.Context, c *keeperclient.Client) error {
 	reply, err := keeperclient.Call[wire.HistoryReply](ctx, c, keeperclient.GroupSettings, "Settings.History",
 		&wire.HistoryRequest{FromRevision: s.From, Limit: s.Limit})
 	if err != nil {
--- a/internal/tool/status.go
+++ b/internal/tool/status.go
@@ -19,11 +19,10 @@
 
 // Execute implements flags.Commander.
 func (s *status) Execute([]string) error {
-	c, ctx, cancel, err := s.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
+	return s.app.with(s.run)
+}
+
+func (s *status) run(ctx context.Context, c *keeperclient.Client) error {
 	var answers []keeperStatus
 	reached := 0
 	for _, k := range c.Keepers {
@@ -84,11 +83,10 @@
 
 // Execute implements flags.Commander.
 func (s *entries) Execute([]string) error {
-	c, ctx, cancel, err := s.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
+	return s.app.with(s.run)
+}
+
+func (s *entries) run(ctx context.Context, c *keeperclient.Client) error {
 	reply, err := lookup(ctx, c, &wire.LookupRequest{
 		Workspace: s.Args.Workspace, Key: s.Args.Key, Limit: s.Limit, Budget: "-",
 	})
@@ -114,13 +112,12 @@
 
 // Execute implements flags.Commander.
 func (s *keeperRemove) Execute([]string) error {
-	c, ctx, cancel, err := s.app.connect()
-	if err != nil {
-		return err
-	}
-	defer cancel()
+	return s.app.with(s.run)
+}
+
+func (s *keeperRemove) run(ctx context.Context, c *keeperclient.Client) error {
 	for _, g := range keeperclient.Groups() {
-		_, err = keeperclient.Call[wire.Empty](ctx, c, g, "Keeper.Remove", &wire.RemoveRequest{Keeper: s.Args.Keeper, Group: string(g)})
+		_, err := keeperclient.Call[wire.Empty](ctx, c, g, "Keeper.Remove", &wire.RemoveRequest{Keeper: s.Args.Keeper, Group: string(g)})
 		if err != nil {
 			return err
 		}
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -148,21 +148,24 @@
 	return nil
 }
 
-// connect returns a client of the keepers and a context within the time limit.
-func (a *app) connect() (*keeperclient.Client, context.Context, context.CancelFunc, error) {
+// with calls f with a client of the keepers, within the time limit.
+func (a *app) with(f func(context.Context, *keeperclient.Client) error) error {
 	if a.Config == "" {
-		return nil, nil, nil, exit(ExitUsage, "no settings file: give --config or set SUMACHEAD_CONFIG")
+		return exit(ExitUsage, "no settings file: give --config or set SUMACHEAD_CONFIG")
 	}
 	c, err := config.ReadClientFile(a.Config)
 	if err != nil {
-		return nil, nil, nil, err
+		return err
 	}
 	files, err := tlsfiles.Load(c.TLS)
 	if err != nil {
-		return nil, nil, nil, err
+		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
-	return &keeperclient.Client{Keepers: c.Keepers, Pool: &rpc.Pool{TLS: files.Client()}}, ctx, cancel, nil
+	defer cancel()
+	pool := &rpc.Pool{TLS: files.Client()}
+	defer pool.Close()
+	return f(ctx, &keeperclient.Client{Keepers: c.Keepers, Pool: pool})
 }
 
 func (a *app) printf(format string, args ...any) {
