--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,7 +61,7 @@
 type Agent struct {
 	Server        sumachead.ServerID `json:"server" doc:"Id of the backend server in the settings tree."`
 	Backend       string             `json:"backend" doc:"Base URL of the backend server."`
-	RetainedBytes int64              `json:"retained_bytes,omitempty" doc:"Most bytes of finished answers kept for retries; 16777216 when left out."`
+	RetainedBytes int64              `json:"retained_bytes,omitempty" doc:"Most bytes of finished answers kept for retries; 8388608 when left out."`
 }
 
 // Client is the settings file of the tool.
@@ -85,7 +85,7 @@
 const defaultPresumeAfter = time.Minute
 
 // defaultRetainedBytes is what an agent keeps of finished answers.
-const defaultRetainedBytes = 16 << 20
+const defaultRetainedBytes = 8 << 20
 
 // ReadFile reads and checks a settings file.
 func ReadFile(path string) (*Config, error) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -115,14 +115,17 @@
 		f.Log.Debug("A keeper did not answer.", "keeper", k.ID, "error", err)
 		return false
 	}
-	if !f.take(reply) {
-		return false
-	}
+	taken := f.take(reply)
 	if !reply.GetCurrent() {
+		// What a cut-off keeper says of its state counts also when its copy of
+		// the tree is older than this node's.
 		f.noteCutOff(reply, k, asked)
 		f.aimAt(reply.GetLeader(), k.ID)
 		return false
 	}
+	if !taken {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.currentAsOf = asked
--- a/internal/keeper/hallservice.go
+++ b/internal/keeper/hallservice.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/ledger"
 	"sumachead/internal/loop"
 	"sumachead/internal/raft"
-
-	"github.com/gravitational/trace"
 )
 
 const (
--- a/internal/keeper/settingsservice.go
+++ b/internal/keeper/settingsservice.go
@@ -52,7 +52,7 @@
 	if reply.GetStatus() != wire.ChangeStatus_CHANGE_STATUS_COMMITTED {
 		return nil
 	}
-	if concernsNodes(r.GetObjects()) {
+	if concernsNodes(s.keeper.machine.ChangedBy(r)) {
 		serving = append(serving, s.keeper.cutOffHalls(r.GetHallsDown())...)
 		reply.WaitingFor = s.keeper.awaitNodes(reply.GetRevision(), serving)
 	}
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -45,7 +45,8 @@
 }
 
 // Ready is what a Core wants done, in this order: send Early, persist State,
-// Snapshot and Entries with one sync, send Late, apply Committed.
+// Snapshot and Entries with one sync, send Late, apply Committed. Where there is
+// a State, Early too waits for the sync.
 type Ready struct {
 	Early     []*wire.RaftMessage
 	State     *wire.HardState
--- a/internal/raft/core_test.go
+++ b/internal/raft/core_test.go
@@ -86,7 +86,9 @@
 		if r.empty() {
 			return
 		}
-		c.net = append(c.net, r.Early...)
+		if r.State == nil {
+			c.net = append(c.net, r.Early...)
+		}
 		if crash == 0 {
 			c.crash(h)
 			return
@@ -97,6 +99,9 @@
 			return
 		}
 		h.core.Persisted(h.core.lastIndex())
+		if r.State != nil {
+			c.net = append(c.net, r.Early...)
+		}
 		c.net = append(c.net, r.Late...)
 		c.apply(h, r.Committed)
 	}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -228,10 +228,17 @@
 			n.publish()
 			return nil
 		}
-		n.send(r.Early)
+		if r.State == nil {
+			n.send(r.Early)
+		}
 		if err := n.persist(r); err != nil {
 			return err
 		}
+		if r.State != nil {
+			// Nothing of a term leaves before the term is on disk: a leader
+			// that was elected by itself alone could use the term twice.
+			n.send(r.Early)
+		}
 		n.core.Persisted(n.core.lastIndex())
 		n.send(r.Late)
 		n.apply(r.Committed)
--- a/internal/settings/machine.go
+++ b/internal/settings/machine.go
@@ -105,6 +105,17 @@
 	}
 }
 
+// ChangedBy returns the objects of a committed change: those of its first copy,
+// whatever a resend holds.
+func (m *Machine) ChangedBy(r *wire.ChangeRequest) []*wire.SettingsObject {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if c := m.byID[r.GetChangeId()]; c != nil {
+		return c.GetObjects()
+	}
+	return r.GetObjects()
+}
+
 // Snapshot implements sumachead.StateMachine.
 func (m *Machine) Snapshot() func() ([]byte, error) {
 	m.mu.RLock()
