Claims wait for the ledger during an election; the keeper's files by concern

Reading: health was served from groups that were still being opened (a race). Ruled out: claims through the ledger alone (a hall that is cut off could book nothing); a second disk a hall (not there today). Conclusion: kept; price: holds with keys of a hall wait for an election, about 1 s, and up to 2 s at the start of a cut.

--- a/internal/keeper/founding.go
+++ b/internal/keeper/founding.go
@@ -86,6 +86,7 @@
 	if err := k.openGroups(); err != nil {
 		return err
 	}
+	k.opened.Store(true)
 	p.publish(k.identity)
 	return nil
 }
--- /dev/null
+++ b/internal/keeper/group.go
@@ -0,0 +1,79 @@
+package keeper
+
+import (
+	"context"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sumachead"
+	"sumachead/internal/loop"
+	"sumachead/internal/raft"
+)
+
+// group is one replicated group of this keeper.
+type group struct {
+	node   *raft.Node
+	sender *sender
+	// leaderless is since when the group has no leader, in Unix nanoseconds; 0
+	// when it has one.
+	leaderless atomic.Int64
+}
+
+// leaderlessFor returns how long the group has had no leader, as far as this
+// keeper knows; 0 when it has one.
+func (g *group) leaderlessFor(now time.Time) time.Duration {
+	if g.node.Status().GetLeader() != "" {
+		return 0
+	}
+	since := g.leaderless.Load()
+	if since == 0 {
+		return time.Nanosecond
+	}
+	return max(now.Sub(time.Unix(0, since)), time.Nanosecond)
+}
+
+// noteLeader keeps the time since when there is no leader.
+func (g *group) noteLeader(now time.Time) {
+	if g.node.Status().GetLeader() != "" {
+		g.leaderless.Store(0)
+		return
+	}
+	g.leaderless.CompareAndSwap(0, now.UnixNano())
+}
+
+func (k *Keeper) openGroup(id sumachead.GroupID, m sumachead.StateMachine) (*group, error) {
+	s := newSender(k.Config.Keepers, k.Pool)
+	n := &raft.Node{
+		Group: id, ID: string(k.Config.Node), Incarnation: k.identity.GetIncarnation(),
+		Dir: filepath.Join(k.Config.Data, "groups", string(id)), Machine: m,
+		Send: s.send, Founders: k.identity.GetFounders(), Log: k.Log.Named(string(id)),
+	}
+	if err := n.Open(); err != nil {
+		return nil, err
+	}
+	return &group{node: n, sender: s}, nil
+}
+
+func (k *Keeper) runGroups(ctx context.Context, tasks *errgroup.Group) {
+	for _, g := range k.groups() {
+		tasks.Go(func() error { return g.node.Run(ctx) })
+		g.sender.run(ctx, tasks)
+	}
+}
+
+// handOver passes leadership on, so that a planned stop costs no election.
+func (k *Keeper) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, g := range k.groups() {
+		for g.node.Leading() && ctx.Err() == nil {
+			if ok, err := g.node.Transfer(ctx); err != nil || !ok {
+				break
+			}
+			loop.Until(ctx, pollEvery, func() bool { return !g.node.Leading() })
+		}
+	}
+}
--- a/internal/keeper/hallservice.go
+++ b/internal/keeper/hallservice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -14,11 +15,13 @@
 	"sumachead/internal/raft"
 )
 
+var errForeignTopup = errors.New("the top-up's id does not belong to this hall")
+
 const (
 	// cutOffAfter is how long the ledger may have no leader before the hall
 	// answers for good from its own account. Until then what it can't grant
 	// may soon be granted by a new leader.
-	cutOffAfter = 3 * time.Second
+	cutOffAfter = 2 * time.Second
 	// grantTimeout bounds a journal's question for more tokens.
 	grantTimeout = 700 * time.Millisecond
 	// claimMergeTimeout bounds how long a claim waits to be in the ledger too.
@@ -53,64 +56,26 @@
 		got, err = k.reserveWithRoom(r, got)
 	}
 	if err == nil {
-		k.mergeClaim()
+		err = k.mergeClaim()
 	}
 	return k.hallReply("reserve", got, err, reply)
 }
 
-// answerForLostJournal answers for keys that an earlier journal of this hall
-// may have claimed: those that it merged are in the ledger, and of those that
-// it did not nothing is known. They may have run, until they would have been
-// forgotten anyway.
-func (k *Keeper) answerForLostJournal(r *wire.ReserveRequest, reply *wire.LedgerReply, now time.Time) bool {
-	if !k.identity.GetJoined() || k.journal.Entry(r.GetWorkspace(), r.GetKey()) != nil {
-		return false
-	}
-	held := now.Before(time.Unix(0, k.identity.GetJoinedUnixNano()).Add(EntryRetention))
-	e := k.ledgerEntry(r.GetWorkspace(), r.GetKey(), held)
-	if e != nil && e.GetState() != wire.EntryState_ENTRY_STATE_RELEASED {
-		reply.Code, _ = ledger.Claim(e, r)
-		if reply.GetCode() == wire.LedgerCode_LEDGER_CODE_GRANTED {
-			reply.Code = wire.LedgerCode_LEDGER_CODE_SETTLED
-		}
-		reply.Entry = e
-		return true
-	}
-	if held {
-		reply.Code, reply.Partial = wire.LedgerCode_LEDGER_CODE_CLAIM_UNAVAILABLE, true
-		return true
-	}
-	return false
-}
-
-// ledgerEntry returns a key's entry in the ledger: from this keeper's copy or,
-// as that may still be catching up, from the leader.
-func (k *Keeper) ledgerEntry(workspace, key string, ask bool) *wire.Entry {
-	e := k.ledger.Entry(sumachead.WorkspaceID(workspace), sumachead.RequestKey(key))
-	if e != nil || !ask {
-		return e
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), claimMergeTimeout)
-	defer cancel()
-	reply, err := keeperclient.Call[wire.LookupReply](ctx, k.clients, keeperclient.GroupLedger, "Ledger.Lookup",
-		&wire.LookupRequest{Workspace: workspace, Key: key, Budget: "-"})
-	if err != nil || len(reply.GetEntries()) == 0 {
+// mergeClaim brings a claim to the ledger before it is answered, so that a disk
+// that is lost takes no claim with it. An error means that the caller should try
+// again: a leader may soon be there. Once the hall has been cut off for long,
+// the journal alone must do.
+func (k *Keeper) mergeClaim() error {
+	if k.money.leaderlessFor(time.Now()) >= cutOffAfter {
 		return nil
 	}
-	return reply.GetEntries()[0]
-}
-
-// mergeClaim brings a claim to the ledger before it is answered, where the
-// ledger is reached: a disk that is lost then takes no claim with it.
-func (k *Keeper) mergeClaim() {
-	if k.money.leaderlessFor(time.Now()) > 0 {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), claimMergeTimeout)
 	defer cancel()
 	if err := k.mergeOnce(ctx); err != nil {
-		k.Log.Debug("A claim is in the journal only.", "error", err)
+		k.Log.Debug("A claim is in the journal only, so far.", "error", err)
+		return keeperclient.EncodeError(&raft.NotLeaderError{})
 	}
+	return nil
 }
 
 // reserveWithRoom repeats a reservation that the journal refused, once requests
@@ -198,32 +163,6 @@
 	return err
 }
 
-// settleLost passes outcomes of entries that a lost journal may have had to the
-// ledger.
-func (k *Keeper) settleLost(b *wire.SettleBatch, got []*wire.LedgerReply) error {
-	lost := &wire.SettleBatch{}
-	for i, s := range b.GetSettles() {
-		if got[i].GetCode() == wire.LedgerCode_LEDGER_CODE_NO_ENTRY && s.GetOwner() == "" {
-			lost.Settles = append(lost.Settles, s)
-		}
-	}
-	if len(lost.GetSettles()) == 0 || !k.identity.GetJoined() {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
-	defer cancel()
-	replies, err := keeperclient.Call[wire.LedgerReplies](ctx, k.clients, keeperclient.GroupLedger, "Ledger.Settle", lost)
-	if err != nil {
-		return err
-	}
-	for _, r := range replies.GetReplies() {
-		if r.GetCode() == wire.LedgerCode_LEDGER_CODE_EXISTS {
-			return errNotIntroduced
-		}
-	}
-	return nil
-}
-
 // Topup takes tokens that were bought while the hall is cut off. The id must
 // belong to the hall, so that no other side takes it too.
 func (s *hallService) Topup(r *wire.HallTopupRequest, _ *wire.Empty) error {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -27,8 +27,6 @@
 	"sumachead/internal/journal"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/ledger"
-	"sumachead/internal/loop"
-	"sumachead/internal/raft"
 	"sumachead/internal/rpc"
 	"sumachead/internal/settings"
 	"sumachead/internal/telemetry"
@@ -47,6 +45,9 @@
 	RPC    *rpc.Server
 	Pool   *rpc.Pool
 
+	// opened: the fields below are set, up to nodes. Health and metrics are
+	// served before that.
+	opened   atomic.Bool
 	identity *wire.Identity
 	machine  *settings.Machine
 	ledger   *ledger.Machine
@@ -66,15 +67,6 @@
 	merged     uint64
 }
 
-// group is one replicated group of this keeper.
-type group struct {
-	node   *raft.Node
-	sender *sender
-	// leaderless is since when the group has no leader, in Unix nanoseconds; 0
-	// when it has one.
-	leaderless atomic.Int64
-}
-
 // Run serves until ctx ends, then hands leadership over and stops.
 func (k *Keeper) Run(ctx context.Context) error {
 	probe := &probeService{keeper: k}
@@ -183,19 +175,6 @@
 	return hex.EncodeToString(h.Sum(nil)[:sessionBytes])
 }
 
-func (k *Keeper) openGroup(id sumachead.GroupID, m sumachead.StateMachine) (*group, error) {
-	s := newSender(k.Config.Keepers, k.Pool)
-	n := &raft.Node{
-		Group: id, ID: string(k.Config.Node), Incarnation: k.identity.GetIncarnation(),
-		Dir: filepath.Join(k.Config.Data, "groups", string(id)), Machine: m,
-		Send: s.send, Founders: k.identity.GetFounders(), Log: k.Log.Named(string(id)),
-	}
-	if err := n.Open(); err != nil {
-		return nil, err
-	}
-	return &group{node: n, sender: s}, nil
-}
-
 func (k *Keeper) groups() []*group { return []*group{k.settings, k.money} }
 
 func (k *Keeper) group(id string) *group {
@@ -207,31 +186,13 @@
 	return nil
 }
 
-func (k *Keeper) runGroups(ctx context.Context, tasks *errgroup.Group) {
-	for _, g := range k.groups() {
-		tasks.Go(func() error { return g.node.Run(ctx) })
-		g.sender.run(ctx, tasks)
-	}
-}
-
-// handOver passes leadership on, so that a planned stop costs no election.
-func (k *Keeper) handOver() {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	for _, g := range k.groups() {
-		for g.node.Leading() && ctx.Err() == nil {
-			if ok, err := g.node.Transfer(ctx); err != nil || !ok {
-				break
-			}
-			loop.Until(ctx, pollEvery, func() bool { return !g.node.Leading() })
-		}
-	}
-}
-
 func (k *Keeper) serveHTTP(ctx context.Context) error {
 	ready := func() error {
-		for _, g := range []*group{k.settings, k.money} {
-			if g == nil || g.node.Status().GetLeader() == "" {
+		if !k.opened.Load() {
+			return trace.ConnectionProblem(nil, "the groups are not open yet")
+		}
+		for _, g := range k.groups() {
+			if g.node.Status().GetLeader() == "" {
 				return trace.ConnectionProblem(nil, "a group has no leader")
 			}
 		}
--- /dev/null
+++ b/internal/keeper/merge.go
@@ -0,0 +1,72 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"sumachead/api/wire"
+	"sumachead/internal/loop"
+)
+
+const (
+	mergeEvery   = 50 * time.Millisecond
+	mergeBatch   = 1000
+	mergeTimeout = 2 * time.Second
+)
+
+// mergeLoop brings the journal's records to the ledger while it has a leader.
+func (k *Keeper) mergeLoop(ctx context.Context) error {
+	if k.identity.GetJoined() {
+		if err := k.journal.Introduce(); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return loop.Every(ctx, mergeEvery, func() {
+		if k.money.node.Status().GetLeader() == "" {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, mergeTimeout)
+		defer cancel()
+		if err := k.mergeOnce(callCtx); err != nil && ctx.Err() == nil {
+			k.Log.Debug("Merging the journal failed.", "error", err)
+		}
+	})
+}
+
+// mergeOnce brings all synced records to the ledger.
+func (k *Keeper) mergeOnce(ctx context.Context) error {
+	k.mergeMu.Lock()
+	defer k.mergeMu.Unlock()
+	for {
+		h := k.ledger.Hall(k.Config.Hall)
+		if h.GetKeeperIncarnation() == k.identity.GetIncarnation() {
+			k.journal.Merged(h.GetMergedSeq())
+			k.merged = max(k.merged, h.GetMergedSeq())
+		}
+		records := k.journal.Unmerged(k.merged, mergeBatch)
+		if len(records) == 0 {
+			return nil
+		}
+		err := k.clients.Merge(ctx, &wire.MergeRequest{
+			Hall: string(k.Config.Hall), KeeperIncarnation: k.identity.GetIncarnation(), Records: records,
+		})
+		if err != nil {
+			return err
+		}
+		k.merged = records[len(records)-1].GetSeq()
+	}
+}
+
+// Merge takes in a hall's records.
+func (s *ledgerService) Merge(r *wire.MergeRequest, _ *wire.Empty) error {
+	_, err := s.keeper.propose(context.Background(), &wire.LedgerCommand{Command: &wire.LedgerCommand_Merge{Merge: r}})
+	return err
+}
+
+// WriteOff gives up what a lost journal held.
+func (s *ledgerService) WriteOff(w *wire.WriteOff, _ *wire.Empty) error {
+	_, err := s.keeper.propose(context.Background(), &wire.LedgerCommand{Command: &wire.LedgerCommand_WriteOff{WriteOff: w}})
+	return err
+}
--- a/internal/keeper/metrics.go
+++ b/internal/keeper/metrics.go
@@ -29,7 +29,7 @@
 	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "sumachead_ledger_violations_total", Help: "Broken invariants of the ledger; must stay 0.",
 	}, func() float64 {
-		if k.money == nil {
+		if !k.opened.Load() {
 			return 0
 		}
 		return float64(k.ledger.Violations())
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -17,8 +17,9 @@
 	// the election of a new leader.
 	ledgerTimeout = 4 * time.Second
 	// journalTimeout bounds the wait for the hall's journal where the ledger
-	// can be asked instead.
-	journalTimeout = time.Second
+	// can be asked instead. It is more than the time after which a hall that is
+	// cut off goes by its journal alone.
+	journalTimeout = 3 * time.Second
 	// roomWait bounds the wait for a budget that is short only because of
 	// requests under way, as does this part of the time to the deadline.
 	roomWait  = 1500 * time.Millisecond
--- a/internal/scenario/operators_test.go
+++ b/internal/scenario/operators_test.go
@@ -100,3 +100,18 @@
 		ts.Fatalf("%v: %s", err, out.String())
 	}
 }
+
+// follower names a keeper that does not lead the ledger in $KEEPER, its hall in
+// $HALL and the router there in $ROUTER.
+func cmdFollower(ts *testscript.TestScript, _ bool, _ []string) {
+	leader, err := of(ts).sys.resolve("leader")
+	ts.Check(err)
+	for i := range 3 {
+		if name := fmt.Sprintf("keeper-%d", i+1); name != leader.name {
+			ts.Setenv("KEEPER", name)
+			ts.Setenv("HALL", hallName(i))
+			ts.Setenv("ROUTER", fmt.Sprintf("router-%d", i+1))
+			return
+		}
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -42,7 +42,7 @@
 			"freeze": cmdFreeze, "thaw": cmdThaw, "wipe-disk": cmdWipe, "cut": cmdCut, "heal": cmdHeal,
 			"tool": cmdTool, "call": cmdCall, "calls": cmdCalls, "await": cmdAwait, "sleep": cmdSleep,
 			"fault": cmdFault, "budget": cmdBudget, "runs": cmdRuns, "same": cmdSame,
-			"edit": cmdEdit, "race": cmdRace, "changes": cmdChanges, "until": cmdUntil, "own": cmdOwn,
+			"edit": cmdEdit, "race": cmdRace, "changes": cmdChanges, "until": cmdUntil, "own": cmdOwn, "follower": cmdFollower,
 		},
 	})
 }
@@ -170,10 +170,12 @@
 	of(ts).each(ts, args, (*process).stop)
 }
 
-// crash NAME... kills processes. "leader" is the keeper that leads the ledger.
+// crash NAME... kills processes; the last one's name is in $CRASHED, that of the
+// one before in $BEFORE. "leader" is the keeper that leads the ledger.
 func cmdCrash(ts *testscript.TestScript, _ bool, args []string) {
 	of(ts).each(ts, args, func(p *process) error {
 		p.kill()
+		ts.Setenv("BEFORE", ts.Getenv("CRASHED"))
 		ts.Setenv("CRASHED", p.name)
 		return nil
 	})
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -224,7 +224,7 @@
 	return os.WriteFile(p.args[1], data, 0o600)
 }
 
-// startAll starts everything, applies the tree and waits until routers serve.
+// startAll starts everything, applies the tree and waits until all are ready.
 func (s *system) startAll() error {
 	for _, p := range s.processes {
 		if p.relay != nil {
@@ -239,9 +239,9 @@
 	if err := s.applyTree(); err != nil {
 		return err
 	}
-	return eventually(startTimeout, "routers and agents are ready", func() bool {
+	return eventually(startTimeout, "all processes are ready", func() bool {
 		for _, p := range s.processes {
-			if (p.role == "router" || p.role == "agent") && !s.ready(p) {
+			if p.role != "standin" && !s.ready(p) {
 				return false
 			}
 		}
