A connection that its other end had closed costs no verdict

Cause: found by reading: after an agent's restart the first call on the old connection was not sent at all, but counted as sent, so that a hold was answered may_have_run (agent_restarted: interrupted, 57 ms) although nothing had run. Ruled out: any failure of a call as not sent: only net/rpc's shutdown error, and only where this side had not closed the connection itself. Change: such a call is made again on a new connection; a server whose agent turned out to be a new process may be tried again. Before: agent_restarted red (may_have_run, then not_run with one server).

--- a/internal/router/deliver.go
+++ b/internal/router/deliver.go
@@ -87,6 +87,7 @@
 		return sumachead.Refuse(sumachead.Ran, sumachead.ReasonAnswerGone, "the request ran; its answer is gone", time.Time{})
 	case wire.RunCode_RUN_CODE_WRONG_BOOT:
 		if !sentBefore {
+			d.restarted = true
 			return refuseSoon(sumachead.NotRun, sumachead.ReasonServerUnreached, "the agent has restarted")
 		}
 	}
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -38,6 +38,9 @@
 	tried []sumachead.ServerID
 	// mayHaveRun: an attempt before this one may have run.
 	mayHaveRun bool
+	// restarted: the agent of the last attempt turned out to be a new process,
+	// which may be tried as well.
+	restarted bool
 	// used is what the attempt that has just failed is known to have used.
 	used int64
 }
@@ -259,7 +262,10 @@
 	if f.Verdict != sumachead.NotRun {
 		d.mayHaveRun = true
 	}
-	d.tried = append(d.tried, d.to.server)
+	if !d.restarted {
+		d.tried = append(d.tried, d.to.server)
+	}
+	d.restarted = false
 	if err := d.place(); err != nil {
 		// No other server is left: the refusal that led here says more.
 		return d.giveUp(f)
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -33,7 +34,7 @@
 	From net.IP
 
 	mu       sync.Mutex // guards the fields below
-	conn     *rpc.Client
+	conn     *connection
 	lastGood time.Time
 	dialAt   time.Time
 	dialErr  error
@@ -51,23 +52,38 @@
 	return reply, nil
 }
 
+// connection is one connection of a client.
+type connection struct {
+	*rpc.Client
+	// dropped: this side closed it, so that calls under way end as if they had
+	// not been sent.
+	dropped atomic.Bool
+}
+
 func (c *Client) call(ctx context.Context, method string, args, reply any) error {
-	conn, err := c.connect(ctx)
-	if err != nil {
-		return errors.Join(ErrNotSent, err)
-	}
-	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
+	for {
+		conn, err := c.connect(ctx)
+		if err != nil {
+			return errors.Join(ErrNotSent, err)
+		}
+		call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+		select {
+		case <-call.Done:
+		case <-ctx.Done():
+			c.overdue(conn)
+			return trace.Wrap(ctx.Err(), "calling %s at %s", method, c.Address)
+		}
+		if errors.Is(call.Error, rpc.ErrShutdown) && !conn.dropped.Load() {
+			// The other side had closed it before: nothing was sent.
+			c.drop(conn)
+			continue
+		}
 		return c.finish(conn, call.Error)
-	case <-ctx.Done():
-		c.overdue(conn)
-		return trace.Wrap(ctx.Err(), "calling %s at %s", method, c.Address)
 	}
 }
 
 // finish notes the health of the connection that a call ended on.
-func (c *Client) finish(conn *rpc.Client, err error) error {
+func (c *Client) finish(conn *connection, err error) error {
 	var remote rpc.ServerError
 	if err == nil || errors.As(err, &remote) {
 		c.mu.Lock()
@@ -80,7 +96,7 @@
 }
 
 // overdue gives up a connection that has gone silent.
-func (c *Client) overdue(conn *rpc.Client) {
+func (c *Client) overdue(conn *connection) {
 	c.mu.Lock()
 	silent := time.Since(c.lastGood) > silentFor
 	c.mu.Unlock()
@@ -89,7 +105,8 @@
 	}
 }
 
-func (c *Client) drop(conn *rpc.Client) {
+func (c *Client) drop(conn *connection) {
+	conn.dropped.Store(true)
 	c.mu.Lock()
 	if c.conn == conn {
 		c.conn = nil
@@ -100,7 +117,7 @@
 
 // connect returns the open connection or dials one; concurrent callers share
 // a dial.
-func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+func (c *Client) connect(ctx context.Context) (*connection, error) {
 	for {
 		c.mu.Lock()
 		if c.conn != nil {
@@ -137,7 +154,7 @@
 	c.dialing = nil
 	if err == nil {
 		c.lastGood = time.Now()
-		c.conn = rpc.NewClientWithCodec(&clientCodec{newStream(conn)})
+		c.conn = &connection{Client: rpc.NewClientWithCodec(&clientCodec{newStream(conn)})}
 	}
 	close(done)
 }
@@ -160,6 +177,7 @@
 	c.conn = nil
 	c.mu.Unlock()
 	if conn != nil {
+		conn.dropped.Store(true)
 		_ = conn.Close()
 	}
 }
