Fencing shown by orders under old epochs; storage after a crash at every byte

Cause: the take-over script only met routers that had lost their settings; nothing sent work under an old epoch, and no test cut the log's storage within a write. Change: order sends work straight to an agent or a backend server; a test cuts the log file at each byte; another checks that every refusal reason is explained.

--- a/internal/raft/core_test.go
+++ b/internal/raft/core_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -420,6 +422,51 @@
 	}
 }
 
+// A crash at any byte of a write loses that write at most: what was saved before
+// it, and so what was told to others, is there.
+func TestStorageSurvivesACrashAtEveryByte(t *testing.T) {
+	dir := t.TempDir()
+	s, _, err := OpenStorage(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var sizes []int64
+	const writes = 5
+	for i := range uint64(writes) {
+		e := &wire.LogEntry{Index: i + 1, Term: i + 1, Data: []byte("command")}
+		if err := s.Save(&wire.HardState{Term: i + 1, Vote: "k1"}, []*wire.LogEntry{e}); err != nil {
+			t.Fatal(err)
+		}
+		sizes = append(sizes, s.segment.Size())
+	}
+	path := s.segment.Path()
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for cut := range data {
+		whole := 0
+		for whole < writes && sizes[whole] <= int64(cut) {
+			whole++
+		}
+		again := t.TempDir()
+		if err := os.WriteFile(filepath.Join(again, filepath.Base(path)), data[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		r, entries, err := OpenStorage(again)
+		if err != nil {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+		if len(entries) != whole || r.state.GetTerm() != uint64(whole) {
+			t.Fatalf("cut at %d: %d entries and term %d, want %d of each", cut, len(entries), r.state.GetTerm(), whole)
+		}
+		_ = r.Close()
+	}
+}
+
 // The storage restores what was saved, through snapshots and restarts.
 func TestStorageRoundTrip(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"sumachead"
 )
 
 func TestPageIsCurrent(t *testing.T) {
@@ -24,3 +27,15 @@
 		}
 	}
 }
+
+func TestEveryReasonIsExplained(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range sumachead.Reasons() {
+		if !strings.Contains(string(page), string(r)) {
+			t.Errorf("docs/OPERATIONS.md does not explain %s", r)
+		}
+	}
+}
--- a/internal/scenario/checks_test.go
+++ b/internal/scenario/checks_test.go
@@ -1,10 +1,16 @@
 package scenario
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"regexp"
 	"strconv"
 	"strings"
+	"time"
+
+	"sumachead/api/wire"
+	"sumachead/internal/rpc"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -73,3 +79,54 @@
 		ts.Fatalf("%v", err)
 	}
 }
+
+// order SERVER EPOCH WANT sends work under an epoch straight to a server's agent,
+// as a router with old settings, or the other side of a move, would; WANT is
+// "accepted" or the reason of the refusal. With SERVER's own name in place of its
+// agent's the order goes to the backend server itself, and WANT is a status.
+func cmdOrder(ts *testscript.TestScript, _ bool, args []string) {
+	p, err := of(ts).sys.resolve(args[0])
+	ts.Check(err)
+	epoch, err := strconv.ParseUint(args[1], 10, 64)
+	ts.Check(err)
+	got := ""
+	if p.role == "standin" {
+		got = orderBackend(ts, p, args[1])
+	} else {
+		got = orderAgent(ts, p, epoch)
+	}
+	if got != args[2] {
+		ts.Fatalf("order to %s under epoch %d: %s, want %s", p.name, epoch, got, args[2])
+	}
+}
+
+func orderBackend(ts *testscript.TestScript, p *process, epoch string) string {
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.http+"/v1/chat/completions", strings.NewReader(`{"max_tokens":1,"messages":[]}`))
+	ts.Check(err)
+	r.Header.Set("Sumachead-Epoch", epoch)
+	r.Header.Set("X-Request-Id", "other/order/1")
+	resp, err := http.DefaultClient.Do(r)
+	ts.Check(err)
+	_ = resp.Body.Close()
+	return strconv.Itoa(resp.StatusCode)
+}
+
+func orderAgent(ts *testscript.TestScript, p *process, epoch uint64) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	c := &rpc.Client{Address: p.rpc}
+	defer c.Close()
+	hello, err := rpc.Call[wire.HelloReply](ctx, c, "Agent.Hello", &wire.HelloRequest{})
+	ts.Check(err)
+	reply, err := rpc.Call[wire.RunReply](ctx, c, "Agent.Run", &wire.RunRequest{
+		Workspace: "other", Key: fmt.Sprintf("order-%d-%d", epoch, time.Now().UnixNano()), Attempt: 1,
+		Server: strings.TrimPrefix(p.name, "agent-"), Boot: hello.GetBoot(), Epoch: epoch,
+		Method: http.MethodPost, Path: "/v1/chat/completions", ContentType: "application/json", Body: []byte(`{"max_tokens":1,"messages":[]}`),
+		DeadlineUnixNano: time.Now().Add(5 * time.Second).UnixNano(),
+	})
+	ts.Check(err)
+	if reply.GetCode() == wire.RunCode_RUN_CODE_ACCEPTED {
+		return "accepted"
+	}
+	return reply.GetReason()
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -42,7 +42,7 @@
 			"freeze": cmdFreeze, "thaw": cmdThaw, "wipe-disk": cmdWipe, "cut": cmdCut, "heal": cmdHeal,
 			"tool": cmdTool, "call": cmdCall, "calls": cmdCalls, "await": cmdAwait, "sleep": cmdSleep,
 			"fault": cmdFault, "budget": cmdBudget, "runs": cmdRuns, "same": cmdSame,
-			"edit": cmdEdit, "race": cmdRace, "changes": cmdChanges, "until": cmdUntil, "own": cmdOwn, "follower": cmdFollower,
+			"edit": cmdEdit, "race": cmdRace, "changes": cmdChanges, "until": cmdUntil, "own": cmdOwn, "follower": cmdFollower, "order": cmdOrder,
 		},
 	})
 }
@@ -105,7 +105,8 @@
 		"keepers": toInt(&sh.keepers), "routers": toInt(&sh.routers), "engines": toInt(&sh.engines),
 		"bookings": toInt(&sh.bookings), "slots": toInt(&sh.slots), "budget": toInt(&sh.budget),
 		"cost": toInt(&sh.callCost), "cut_off": toString(&cutOff), "presume": toDuration(&sh.presume),
-		"token": func(v string) error { sh.engineArgs = append(sh.engineArgs, "--token", v); return nil },
+		"checks_epochs": func(string) error { sh.engineArgs = append(sh.engineArgs, "--checks-epochs"); return nil },
+		"token":         func(v string) error { sh.engineArgs = append(sh.engineArgs, "--token", v); return nil },
 	})
 	sh.cutOff = settings.CutOffPolicy(cutOff)
 	atOnce <- struct{}{}
