Kept answers take no more room than they need

Cause: agents as a whole stand above 32 MB (39 MB after 1,900 answers each). Ruled out by measurement: GOGC=40 (35 MB, but 7.4 ms at the 99th percentile of the added first token, aim 5 ms). Change: an ended run keeps its answer clipped and not its request's body.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -97,6 +97,9 @@
 		}
 	}
 	r.endedAt = time.Now()
+	// What is kept for retries takes no more room than it needs.
+	r.data = append(make([]byte, 0, len(r.data)), r.data...)
+	r.request.Body = nil
 	r.wake()
 	return true
 }
