What may not be repeated goes only where somebody has just answered

Change: before such a request is sent, an agent that was not heard of for a second is asked; one that does not answer is passed over.

--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -15,6 +15,9 @@
 
 const (
 	helloTimeout = 500 * time.Millisecond
+	// heardLately is how fresh word from an agent must be for it to be sent
+	// what may not be repeated.
+	heardLately = time.Second
 	// probeEvery is how often an agent that was not reached is asked again.
 	// Until it has answered, its server is passed over.
 	probeEvery = 500 * time.Millisecond
@@ -97,12 +100,14 @@
 	l.outstanding += n
 }
 
-// hello returns the boot of the process at the address, asking if need be.
-func (l *link) hello(ctx context.Context) (string, error) {
+// hello returns the boot of the process at the address, asking if need be. A
+// request that may not be repeated must not be sent where nobody may answer:
+// sure asks again unless the agent was heard of just now.
+func (l *link) hello(ctx context.Context, sure bool) (string, error) {
 	l.mu.Lock()
-	boot := l.boot
+	boot, recent := l.boot, time.Since(l.loadAt) < heardLately
 	l.mu.Unlock()
-	if boot != "" {
+	if boot != "" && (recent || !sure) {
 		return boot, nil
 	}
 	boot, err := l.ask(ctx)
@@ -196,7 +201,7 @@
 			break
 		}
 		l := r.links.get(view.Server(c.Server))
-		if boot, err := l.hello(ctx); err == nil {
+		if boot, err := l.hello(ctx, x.notRepeatable); err == nil {
 			return &target{link: l, boot: boot, epoch: c.Epoch}, nil
 		}
 		tried = append(tried, c.Server)
