--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 # Needs protoc; the generated code is committed, so that a build does not.
 generate:
 	GOBIN=$(TOOLS) $(GO) install $(PROTOC_GEN_GO)
-	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=module=sumachead api/wire.proto
+	PATH=$(TOOLS):$$PATH protoc -I api --go_out=. --go_opt=module=sumachead api/wire.proto api/fleet.proto
 
 # Mixes faults at random under load and checks every invariant; SEED repeats a
 # run.
--- /dev/null
+++ b/internal/escrow/book.go
@@ -0,0 +1,246 @@
+package escrow
+
+import (
+	"maps"
+	"slices"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+// Holder names one life of a node that holds escrow.
+type Holder struct {
+	Node sumachead.NodeID
+	Boot sumachead.BootID
+}
+
+// Holding is what one holder has of one workspace's budget. The amounts are
+// totals since the holder started.
+type Holding struct {
+	Granted  sumachead.Tokens
+	Returned sumachead.Tokens
+	Spent    sumachead.Tokens
+}
+
+// Out returns what the holder has been granted and has not returned.
+func (h Holding) Out() sumachead.Tokens { return h.Granted - h.Returned }
+
+// account is one workspace's budget.
+type account struct {
+	// closed is what holders that are gone count as having spent.
+	closed   sumachead.Tokens
+	holdings map[Holder]Holding
+}
+
+func (a *account) out() sumachead.Tokens {
+	sum := a.closed
+	for _, h := range a.holdings {
+		sum += h.Out()
+	}
+	return sum
+}
+
+// Book is the ledger of escrow. It is deterministic and not safe for concurrent
+// use.
+type Book struct {
+	totals   map[sumachead.WorkspaceID]sumachead.Tokens
+	accounts map[sumachead.WorkspaceID]*account
+	// boots is the newest life of each node that holds escrow.
+	boots map[sumachead.NodeID]sumachead.BootID
+}
+
+// NewBook returns a book without budgets.
+func NewBook() *Book {
+	return &Book{
+		totals:   make(map[sumachead.WorkspaceID]sumachead.Tokens),
+		accounts: make(map[sumachead.WorkspaceID]*account),
+		boots:    make(map[sumachead.NodeID]sumachead.BootID),
+	}
+}
+
+// SetTotals replaces the workspaces' totals. Accounts of workspaces that are not
+// listed keep what they know, so that one that comes back has not forgotten what
+// it spent.
+func (b *Book) SetTotals(totals map[sumachead.WorkspaceID]sumachead.Tokens) {
+	b.totals = maps.Clone(totals)
+}
+
+// Free returns what may still be granted; below 0 when the total was lowered.
+func (b *Book) Free(w sumachead.WorkspaceID) sumachead.Tokens {
+	free := b.totals[w]
+	if a := b.accounts[w]; a != nil {
+		free -= a.out()
+	}
+	return free
+}
+
+// Total returns a workspace's total; limited is false when it has none.
+func (b *Book) Total(w sumachead.WorkspaceID) (total sumachead.Tokens, limited bool) {
+	total, limited = b.totals[w]
+	return total, limited
+}
+
+// Known reports whether the holder's life is the one that the book deals with,
+// or one that it has not heard of and that holds nothing yet.
+func (b *Book) known(r *wire.EscrowReport) bool {
+	if b.boots[sumachead.NodeID(r.GetNode())] == sumachead.BootID(r.GetBoot()) {
+		return true
+	}
+	for _, p := range r.GetPositions() {
+		if p.GetGranted() != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Apply takes in a report and grants on it, no more than is free. A life that the
+// book has closed gets an answer that says so. Reports may come more than once
+// and in any order: their amounts only grow.
+func (b *Book) Apply(g *wire.EscrowGrant) *wire.EscrowReply {
+	r := g.GetReport()
+	if !b.known(r) {
+		return &wire.EscrowReply{Closed: true}
+	}
+	h := Holder{sumachead.NodeID(r.GetNode()), sumachead.BootID(r.GetBoot())}
+	b.enter(h)
+	reply := &wire.EscrowReply{}
+	for i, p := range r.GetPositions() {
+		var grant sumachead.Tokens
+		if i < len(g.GetGrants()) {
+			grant = sumachead.Tokens(g.GetGrants()[i])
+		}
+		granted := b.position(h, p, grant)
+		reply.Answers = append(reply.Answers, &wire.EscrowAnswer{
+			Workspace: p.GetWorkspace(), Granted: int64(granted), Keep: NoWish,
+		})
+	}
+	if r.GetClosing() {
+		b.close(h, true)
+		delete(b.boots, h.Node)
+		reply.Closed = true
+	}
+	return reply
+}
+
+// enter makes h the life of its node. An earlier life can spend no more; what it
+// held and did not report counts as spent.
+func (b *Book) enter(h Holder) {
+	old, ok := b.boots[h.Node]
+	if ok && old == h.Boot {
+		return
+	}
+	if ok {
+		b.close(Holder{h.Node, old}, false)
+	}
+	b.boots[h.Node] = h.Boot
+}
+
+// close folds a holder's accounts. A holder that tells its last figures gives
+// back what it has not spent.
+func (b *Book) close(h Holder, final bool) {
+	for _, a := range b.accounts {
+		x, ok := a.holdings[h]
+		if !ok {
+			continue
+		}
+		if final {
+			a.closed += x.Spent
+		} else {
+			a.closed += x.Out()
+		}
+		delete(a.holdings, h)
+	}
+}
+
+// position takes in one position and returns what the holder is granted in all.
+func (b *Book) position(h Holder, p *wire.EscrowPosition, grant sumachead.Tokens) sumachead.Tokens {
+	w := sumachead.WorkspaceID(p.GetWorkspace())
+	a := b.accounts[w]
+	if a == nil {
+		a = &account{holdings: make(map[Holder]Holding)}
+		b.accounts[w] = a
+	}
+	x := a.holdings[h]
+	x.Spent = max(x.Spent, sumachead.Tokens(p.GetSpent()))
+	x.Returned = max(x.Returned, sumachead.Tokens(p.GetReturned()))
+	a.holdings[h] = x
+	x.Granted += max(0, min(grant, b.Free(w)))
+	a.holdings[h] = x
+	return x.Granted
+}
+
+// Holdings returns what each holder has of a workspace's budget.
+func (b *Book) Holdings(w sumachead.WorkspaceID) map[Holder]Holding {
+	if a := b.accounts[w]; a != nil {
+		return a.holdings
+	}
+	return nil
+}
+
+// Spent returns what a workspace has certainly or possibly spent: what holders
+// reported, and all that those hold that live does not confirm.
+func (b *Book) Spent(w sumachead.WorkspaceID, live func(Holder) bool) sumachead.Tokens {
+	a := b.accounts[w]
+	if a == nil {
+		return 0
+	}
+	sum := a.closed
+	for h, x := range a.holdings {
+		if live(h) {
+			sum += x.Spent
+			continue
+		}
+		sum += x.Out()
+	}
+	return sum
+}
+
+// Snapshot returns the accounts in a fixed order.
+func (b *Book) Snapshot() []*wire.AccountState {
+	var out []*wire.AccountState
+	for _, w := range slices.Sorted(maps.Keys(b.accounts)) {
+		a := b.accounts[w]
+		s := &wire.AccountState{Workspace: string(w), Closed: int64(a.closed)}
+		for h, x := range a.holdings {
+			s.Holdings = append(s.Holdings, &wire.HoldingState{
+				Node: string(h.Node), Boot: string(h.Boot),
+				Granted: int64(x.Granted), Returned: int64(x.Returned), Spent: int64(x.Spent),
+			})
+		}
+		slices.SortFunc(s.Holdings, compareHoldings)
+		out = append(out, s)
+	}
+	return out
+}
+
+func compareHoldings(a, b *wire.HoldingState) int {
+	if a.GetNode() != b.GetNode() {
+		if a.GetNode() < b.GetNode() {
+			return -1
+		}
+		return 1
+	}
+	if a.GetBoot() < b.GetBoot() {
+		return -1
+	}
+	return 1
+}
+
+// Restore replaces the accounts.
+func (b *Book) Restore(accounts []*wire.AccountState) {
+	b.accounts = make(map[sumachead.WorkspaceID]*account)
+	b.boots = make(map[sumachead.NodeID]sumachead.BootID)
+	for _, s := range accounts {
+		a := &account{closed: sumachead.Tokens(s.GetClosed()), holdings: make(map[Holder]Holding)}
+		for _, x := range s.GetHoldings() {
+			h := Holder{sumachead.NodeID(x.GetNode()), sumachead.BootID(x.GetBoot())}
+			a.holdings[h] = Holding{
+				Granted: sumachead.Tokens(x.GetGranted()), Returned: sumachead.Tokens(x.GetReturned()),
+				Spent: sumachead.Tokens(x.GetSpent()),
+			}
+			b.boots[h.Node] = h.Boot
+		}
+		b.accounts[sumachead.WorkspaceID(s.GetWorkspace())] = a
+	}
+}
--- /dev/null
+++ b/internal/escrow/sizer.go
@@ -0,0 +1,148 @@
+package escrow
+
+import (
+	"sync"
+	"time"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+// NoWish stands in an answer that does not ask for anything back.
+const NoWish = -1
+
+const (
+	// liveFor is how long a holder that has not reported counts as alive: some
+	// reports.
+	liveFor = 4 * time.Second
+	// horizon is for how long, at the rate it reports, a holder should be able
+	// to go on without the ledger: longer than the cuts of some seconds that
+	// networks heal by themselves, a few times over for demand that rises.
+	horizon = 25 * time.Second
+	// floorPart is the part of an even share, in percent, that a holder gets
+	// without any demand of its own, so that the first request need not wait.
+	floorPart = 25
+	// outPart is the part of a budget, in percent, that may be with holders
+	// while nobody needs more.
+	outPart = 90
+	// slack is how far, in percent of its target, a holder may be above it
+	// before it is asked to give back.
+	slack = 150
+)
+
+// demand is what a live holder last said of one workspace.
+type demand struct {
+	rate     sumachead.Tokens
+	reserved sumachead.Tokens
+}
+
+// Sizer decides what each holder should have at hand, by what is left and by
+// demand. It is soft state of the ledger's leader, and safe for concurrent use.
+type Sizer struct {
+	mu      sync.Mutex // guards holders
+	holders map[Holder]*holderDemand
+}
+
+type holderDemand struct {
+	seen       time.Time
+	workspaces map[sumachead.WorkspaceID]demand
+}
+
+// Note takes in what a holder reports.
+func (s *Sizer) Note(r *wire.EscrowReport, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.holders == nil {
+		s.holders = make(map[Holder]*holderDemand)
+	}
+	h := Holder{sumachead.NodeID(r.GetNode()), sumachead.BootID(r.GetBoot())}
+	for other, d := range s.holders {
+		if now.Sub(d.seen) > liveFor || (other.Node == h.Node && other != h) {
+			delete(s.holders, other)
+		}
+	}
+	d := s.holders[h]
+	if d == nil {
+		d = &holderDemand{workspaces: make(map[sumachead.WorkspaceID]demand)}
+		s.holders[h] = d
+	}
+	d.seen = now
+	for _, p := range r.GetPositions() {
+		d.workspaces[sumachead.WorkspaceID(p.GetWorkspace())] = demand{
+			rate: sumachead.Tokens(p.GetRate()), reserved: sumachead.Tokens(p.GetReserved()),
+		}
+	}
+}
+
+// live reports whether a holder has reported lately. The caller holds mu.
+func (s *Sizer) live(h Holder) bool { return s.holders[h] != nil }
+
+// Size returns what to grant on each position of a report, and the answers'
+// wishes, by the book as it stands.
+func (s *Sizer) Size(b *Book, r *wire.EscrowReport) (grants []int64, advice []*wire.EscrowAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := Holder{sumachead.NodeID(r.GetNode()), sumachead.BootID(r.GetBoot())}
+	for _, p := range r.GetPositions() {
+		grant, a := s.sizeOne(b, h, p)
+		grants = append(grants, int64(grant))
+		advice = append(advice, a)
+	}
+	return grants, advice
+}
+
+// sizeOne decides on one position.
+func (s *Sizer) sizeOne(b *Book, h Holder, p *wire.EscrowPosition) (sumachead.Tokens, *wire.EscrowAnswer) {
+	w := sumachead.WorkspaceID(p.GetWorkspace())
+	a := &wire.EscrowAnswer{Workspace: p.GetWorkspace(), Keep: NoWish}
+	x := b.Holdings(w)[h]
+	x.Spent = max(x.Spent, sumachead.Tokens(p.GetSpent()))
+	x.Returned = max(x.Returned, sumachead.Tokens(p.GetReturned()))
+	held := x.Out() - x.Spent
+	target := s.target(b, w, h)
+	free := b.Free(w)
+	var grant sumachead.Tokens
+	const lowPart = 70 // percent of the target below which it is filled up
+	if held*100 < target*lowPart {
+		grant = min(target-held, free)
+	}
+	if need := sumachead.Tokens(p.GetNeeded()); need > grant {
+		grant = min(need, free)
+		a.Exhausted = free < need && s.remaining(b, w) < need
+	}
+	if reserved := sumachead.Tokens(p.GetReserved()); held*100 > target*slack && held > reserved {
+		a.Keep = int64(max(target, reserved))
+	}
+	return max(grant, 0), a
+}
+
+// target returns what a holder should have at hand, requests under way included.
+func (s *Sizer) target(b *Book, w sumachead.WorkspaceID, h Holder) sumachead.Tokens {
+	left := b.Free(w)
+	for other, x := range b.Holdings(w) {
+		if s.live(other) {
+			left += x.Out() - x.Spent
+		}
+	}
+	left = left * outPart / 100
+	n := sumachead.Tokens(max(len(s.holders), 1))
+	floor := max(left, 0) / n * floorPart / 100
+	var rates sumachead.Tokens
+	for _, d := range s.holders {
+		rates += d.workspaces[w].rate
+	}
+	if rates == 0 {
+		return floor
+	}
+	rate := s.holders[h].workspaces[w].rate
+	share := floor + (left-floor*n)*rate/rates
+	wish := floor + rate*sumachead.Tokens(horizon/time.Second)
+	return max(min(share, wish), 0)
+}
+
+// remaining returns the most that may still become available: the total without
+// what was spent, what is under way, and what holders out of contact have.
+func (s *Sizer) remaining(b *Book, w sumachead.WorkspaceID) sumachead.Tokens {
+	total, _ := b.Total(w)
+	return total - b.Spent(w, s.live)
+}
--- /dev/null
+++ b/internal/escrow/wallet.go
@@ -0,0 +1,266 @@
+package escrow
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+// rateMemory is the time constant by which a wallet forgets demand: long enough
+// to smooth over single large requests.
+const rateMemory = 4 * time.Second
+
+// exhaustedFor is how long a ledger's word that a budget is used up is believed.
+const exhaustedFor = time.Second
+
+// purse is a holder's money of one workspace.
+type purse struct {
+	granted  sumachead.Tokens
+	returned sumachead.Tokens
+	spent    sumachead.Tokens
+	reserved sumachead.Tokens
+	// needed is the most that a waiting request lacks.
+	needed sumachead.Tokens
+	// rate is demand in tokens a second as of rateAt.
+	rate   float64
+	rateAt time.Time
+	// dirty: something changed since the last report.
+	dirty bool
+	// exhaustedAt is when the ledger said that a request did not fit, and
+	// exhaustedBy the smallest such request.
+	exhaustedAt time.Time
+	exhaustedBy sumachead.Tokens
+}
+
+func (p *purse) atHand() sumachead.Tokens { return p.granted - p.returned - p.spent - p.reserved }
+
+// decay brings the rate up to now and adds an amount to it.
+func (p *purse) decay(now time.Time, amount sumachead.Tokens) {
+	if !p.rateAt.IsZero() {
+		p.rate *= math.Exp(-now.Sub(p.rateAt).Seconds() / rateMemory.Seconds())
+	}
+	p.rateAt = now
+	p.rate += float64(amount) / rateMemory.Seconds()
+}
+
+// Wallet holds one node's escrow and admits requests from it without a call. It
+// is safe for concurrent use. Set the exported fields before the first call.
+type Wallet struct {
+	Node sumachead.NodeID
+	// Kick asks for a report soon; it must not block.
+	Kick func()
+
+	mu     sync.Mutex // guards the fields below
+	boot   sumachead.BootID
+	purses map[sumachead.WorkspaceID]*purse
+	// changed is closed when a grant arrives.
+	changed chan struct{}
+}
+
+// Open starts a life of the holder.
+func (w *Wallet) Open(boot sumachead.BootID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reset(boot)
+}
+
+func (w *Wallet) reset(boot sumachead.BootID) {
+	w.boot = boot
+	w.purses = make(map[sumachead.WorkspaceID]*purse)
+	w.notify()
+}
+
+func (w *Wallet) notify() {
+	if w.changed != nil {
+		close(w.changed)
+	}
+	w.changed = make(chan struct{})
+}
+
+func (w *Wallet) purse(id sumachead.WorkspaceID) *purse {
+	p := w.purses[id]
+	if p == nil {
+		p = &purse{dirty: true}
+		w.purses[id] = p
+	}
+	return p
+}
+
+// Watch makes sure that the next report asks for money of a workspace.
+func (w *Wallet) Watch(ids []sumachead.WorkspaceID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range ids {
+		w.purse(id)
+	}
+}
+
+// Reservation is the upper bound of one request's cost, held until its bill is
+// known.
+type Reservation struct {
+	wallet    *Wallet
+	boot      sumachead.BootID
+	workspace sumachead.WorkspaceID
+	bound     sumachead.Tokens
+}
+
+// outcome of one look at a purse.
+type admission int
+
+const (
+	admitted admission = iota
+	short
+	exhausted
+)
+
+// Reserve holds bound of a workspace's money. When there is too little at hand it
+// asks the ledger and waits until the deadline, the end of ctx, or the ledger's
+// word that the budget is used up. The error is a [*sumachead.Refusal].
+func (w *Wallet) Reserve(ctx context.Context, id sumachead.WorkspaceID, bound sumachead.Tokens, deadline time.Time) (*Reservation, error) {
+	now := time.Now()
+	w.mu.Lock()
+	w.purse(id).decay(now, bound)
+	w.mu.Unlock()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	for {
+		r, a, changed := w.try(id, bound, time.Now())
+		switch a {
+		case admitted:
+			return r, nil
+		case exhausted:
+			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonBudgetExhausted, "the workspace's budget does not hold the request", time.Time{})
+		}
+		w.Kick()
+		select {
+		case <-changed:
+		case <-timer.C:
+			const comeBack = time.Second // a few reports
+			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonLedgerUnreached, "too little escrow at hand", time.Now().Add(comeBack))
+		case <-ctx.Done():
+			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonDeadlinePassed, "the caller has gone", time.Time{})
+		}
+	}
+}
+
+func (w *Wallet) try(id sumachead.WorkspaceID, bound sumachead.Tokens, now time.Time) (*Reservation, admission, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.purse(id)
+	if p.atHand() >= bound {
+		p.reserved += bound
+		p.dirty = true
+		return &Reservation{w, w.boot, id, bound}, admitted, nil
+	}
+	if now.Sub(p.exhaustedAt) < exhaustedFor && bound >= p.exhaustedBy {
+		return nil, exhausted, nil
+	}
+	p.needed = max(p.needed, bound-p.atHand())
+	p.dirty = true
+	return nil, short, w.changed
+}
+
+// Settle puts the bill in the place of the reservation. The bill is cut to the
+// bound; a second call does nothing.
+func (r *Reservation) Settle(bill sumachead.Tokens) {
+	if r == nil || r.wallet == nil {
+		return
+	}
+	w := r.wallet
+	r.wallet = nil
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.boot != r.boot {
+		return // the ledger has closed that life and counts all of it as spent
+	}
+	p := w.purse(r.workspace)
+	p.reserved -= r.bound
+	p.spent += min(max(bill, 0), r.bound)
+	p.dirty = true
+	if p.needed > 0 || p.atHand() > 0 {
+		w.notify()
+	}
+}
+
+// Report returns what is to be told to the ledger; nil when there is nothing new.
+func (w *Wallet) Report(now time.Time, closing bool) *wire.EscrowReport {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := &wire.EscrowReport{Node: string(w.Node), Boot: string(w.boot), Closing: closing}
+	for id, p := range w.purses {
+		if !p.dirty && !closing {
+			continue
+		}
+		p.decay(now, 0)
+		p.dirty = false
+		spent := p.spent
+		if closing {
+			spent += p.reserved // nobody will tell the bill of what still runs
+		}
+		r.Positions = append(r.Positions, &wire.EscrowPosition{
+			Workspace: string(id), Spent: int64(spent), Returned: int64(p.returned),
+			Reserved: int64(p.reserved), Rate: int64(p.rate), Needed: int64(p.needed), Granted: int64(p.granted),
+		})
+		p.needed = 0
+	}
+	if len(r.Positions) == 0 && !closing {
+		return nil
+	}
+	return r
+}
+
+// Unsent marks a report's positions as not told, after a call that failed.
+func (w *Wallet) Unsent(r *wire.EscrowReport) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range r.GetPositions() {
+		w.purse(sumachead.WorkspaceID(p.GetWorkspace())).dirty = true
+	}
+}
+
+// Take puts a reply in force. It reports whether the ledger has closed this life:
+// the wallet is then empty and under a new one.
+func (w *Wallet) Take(reply *wire.EscrowReply, boot, next sumachead.BootID, now time.Time) (closed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.boot != boot {
+		return false
+	}
+	if reply.GetClosed() {
+		w.reset(next)
+		return true
+	}
+	for _, a := range reply.GetAnswers() {
+		w.takeOne(a, now)
+	}
+	w.notify()
+	return false
+}
+
+func (w *Wallet) takeOne(a *wire.EscrowAnswer, now time.Time) {
+	p := w.purse(sumachead.WorkspaceID(a.GetWorkspace()))
+	p.granted = max(p.granted, sumachead.Tokens(a.GetGranted()))
+	p.exhaustedAt = time.Time{}
+	if a.GetExhausted() {
+		p.exhaustedAt, p.exhaustedBy = now, p.atHand()+1
+	}
+	held := p.granted - p.returned - p.spent
+	if keep := sumachead.Tokens(a.GetKeep()); keep >= 0 && held > keep {
+		p.returned += max(min(held-keep, p.atHand()), 0)
+		p.dirty = true
+	}
+}
+
+// AtHand returns what could be reserved now, for status and metrics.
+func (w *Wallet) AtHand(id sumachead.WorkspaceID) sumachead.Tokens {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p := w.purses[id]; p != nil {
+		return p.atHand()
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/fleet/control.go
@@ -0,0 +1,127 @@
+package fleet
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sumachead/api/wire"
+	"sumachead/internal/catalog"
+	"sumachead/internal/keeperclient"
+	"sumachead/internal/loop"
+	"sumachead/internal/rpc"
+)
+
+const (
+	// sweepEvery is how often the leader looks for servers that went silent.
+	sweepEvery = time.Second
+	// copyWait is how long the leader may hold a keeper's question.
+	copyWait = 800 * time.Millisecond
+	// copyPause separates questions that failed.
+	copyPause = 200 * time.Millisecond
+)
+
+// Declare checks a declaration and commits it; the highest number holds, and one
+// that is not above it changes nothing. A [trace.BadParameter] error refuses it
+// for good; any other leaves open whether it will be in force.
+func (k *Keeper) Declare(ctx context.Context, d *wire.Declaration) error {
+	if err := catalog.Check(d.GetCatalog()); err != nil {
+		k.Log.Warn("A declaration is refused.", "number", d.GetNumber(), "error", err)
+		return err
+	}
+	reply, err := ask[wire.DeclareReply](ctx, k, "Fleet.Declare", d, (&service{k}).Declare)
+	k.Log.Info("A declaration was taken.", "number", d.GetNumber(), "held", reply.GetNumber(), "error", err)
+	return err
+}
+
+// Declaration returns the declaration in force; the answer is linearizable. Its
+// number is 0 before the first.
+func (k *Keeper) Declaration(ctx context.Context) (*wire.Declaration, error) {
+	return ask[wire.Declaration](ctx, k, "Fleet.Read", &wire.Empty{}, (&service{k}).Read)
+}
+
+// Beat takes in a backend server's heartbeat or notice.
+func (k *Keeper) Beat(ctx context.Context, r *wire.ServerRecord) error {
+	_, err := ask[wire.Empty](ctx, k, "Fleet.Beat", r, (&service{k}).Beat)
+	return err
+}
+
+// ask runs a call at the leader: here, or by a call to it. It tries again while
+// ctx allows and nothing was done.
+func ask[R any, A proto.Message](ctx context.Context, k *Keeper, method string, args A, local func(A, *R) error) (*R, error) {
+	const retryPause = 50 * time.Millisecond
+	for {
+		reply, err := askOnce(ctx, k, method, args, local)
+		if err == nil || !keeperclient.IsNotLeader(err) {
+			return reply, err
+		}
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+func askOnce[R any, A proto.Message](ctx context.Context, k *Keeper, method string, args A, local func(A, *R) error) (*R, error) {
+	leader, err := k.leader(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if leader == k.Address {
+		reply := new(R)
+		if err := local(args, reply); err != nil {
+			return nil, err
+		}
+		return reply, nil
+	}
+	return rpc.Call[R](ctx, k.Pool.Get(leader), method, args)
+}
+
+// sweepLoop looks for servers that went silent, where this keeper leads.
+func (k *Keeper) sweepLoop(ctx context.Context) error {
+	return loop.Every(ctx, sweepEvery, func() {
+		if k.node.Leading() && k.leading() == nil {
+			k.servers.Lead(k.history(), time.Now())
+			k.servers.Sweep(time.Now())
+		}
+	})
+}
+
+// copyLoop keeps a copy of the leader's server records, so that this keeper can
+// take over with them.
+func (k *Keeper) copyLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if k.copyOnce(ctx) {
+			continue
+		}
+		select {
+		case <-time.After(copyPause):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) copyOnce(ctx context.Context) bool {
+	leader := k.node.Status().GetLeader()
+	if leader == "" || leader == k.Address {
+		return false
+	}
+	history, version := k.servers.Position()
+	r := &wire.FollowRequest{
+		Node: string(k.Node), Role: RoleKeeper, Hall: string(k.Hall),
+		// The declaration comes by the log.
+		Number: math.MaxUint64, History: history, Version: version, WaitMillis: copyWait.Milliseconds(),
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyWait+callTimeout)
+	defer cancel()
+	reply, err := rpc.Call[wire.FollowReply](ctx, k.Pool.Get(leader), "Fleet.Follow", r)
+	if err != nil || k.node.Leading() {
+		return false
+	}
+	k.servers.Take(reply, time.Now())
+	return true
+}
--- /dev/null
+++ b/internal/fleet/followers.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+// Roles of followers.
+const (
+	RoleRouter = "router"
+	RoleRelay  = "relay"
+	RoleKeeper = "keeper"
+)
+
+const (
+	// followerLives is how long a follower counts after its last question: some
+	// holds of a question.
+	followerLives = 3 * time.Second
+	// relaysEach is how many relays a router is told of: enough that some are
+	// in halls that a cut has not reached.
+	relaysEach = 4
+)
+
+type follower struct {
+	role  string
+	hall  sumachead.HallID
+	relay string
+	seen  time.Time
+}
+
+// followers is who follows this leader; soft state.
+type followers struct {
+	mu    sync.Mutex // guards nodes
+	nodes map[sumachead.NodeID]follower
+}
+
+func newFollowers() *followers { return &followers{nodes: make(map[sumachead.NodeID]follower)} }
+
+// saw notes a question.
+func (f *followers) saw(r *wire.FollowRequest, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[sumachead.NodeID(r.GetNode())] = follower{
+		role: r.GetRole(), hall: sumachead.HallID(r.GetHall()), relay: r.GetRelayAddress(), seen: now,
+	}
+	for n, x := range f.nodes {
+		if now.Sub(x.seen) > followerLives {
+			delete(f.nodes, n)
+		}
+	}
+}
+
+// count returns how many followers of a role there are.
+func (f *followers) count(role string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, x := range f.nodes {
+		if x.role == role {
+			n++
+		}
+	}
+	return n
+}
+
+// relaysFor picks relays for a node: always the same while none comes or goes,
+// different ones for different nodes, and one of each hall first.
+func (f *followers) relaysFor(node string) []string {
+	f.mu.Lock()
+	byHall := make(map[sumachead.HallID][]string)
+	for _, x := range f.nodes {
+		if x.role == RoleRelay && x.relay != "" {
+			byHall[x.hall] = append(byHall[x.hall], x.relay)
+		}
+	}
+	f.mu.Unlock()
+	for _, rs := range byHall {
+		slices.SortFunc(rs, func(a, b string) int { return cmp.Compare(rank(node, a), rank(node, b)) })
+	}
+	var out []string
+	for i := 0; len(out) < relaysEach; i++ {
+		before := len(out)
+		for _, rs := range byHall {
+			if i < len(rs) {
+				out = append(out, rs[i])
+			}
+		}
+		if len(out) == before {
+			break
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// rank orders relays differently for each node.
+func rank(node, relay string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(node))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(relay))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/fleet/keeper.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"context"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/escrow"
+	"sumachead/internal/loop"
+	"sumachead/internal/raft"
+	"sumachead/internal/registry"
+	"sumachead/internal/rpc"
+	"sumachead/internal/wal"
+)
+
+const (
+	// Group names the one group of a fleet.
+	Group sumachead.GroupID = "fleet"
+	// heartbeat and election are longer than the defaults: keepers of a fleet
+	// have a fraction of a core, and an idle group should cost little.
+	heartbeat = 120 * time.Millisecond
+	election  = 900 * time.Millisecond
+	// snapshotEvery keeps the log far below a disk of some 100 MB when each
+	// entry is a large declaration.
+	snapshotEvery = 400
+
+	identityFile = "identity"
+	// foundingIncarnation is that of members that start with the system, which
+	// need not ask each other for one.
+	foundingIncarnation = "founding"
+	// stopTimeout bounds the hand-over of leadership on a planned stop.
+	stopTimeout = 1500 * time.Millisecond
+)
+
+// Keeper is one member of the control group. Set the exported fields before Run.
+type Keeper struct {
+	Node sumachead.NodeID
+	Hall sumachead.HallID
+	// Address is where other processes call this one; it names the member.
+	Address string
+	// Data is the folder for the group's files.
+	Data string
+	// Founders are the addresses of the members that start the system; empty
+	// when it exists already.
+	Founders []string
+	// Seeds returns addresses of keepers to ask for the others.
+	Seeds func() []string
+	// Heartbeat is the interval at which backend servers register.
+	Heartbeat time.Duration
+	RPC       *rpc.Server
+	Pool      *rpc.Pool
+	Log       hclog.Logger
+
+	identity  *wire.Identity
+	machine   *Machine
+	node      *raft.Node
+	servers   *registry.Table
+	sizer     *escrow.Sizer
+	followers *followers
+	metrics   *metrics
+}
+
+// Prepare opens the folder and the group. Call it before Run; other methods may
+// be called after it.
+func (k *Keeper) Prepare(ctx context.Context) error {
+	if err := k.openIdentity(); err != nil {
+		return err
+	}
+	k.servers = &registry.Table{Heartbeat: k.Heartbeat}
+	k.sizer = &escrow.Sizer{}
+	k.followers = newFollowers()
+	k.machine = NewMachine()
+	k.machine.OnLeaving = func(id string) { k.servers.Leave(id, time.Now()) }
+	t := newTransport(ctx, k.Pool)
+	k.node = &raft.Node{
+		Group: Group, ID: k.Address, Incarnation: k.identity.GetIncarnation(),
+		Dir: filepath.Join(k.Data, "group"), Machine: k.machine, Send: t.send,
+		Founders: k.identity.GetFounders(), Heartbeat: heartbeat, Election: election,
+		SnapshotEvery: snapshotEvery, Log: k.Log.Named("group"),
+	}
+	k.metrics = newMetrics(k)
+	return k.node.Open()
+}
+
+// Run serves until ctx ends, then hands leadership over and stops. The context
+// of Prepare must outlive ctx.
+func (k *Keeper) Run(ctx context.Context) error {
+	for name, receiver := range map[string]any{"Raft": &raftService{k.node}, "Fleet": &service{k}} {
+		if err := k.RPC.Register(name, receiver); err != nil {
+			return err
+		}
+	}
+	if err := k.RPC.Listen(); err != nil {
+		return err
+	}
+	defer k.RPC.Close()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	tasks, work := errgroup.WithContext(work)
+	tasks.Go(k.RPC.Run)
+	tasks.Go(func() error { return k.node.Run(work) })
+	for _, f := range []func(context.Context) error{k.joinLoop, k.membersLoop, k.sweepLoop, k.copyLoop} {
+		tasks.Go(func() error { return f(work) })
+	}
+	k.Log.Info("Serving.", "address", k.Address, "incarnation", k.identity.GetIncarnation(), "founder", k.identity.GetFounders() != nil)
+	select {
+	case <-ctx.Done():
+		k.handOver()
+	case <-work.Done():
+	}
+	stop()
+	k.RPC.Close()
+	return tasks.Wait()
+}
+
+// handOver passes leadership on, so that a planned stop costs no election.
+func (k *Keeper) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for k.node.Leading() && ctx.Err() == nil {
+		if ok, err := k.node.Transfer(ctx); err != nil || !ok {
+			return
+		}
+		const pollEvery = 10 * time.Millisecond
+		loop.Until(ctx, pollEvery, func() bool { return !k.node.Leading() })
+	}
+}
+
+// openIdentity reads the identity or writes a new one to an empty folder. A
+// folder that is empty although the system exists has lost what it held: it gets
+// a new incarnation and joins, and its old self's vote is not used again.
+func (k *Keeper) openIdentity() error {
+	path := filepath.Join(k.Data, identityFile)
+	id := &wire.Identity{}
+	data, err := wal.ReadFile(path)
+	switch {
+	case err == nil:
+		err = proto.Unmarshal(data, id)
+	case trace.IsNotFound(err):
+		k.fillIdentity(id)
+		if data, err = proto.Marshal(id); err == nil {
+			err = wal.WriteFile(path, data)
+		}
+	}
+	if err != nil {
+		return trace.Wrap(err, "identity of the keeper")
+	}
+	if id.GetKeeper() != k.Address {
+		return trace.BadParameter("%s belongs to keeper %q, not to %q", path, id.GetKeeper(), k.Address)
+	}
+	k.identity = id
+	return nil
+}
+
+func (k *Keeper) fillIdentity(id *wire.Identity) {
+	id.Keeper = k.Address
+	if !slices.Contains(k.Founders, k.Address) {
+		id.Incarnation, id.Joined = uuid.NewString(), true
+		return
+	}
+	id.Incarnation = foundingIncarnation
+	id.Founders = &wire.Members{}
+	for _, a := range k.Founders {
+		id.Founders.Members = append(id.Founders.Members, &wire.Member{Id: a, Address: a, Incarnation: foundingIncarnation})
+	}
+}
+
+// Ready reports whether the group has a leader that this keeper knows.
+func (k *Keeper) Ready() bool { return k.node.Status().GetLeader() != "" }
--- /dev/null
+++ b/internal/fleet/machine.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"sync"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/catalog"
+	"sumachead/internal/escrow"
+)
+
+// keepLeaving bounds the lives of leaving servers that are remembered: the
+// restarts of a large fleet within some hours.
+const keepLeaving = 4096
+
+// Machine is the replicated state. It implements sumachead.StateMachine; its
+// other methods may be called beside Apply. Set OnLeaving before the first use.
+type Machine struct {
+	// OnLeaving is told of each life of a server that leaves. It must not call
+	// the machine.
+	OnLeaving func(id string)
+
+	mu          sync.Mutex // guards the fields below
+	declaration *wire.Declaration
+	book        *escrow.Book
+	leaving     []string
+	isLeaving   map[string]bool
+	changed     chan struct{}
+}
+
+// NewMachine returns the state before the first command.
+func NewMachine() *Machine {
+	return &Machine{
+		declaration: &wire.Declaration{}, book: escrow.NewBook(),
+		isLeaving: make(map[string]bool), changed: make(chan struct{}),
+	}
+}
+
+// Apply implements sumachead.StateMachine.
+func (m *Machine) Apply(_ uint64, command []byte) any {
+	c := &wire.FleetCommand{}
+	if err := proto.Unmarshal(command, c); err != nil {
+		// The log is checksummed and written by this package.
+		panic("fleet: a command does not decode: " + err.Error())
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case c.GetDeclare() != nil:
+		return m.declare(c.GetDeclare())
+	case c.GetGrant() != nil:
+		return m.book.Apply(c.GetGrant())
+	case c.GetLeaving() != nil:
+		m.leave(c.GetLeaving().GetId())
+	}
+	return nil
+}
+
+// declare puts a declaration in force if its number is the highest.
+func (m *Machine) declare(d *wire.Declaration) *wire.DeclareReply {
+	if d.GetNumber() > m.declaration.GetNumber() {
+		m.put(d)
+	}
+	return &wire.DeclareReply{Number: m.declaration.GetNumber()}
+}
+
+func (m *Machine) put(d *wire.Declaration) {
+	m.declaration = d
+	m.book.SetTotals(catalog.Totals(d.GetCatalog()))
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Machine) leave(id string) {
+	if m.isLeaving[id] {
+		return
+	}
+	m.isLeaving[id] = true
+	m.leaving = append(m.leaving, id)
+	if len(m.leaving) > keepLeaving {
+		delete(m.isLeaving, m.leaving[0])
+		m.leaving = m.leaving[1:]
+	}
+	if m.OnLeaving != nil {
+		m.OnLeaving(id)
+	}
+}
+
+// Snapshot implements sumachead.StateMachine.
+func (m *Machine) Snapshot() func() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := &wire.FleetSnapshot{
+		Declaration: m.declaration, Accounts: m.book.Snapshot(), Leaving: append([]string(nil), m.leaving...),
+	}
+	return func() ([]byte, error) {
+		data, err := proto.Marshal(s)
+		return data, trace.Wrap(err)
+	}
+}
+
+// Restore implements sumachead.StateMachine.
+func (m *Machine) Restore(data []byte) error {
+	s := &wire.FleetSnapshot{}
+	if err := proto.Unmarshal(data, s); err != nil {
+		return trace.Wrap(err, "decoding a snapshot of the fleet")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.book.Restore(s.GetAccounts())
+	d := s.GetDeclaration()
+	if d == nil {
+		d = &wire.Declaration{}
+	}
+	m.put(d)
+	m.leaving, m.isLeaving = nil, make(map[string]bool)
+	for _, id := range s.GetLeaving() {
+		m.leave(id)
+	}
+	return nil
+}
+
+// Declaration returns the declaration in force, and a channel that is closed
+// when another is. Its number is 0 before the first.
+func (m *Machine) Declaration() (*wire.Declaration, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.declaration, m.changed
+}
+
+// Leaving reports whether a server's life is known to leave.
+func (m *Machine) Leaving(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isLeaving[id]
+}
+
+// Size asks a sizer what to grant on a report, by the book as it stands.
+func (m *Machine) Size(s *escrow.Sizer, r *wire.EscrowReport) ([]int64, []*wire.EscrowAnswer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return s.Size(m.book, r)
+}
+
+// Free returns what a workspace's budget has that is not granted.
+func (m *Machine) Free(w sumachead.WorkspaceID) sumachead.Tokens {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.book.Free(w)
+}
--- /dev/null
+++ b/internal/fleet/metrics.go
@@ -0,0 +1,36 @@
+package fleet
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are a keeper's figures.
+type metrics struct {
+	Registry *prometheus.Registry
+}
+
+func newMetrics(k *Keeper) *metrics {
+	m := &metrics{Registry: prometheus.NewRegistry()}
+	gauge := func(name, help string, f func() float64) {
+		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
+	}
+	gauge("sumachead_keeper_leading", "1 where this keeper leads.", func() float64 {
+		if k.node.Leading() {
+			return 1
+		}
+		return 0
+	})
+	gauge("sumachead_keeper_term", "The group's term.", func() float64 { return float64(k.node.Status().GetTerm()) })
+	gauge("sumachead_keeper_applied", "Index of the last applied entry.", func() float64 { return float64(k.node.Status().GetApplied()) })
+	gauge("sumachead_keeper_members", "Members of the group.", func() float64 { return float64(len(k.node.Status().GetMembers())) })
+	gauge("sumachead_declaration_number", "Number of the declaration in force.", func() float64 {
+		d, _ := k.machine.Declaration()
+		return float64(d.GetNumber())
+	})
+	gauge("sumachead_servers", "Registered backend servers that are not leaving.", func() float64 { return float64(k.servers.Count()) })
+	gauge("sumachead_followers_routers", "Routers that follow this keeper.", func() float64 { return float64(k.followers.count(RoleRouter)) })
+	return m
+}
+
+// Metrics returns the keeper's figures. Call it after Prepare.
+func (k *Keeper) Metrics() *prometheus.Registry { return k.metrics.Registry }
--- /dev/null
+++ b/internal/fleet/service.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/keeperclient"
+)
+
+const (
+	// proposeTimeout bounds a command; callers wait about a second.
+	proposeTimeout = 900 * time.Millisecond
+	// maxFollowWait bounds how long a question of a follower is held.
+	maxFollowWait = time.Second
+)
+
+// service takes the calls of other processes that only the leader can answer.
+type service struct{ keeper *Keeper }
+
+// Join takes a keeper into the group.
+func (s *service) Join(r *wire.JoinRequest, _ *wire.Empty) error {
+	if r.GetMember().GetId() == "" || r.GetMember().GetIncarnation() == "" {
+		return trace.BadParameter("a member without id or incarnation")
+	}
+	if err := s.keeper.leading(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	_, err := s.keeper.node.ChangeMembers(ctx, func(ms *wire.Members) *wire.Members { return join(ms, r.GetMember()) })
+	return err
+}
+
+// Declare commits a declaration.
+func (s *service) Declare(d *wire.Declaration, reply *wire.DeclareReply) error {
+	result, err := s.keeper.propose(&wire.FleetCommand{Command: &wire.FleetCommand_Declare{Declare: d}})
+	if err != nil {
+		return err
+	}
+	proto.Merge(reply, result.(*wire.DeclareReply))
+	return nil
+}
+
+// Read returns the declaration in force; the answer is linearizable.
+func (s *service) Read(_ *wire.Empty, reply *wire.Declaration) error {
+	if err := s.keeper.leading(); err != nil {
+		return err
+	}
+	d, _ := s.keeper.machine.Declaration()
+	proto.Merge(reply, d)
+	return nil
+}
+
+// Beat takes in a backend server's heartbeat. That a server leaves is committed
+// before it is acknowledged.
+func (s *service) Beat(r *wire.ServerRecord, _ *wire.Empty) error {
+	k := s.keeper
+	if err := k.leading(); err != nil {
+		return err
+	}
+	if r.GetState() == wire.ServerState_SERVER_STATE_LEAVING && !k.machine.Leaving(r.GetId()) {
+		c := &wire.FleetCommand{Command: &wire.FleetCommand_Leaving{Leaving: &wire.ServerLeaving{Id: r.GetId()}}}
+		if _, err := k.propose(c); err != nil {
+			return err
+		}
+		k.Log.Info("A backend server leaves.", "server", r.GetId(), "sequence", r.GetSequence())
+	}
+	if r.GetAddress() == "" {
+		return nil // a bare notice of leaving
+	}
+	if k.servers.Beat(r, time.Now()) {
+		k.Log.Info("A backend server's record has changed.", "server", r.GetId(), "service", r.GetService(),
+			"address", r.GetAddress(), "state", r.GetState().String(), "sequence", r.GetSequence())
+	}
+	return nil
+}
+
+// Report takes in what a holder of escrow spent, and grants what it should have.
+func (s *service) Report(r *wire.EscrowReport, reply *wire.EscrowReply) error {
+	k := s.keeper
+	if err := k.leading(); err != nil {
+		return err
+	}
+	k.sizer.Note(r, time.Now())
+	grants, advice := k.machine.Size(k.sizer, r)
+	c := &wire.FleetCommand{Command: &wire.FleetCommand_Grant{Grant: &wire.EscrowGrant{Report: r, Grants: grants}}}
+	result, err := k.propose(c)
+	if err != nil {
+		return err
+	}
+	proto.Merge(reply, result.(*wire.EscrowReply))
+	for i, a := range reply.GetAnswers() {
+		a.Keep, a.Exhausted = advice[i].GetKeep(), advice[i].GetExhausted()
+	}
+	if reply.GetClosed() {
+		k.Log.Info("A holder of escrow is closed.", "node", r.GetNode(), "boot", r.GetBoot(), "asked", r.GetClosing())
+	}
+	return nil
+}
+
+// Follow tells a node what it lacks; it is held until there is something.
+func (s *service) Follow(r *wire.FollowRequest, reply *wire.FollowReply) error {
+	k := s.keeper
+	if err := k.leading(); err != nil {
+		return err
+	}
+	k.followers.saw(r, time.Now())
+	s.hold(r)
+	if err := k.leading(); err != nil {
+		return err
+	}
+	k.servers.Lead(k.history(), time.Now())
+	answer, _ := k.servers.Since(r.GetHistory(), r.GetVersion())
+	proto.Merge(reply, answer)
+	if d, _ := k.machine.Declaration(); d.GetNumber() > r.GetNumber() {
+		reply.Declaration = d
+	}
+	reply.Keepers = k.node.Status().GetMembers()
+	reply.Leader = k.Address
+	reply.Routers = uint32(k.followers.count(RoleRouter))
+	if r.GetRole() == RoleRouter {
+		reply.Relays = k.followers.relaysFor(r.GetNode())
+	}
+	return nil
+}
+
+// hold waits while there is nothing new for the node, as long as it allows.
+func (s *service) hold(r *wire.FollowRequest) {
+	k := s.keeper
+	d, declared := k.machine.Declaration()
+	news, servers := k.servers.Since(r.GetHistory(), r.GetVersion())
+	wait := min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxFollowWait)
+	if d.GetNumber() > r.GetNumber() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
+		return
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-declared:
+	case <-servers:
+	case <-t.C:
+	}
+}
+
+// history names this leader's numbering of server records.
+func (k *Keeper) history() string {
+	return fmt.Sprintf("%s/%s/%d", k.Address, k.identity.GetIncarnation(), k.node.Status().GetTerm())
+}
+
+// leading returns nil where this keeper leads and its state is current, and
+// otherwise the error to answer a caller with.
+func (k *Keeper) leading() error {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	return keeperclient.EncodeError(k.node.ReadBarrier(ctx))
+}
+
+// propose commits a command and returns what the machine answered.
+func (k *Keeper) propose(c *wire.FleetCommand) (any, error) {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	result, err := k.node.Propose(ctx, data)
+	return result, keeperclient.EncodeError(err)
+}
+
+// leader returns the leader's address, waiting for one to be known.
+func (k *Keeper) leader(ctx context.Context) (string, error) {
+	const pollEvery = 20 * time.Millisecond
+	for {
+		if l := k.node.Status().GetLeader(); l != "" {
+			return l, nil
+		}
+		select {
+		case <-time.After(pollEvery):
+		case <-ctx.Done():
+			return "", sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonLedgerUnreached, "no keeper leads", time.Now())
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleetclient/client.go
@@ -0,0 +1,287 @@
+// Package fleetclient connects a node without a disk to the keepers of a fleet.
+//
+// A [Client] finds the leading keeper from a few seeds, directly or, where this
+// node is cut off from the keepers, through relays; follows the declaration in
+// force and the server records; and carries calls to the leader the same way.
+package fleetclient
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/catalog"
+	"sumachead/internal/keeperclient"
+	"sumachead/internal/registry"
+	"sumachead/internal/rpc"
+)
+
+const (
+	// holdFor is how long the leader may hold a question when nothing is new.
+	// It bounds how late a dead leader or a cut is noticed.
+	holdFor = 600 * time.Millisecond
+	// answerWithin bounds an answer beyond its hold.
+	answerWithin = 600 * time.Millisecond
+	// searchTimeout bounds the question to all keepers at once.
+	searchTimeout = 700 * time.Millisecond
+	// relayDelay is the head start that direct ways have in a search.
+	relayDelay = 60 * time.Millisecond
+	// searchPause separates searches in which nobody led.
+	searchPause = 150 * time.Millisecond
+	// directAgain is how often a node that goes through a relay tries the direct
+	// way.
+	directAgain = 2 * time.Second
+)
+
+// Way is how the leading keeper is reached.
+type Way struct {
+	// Relay is empty for a direct connection.
+	Relay   string
+	Address string
+}
+
+// Client follows the leading keeper. Set the exported fields before Run.
+type Client struct {
+	Node sumachead.NodeID
+	Role string
+	Hall sumachead.HallID
+	// RelayAddress is where this node relays connections; empty for none.
+	RelayAddress string
+	// Seeds returns addresses of some keepers.
+	Seeds   func() []string
+	Pool    *rpc.Pool
+	Servers *registry.Table
+	Log     hclog.Logger
+
+	view    atomic.Pointer[catalog.View]
+	routers atomic.Uint32
+
+	mu sync.Mutex // guards the fields below
+	// way is the last way that worked; empty when lost.
+	way     Way
+	keepers []string
+	relays  []string
+	heardAt time.Time
+	// directAt is when the direct way is to be tried again.
+	directAt time.Time
+}
+
+// View returns the declaration in force; nil before the first.
+func (c *Client) View() *catalog.View { return c.view.Load() }
+
+// Routers returns how many routers there are, at least 1.
+func (c *Client) Routers() int { return max(int(c.routers.Load()), 1) }
+
+// Way returns the way to the leader; ok is false while there is none.
+func (c *Client) Way() (w Way, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.way, c.way.Address != ""
+}
+
+// HeardAt returns when the leader last answered.
+func (c *Client) HeardAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heardAt
+}
+
+// Keepers lists the addresses of the keepers that are known.
+func (c *Client) Keepers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := slices.Clone(c.keepers)
+	all = append(all, c.Seeds()...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// Run follows until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		w, ok := c.Way()
+		if ok && c.follow(ctx, w) {
+			c.tryDirect(ctx, w)
+			continue
+		}
+		if c.search(ctx) {
+			continue
+		}
+		select {
+		case <-time.After(searchPause):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// request is the question that tells what this node has.
+func (c *Client) request(wait time.Duration) *wire.FollowRequest {
+	history, version := c.Servers.Position()
+	r := &wire.FollowRequest{
+		Node: string(c.Node), Role: c.Role, Hall: string(c.Hall), RelayAddress: c.RelayAddress,
+		History: history, Version: version, WaitMillis: wait.Milliseconds(),
+	}
+	if v := c.View(); v != nil {
+		r.Number = v.Number
+	}
+	return r
+}
+
+// follow asks the leader once; false means that the way is lost.
+func (c *Client) follow(ctx context.Context, w Way) bool {
+	callCtx, cancel := context.WithTimeout(ctx, holdFor+answerWithin)
+	defer cancel()
+	reply, err := rpc.Call[wire.FollowReply](callCtx, c.Pool.GetThrough(w.Relay, w.Address), "Fleet.Follow", c.request(holdFor))
+	if err == nil {
+		c.take(reply, w)
+		return true
+	}
+	if ctx.Err() != nil {
+		return false
+	}
+	if leader := keeperclient.Leader(err); leader != "" && leader != w.Address {
+		c.setWay(Way{w.Relay, leader})
+		return true
+	}
+	c.Log.Info("The way to the leading keeper is lost.", "address", w.Address, "relay", w.Relay, "error", err)
+	c.setWay(Way{})
+	return false
+}
+
+func (c *Client) setWay(w Way) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.way = w
+}
+
+// take puts an answer in force. What is known never goes back: a declaration
+// with a lower number is passed over.
+func (c *Client) take(r *wire.FollowReply, w Way) {
+	c.Servers.Take(r, time.Now())
+	c.routers.Store(r.GetRouters())
+	if d := r.GetDeclaration(); d != nil {
+		c.adopt(d)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.way != w {
+		c.Log.Info("The leading keeper is found.", "address", w.Address, "relay", w.Relay)
+	}
+	c.way, c.heardAt = w, time.Now()
+	c.keepers = c.keepers[:0]
+	for _, m := range r.GetKeepers() {
+		c.keepers = append(c.keepers, m.GetAddress())
+	}
+	if len(r.GetRelays()) > 0 {
+		c.relays = r.GetRelays()
+	}
+}
+
+func (c *Client) adopt(d *wire.Declaration) {
+	if v := c.View(); v != nil && v.Number >= d.GetNumber() {
+		return
+	}
+	c.view.Store(catalog.NewView(d))
+	c.Log.Info("A declaration is in force.", "number", d.GetNumber(), "routes", len(d.GetCatalog().GetRoutes()))
+}
+
+// ways lists all ways to all keepers, direct ones first.
+func (c *Client) ways() []Way {
+	keepers := c.Keepers()
+	var ws []Way
+	for _, k := range keepers {
+		ws = append(ws, Way{"", k})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.relays {
+		for _, k := range keepers {
+			ws = append(ws, Way{r, k})
+		}
+	}
+	return ws
+}
+
+// found is a search's first answer from a leader.
+type found struct {
+	reply *wire.FollowReply
+	way   Way
+}
+
+// search asks all keepers at once, over all ways, and takes the first answer of
+// a leader; false means that nobody led.
+func (c *Client) search(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	defer cancel()
+	ws := c.ways()
+	answers := make(chan *found, len(ws))
+	request := c.request(0)
+	for _, w := range ws {
+		go func() { answers <- c.askOne(ctx, w, request) }()
+	}
+	for range ws {
+		f := <-answers
+		if f != nil {
+			c.take(f.reply, f.way)
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Client) askOne(ctx context.Context, w Way, request *wire.FollowRequest) *found {
+	if w.Relay != "" {
+		select {
+		case <-time.After(relayDelay):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	reply, err := rpc.Call[wire.FollowReply](ctx, c.Pool.GetThrough(w.Relay, w.Address), "Fleet.Follow", request)
+	if err != nil {
+		return nil
+	}
+	return &found{reply, w}
+}
+
+// tryDirect goes back from a relay to the direct way once that works.
+func (c *Client) tryDirect(ctx context.Context, w Way) {
+	if w.Relay == "" {
+		return
+	}
+	c.mu.Lock()
+	due := time.Now().After(c.directAt)
+	if due {
+		c.directAt = time.Now().Add(directAgain)
+	}
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+		defer cancel()
+		if f := c.askOne(ctx, Way{"", w.Address}, c.request(0)); f != nil {
+			c.take(f.reply, f.way)
+		}
+	}()
+}
+
+// Call runs a method at the leader, once. An error leaves open whether it was
+// carried out.
+func Call[R any](ctx context.Context, c *Client, method string, args proto.Message) (*R, error) {
+	w, ok := c.Way()
+	if !ok {
+		return nil, trace.ConnectionProblem(nil, "no way to the leading keeper is known")
+	}
+	return rpc.Call[R](ctx, c.Pool.GetThrough(w.Relay, w.Address), method, args)
+}
--- /dev/null
+++ b/internal/fleetclient/escrow.go
@@ -0,0 +1,115 @@
+package fleetclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/escrow"
+)
+
+const (
+	// reportEvery is how often a holder tells what it has spent.
+	reportEvery = 700 * time.Millisecond
+	// reportGap is the least time between reports that requests wait for.
+	reportGap = 15 * time.Millisecond
+	// reportTimeout bounds a report.
+	reportTimeout = 700 * time.Millisecond
+	// closingTimeout bounds the last report of a holder that stops.
+	closingTimeout = 1500 * time.Millisecond
+	// watchMost is how many workspaces are asked for before their first request;
+	// with more, the others wait for it.
+	watchMost = 256
+)
+
+// Reporter takes a wallet's reports to the ledger and its grants back. Set the
+// exported fields before Run.
+type Reporter struct {
+	Client *Client
+	Wallet *escrow.Wallet
+	Log    hclog.Logger
+
+	boot sumachead.BootID
+	kick chan struct{}
+}
+
+// Prepare opens the wallet. Call it before Run.
+func (r *Reporter) Prepare() {
+	r.boot = sumachead.BootID(uuid.NewString())
+	r.kick = make(chan struct{}, 1)
+	r.Wallet.Kick = r.Kick
+	r.Wallet.Open(r.boot)
+}
+
+// Kick asks for a report soon; it does not block.
+func (r *Reporter) Kick() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run reports until ctx ends.
+func (r *Reporter) Run(ctx context.Context) error {
+	t := time.NewTicker(reportEvery)
+	defer t.Stop()
+	var watched uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		case <-r.kick:
+			time.Sleep(reportGap)
+		}
+		if v := r.Client.View(); v != nil && v.Number != watched {
+			watched = v.Number
+			ids := v.Workspaces()
+			r.Wallet.Watch(ids[:min(len(ids), watchMost)])
+		}
+		r.report(ctx)
+	}
+}
+
+// report sends what is new.
+func (r *Reporter) report(ctx context.Context) {
+	report := r.Wallet.Report(time.Now(), false)
+	if report == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	reply, err := Call[wire.EscrowReply](ctx, r.Client, "Fleet.Report", report)
+	if err != nil {
+		r.Wallet.Unsent(report)
+		r.Log.Debug("A report of escrow was not taken.", "positions", len(report.GetPositions()), "error", err)
+		return
+	}
+	next := sumachead.BootID(uuid.NewString())
+	if r.Wallet.Take(reply, r.boot, next, time.Now()) {
+		r.Log.Warn("The ledger had closed this holder; it starts anew.", "boot", r.boot, "next", next)
+		r.boot = next
+	}
+}
+
+// Close returns what has not been spent. Call it after Run has ended and no
+// request is under way.
+func (r *Reporter) Close() {
+	const pause = 50 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), closingTimeout)
+	defer cancel()
+	report := r.Wallet.Report(time.Now(), true)
+	for ctx.Err() == nil {
+		_, err := Call[wire.EscrowReply](ctx, r.Client, "Fleet.Report", report)
+		if err == nil {
+			r.Log.Info("Escrow is returned.", "positions", len(report.GetPositions()))
+			return
+		}
+		time.Sleep(pause)
+	}
+	r.Log.Warn("Escrow was not returned; the ledger counts it as spent.", "positions", len(report.GetPositions()))
+}
--- /dev/null
+++ b/internal/gateway/dispatch.go
@@ -0,0 +1,178 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/catalog"
+	"sumachead/internal/upstream"
+)
+
+// connPart is the part, in percent, of a server's connections that all routers
+// together use; the rest is for health checks and routers that come new.
+const connPart = 80
+
+// dispatch is one request's way from its first attempt to its answer.
+type dispatch struct {
+	*Gateway
+	x     *exchange
+	ctx   context.Context
+	tried []sumachead.ServerID
+	// mayHaveRun: an attempt before this one may have run.
+	mayHaveRun bool
+	// last is why the last attempt failed.
+	last *upstream.Failure
+	// stream is the state of an answer of events; nil for a plain answer.
+	stream *eventStream
+}
+
+// dispatch runs a request and brings its answer. It is the end of the chain.
+func (g *Gateway) dispatch(x *exchange) error {
+	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
+	defer cancel()
+	x.service = x.view.Service(catalog.Pick(x.route))
+	d := &dispatch{Gateway: g, x: x, ctx: ctx}
+	if x.route.GetKind() == wire.RouteKind_ROUTE_KIND_STREAM {
+		d.stream = newEventStream(x)
+	}
+	g.retries.note(time.Now(), g.client.Routers())
+	for {
+		err := d.attempt()
+		if err == nil {
+			return nil
+		}
+		var f *upstream.Failure
+		if !errors.As(err, &f) {
+			return err
+		}
+		d.last = f
+		if f.Verdict != sumachead.NotRun {
+			d.mayHaveRun = true
+		}
+		if stop := d.mayRetry(); stop != nil {
+			return stop
+		}
+		g.metrics.retries.WithLabelValues(string(f.Reason)).Inc()
+		g.Log.Info("A request is sent again.", "request", x.request.ID, "reason", f.Reason, "verdict", f.Verdict,
+			"cause", f.Err, "attempts", x.attempts, "events", x.events, "after", time.Since(x.arrived))
+	}
+}
+
+// mayRetry returns nil if the request may be sent to another server, and
+// otherwise how it ends.
+func (d *dispatch) mayRetry() error {
+	switch {
+	case d.ctx.Err() != nil:
+		return d.ended()
+	case d.mayHaveRun && !d.x.repeatable():
+		return d.giveUp(d.last.Reason, "the backend server did not answer, and the request may not be repeated")
+	case d.x.attempts >= int(max(d.x.route.GetMaxAttempts(), 1)):
+		return d.giveUp(d.last.Reason, "no attempt is left: "+d.last.Err.Error())
+	case d.x.attempts > 0 && !d.retries.take(time.Now(), d.client.Routers()):
+		return d.giveUp(sumachead.ReasonRetryBudget, "too much is sent again already")
+	}
+	return nil
+}
+
+// giveUp is the end of a request that is not tried again.
+func (d *dispatch) giveUp(reason sumachead.Reason, detail string) error {
+	if !d.mayHaveRun {
+		return refuse(reason, detail, comeBackSoon)
+	}
+	if reason == sumachead.ReasonRetryBudget {
+		reason = d.last.Reason
+	}
+	return sumachead.Refuse(sumachead.MayHaveRun, reason, detail, time.Time{})
+}
+
+// ended is the end of a request whose time is up or whose caller has gone.
+func (d *dispatch) ended() error {
+	if d.x.ctx.Err() != nil {
+		return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonInterrupted, "the caller has gone", time.Time{})
+	}
+	if !d.mayHaveRun && d.x.attempts == 0 {
+		return refuse(sumachead.ReasonNoServer, "the time is up, and the request was not sent", comeBackSoon)
+	}
+	return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonDeadlinePassed, "the time is up", time.Time{})
+}
+
+// attempt sends the request to one server and relays what it answers. A
+// [*upstream.Failure] says that another attempt may be made.
+func (d *dispatch) attempt() error {
+	servers := d.servers.Servers(d.x.service.GetName())
+	l := d.placer.place(servers, d.tried, d.x)
+	if l == nil {
+		if d.last != nil {
+			return d.giveUp(d.last.Reason, "no backend server is left: "+d.last.Err.Error())
+		}
+		return refuse(sumachead.ReasonNoServer, "no backend server is known", comeBackSoon)
+	}
+	id := sumachead.ServerID(l.record.GetId())
+	d.tried = append(d.tried, id)
+	a, err := d.send(l, id)
+	if err != nil {
+		return d.failed(l, err)
+	}
+	defer a.Close()
+	err = d.relay(l, a)
+	if err == nil {
+		l.done(true)
+		return nil
+	}
+	return d.failed(l, err)
+}
+
+// send makes the attempt and waits for the head of its answer.
+func (d *dispatch) send(l *placement, id sumachead.ServerID) (*upstream.Answer, error) {
+	x := d.x
+	t := &sumachead.Attempt{Server: id, Workspace: x.workspace(), Deadline: x.deadline, Urgency: x.urgency()}
+	if d.stream != nil {
+		t.LastEvent = d.stream.lastID
+	}
+	most := max(int(x.service.GetMaxConns())*connPart/100/d.client.Routers(), 1)
+	x.attempts++
+	a, err := d.upstream.Send(d.ctx, upstream.Server{ID: id, Address: l.record.GetAddress()}, most, x.request, t)
+	var f *upstream.Failure
+	if errors.As(err, &f) && f.Verdict == sumachead.NotRun {
+		x.attempts-- // it reached nobody
+	}
+	return a, err
+}
+
+// failed ends a placement by what the failure says of the server.
+func (d *dispatch) failed(l *placement, err error) error {
+	var f *upstream.Failure
+	if !errors.As(err, &f) || d.ctx.Err() != nil || f.Reason == sumachead.ReasonBusy {
+		l.cancel()
+		return err
+	}
+	l.done(false)
+	return err
+}
+
+// relay brings a server's answer to the caller.
+func (d *dispatch) relay(l *placement, a *upstream.Answer) error {
+	switch {
+	case a.Head.NotRun || a.Head.Stale:
+		reason := sumachead.ReasonBusy
+		if a.Head.Stale {
+			reason = sumachead.ReasonFenced
+		}
+		drain(a)
+		return &upstream.Failure{Verdict: sumachead.NotRun, Reason: reason, Err: errors.New("the backend server did not run the request")}
+	case a.Head.Failed && d.x.repeatable() && d.stream.fresh() && d.mayTryElsewhere():
+		drain(a)
+		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonServerFailed, Err: errors.New("the backend server failed")}
+	case d.stream != nil && !a.Head.Failed:
+		return d.relayEvents(l, a)
+	}
+	return d.relayWhole(a)
+}
+
+// mayTryElsewhere reports whether there is another server and an attempt left.
+func (d *dispatch) mayTryElsewhere() bool {
+	return d.x.attempts < int(d.x.route.GetMaxAttempts()) && len(d.servers.Servers(d.x.service.GetName())) > len(d.tried)
+}
--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/catalog"
+	"sumachead/internal/escrow"
+)
+
+// exchange is one request on its way through the filters. Each filter fills in
+// its part.
+type exchange struct {
+	ctx      context.Context
+	request  *sumachead.CallerRequest
+	answer   sumachead.CallerAnswer
+	arrived  time.Time
+	view     *catalog.View
+	route    *wire.Route
+	access   *wire.WorkspaceAccess
+	service  *wire.Service
+	deadline time.Time
+	money    *escrow.Reservation
+
+	// started: the head of the answer has been sent to the caller.
+	started bool
+	// attempts counts the servers that the request was sent to.
+	attempts int
+	// events counts the events handed out to the caller.
+	events int64
+}
+
+// handler deals with an exchange; a filter wraps one handler in another.
+type handler func(*exchange) error
+
+type filter func(next handler) handler
+
+// chain wraps h in filters; the first is the outermost.
+func chain(h handler, filters ...filter) handler {
+	for i := len(filters) - 1; i >= 0; i-- {
+		h = filters[i](h)
+	}
+	return h
+}
+
+// Serve answers one request. The error is a [*sumachead.Refusal] when there is no
+// whole answer; started then says whether a part of one has been sent, after
+// which the caller's connection must be broken off.
+func (g *Gateway) Serve(ctx context.Context, r *sumachead.CallerRequest, a sumachead.CallerAnswer) (started bool, err error) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	x := &exchange{ctx: ctx, request: r, answer: a, arrived: time.Now()}
+	err = chain(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.escrowFilter)(x)
+	if err != nil {
+		f := sumachead.AsRefusal(err)
+		g.noteRefusal(x, f)
+		return x.started, f
+	}
+	g.metrics.noteServed(x)
+	return x.started, nil
+}
+
+// refuse is a refusal of a request that has not run, after which coming back
+// soon may help.
+func refuse(reason sumachead.Reason, detail string, after time.Duration) error {
+	return sumachead.Refuse(sumachead.NotRun, reason, detail, time.Now().Add(after))
+}
+
+// refuseFinally is a refusal after which coming back does not help.
+func refuseFinally(reason sumachead.Reason, detail string) error {
+	return sumachead.Refuse(sumachead.NotRun, reason, detail, time.Time{})
+}
+
+// objective returns the time within which the first byte is in time.
+func (x *exchange) objective() time.Duration {
+	return time.Duration(x.route.GetObjectiveMillis()) * time.Millisecond
+}
+
+// repeatable reports whether the request may run more than once.
+func (x *exchange) repeatable() bool {
+	switch x.route.GetKind() {
+	case wire.RouteKind_ROUTE_KIND_REPEATABLE:
+		return true
+	case wire.RouteKind_ROUTE_KIND_STREAM:
+		return x.route.GetResumable()
+	}
+	return false
+}
+
+// workspace returns the workspace's name; empty on a public route.
+func (x *exchange) workspace() sumachead.WorkspaceID {
+	return sumachead.WorkspaceID(x.access.GetName())
+}
+
+// urgency returns the rank of the request, 0 for the most urgent.
+func (x *exchange) urgency() uint32 {
+	if x.access != nil && x.access.Priority != nil {
+		return x.access.GetPriority()
+	}
+	return x.route.GetPriority()
+}
+
+// noteRefusal counts and logs a request that ended without its whole answer.
+func (g *Gateway) noteRefusal(x *exchange, f *sumachead.Refusal) {
+	g.metrics.refusals.WithLabelValues(string(f.Reason)).Inc()
+	route := ""
+	if x.route != nil {
+		route = x.route.GetName()
+	}
+	var number uint64
+	if x.view != nil {
+		number = x.view.Number
+	}
+	g.Log.Info("A request has no whole answer.", "request", x.request.ID, "reason", f.Reason, "verdict", f.Verdict,
+		"detail", f.Detail, "route", route, "workspace", x.workspace(), "declaration", number,
+		"attempts", x.attempts, "started", x.started, "events", x.events, "after", time.Since(x.arrived))
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"sumachead"
+	"sumachead/internal/escrow"
+	"sumachead/internal/fleet"
+	"sumachead/internal/fleetclient"
+	"sumachead/internal/loop"
+	"sumachead/internal/registry"
+	"sumachead/internal/rpc"
+	"sumachead/internal/upstream"
+)
+
+// tidyEvery is how often connections that rest are looked at.
+const tidyEvery = 2 * time.Second
+
+// Gateway is the router of a declared fleet. Set the exported fields before
+// Prepare.
+type Gateway struct {
+	Node sumachead.NodeID
+	Hall sumachead.HallID
+	// Seeds returns addresses of some keepers.
+	Seeds func() []string
+	// Heartbeat is the interval at which backend servers register.
+	Heartbeat time.Duration
+	// RetryRatio, RetryExtra and RetryWindow bound what all routers together
+	// send again: so much of the requests, and so many more, in any window.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+	Dialect     sumachead.Dialect
+	Pool        *rpc.Pool
+	Log         hclog.Logger
+
+	client   *fleetclient.Client
+	wallet   *escrow.Wallet
+	reporter *fleetclient.Reporter
+	servers  *registry.Table
+	upstream *upstream.Pool
+	placer   *placer
+	retries  *retryAllowance
+	metrics  *Metrics
+	open     atomic.Int64
+	stopping atomic.Bool
+}
+
+// Prepare makes what Run and Serve need.
+func (g *Gateway) Prepare() {
+	g.servers = &registry.Table{Heartbeat: g.Heartbeat}
+	g.metrics = newMetrics(g)
+	g.client = &fleetclient.Client{
+		Node: g.Node, Role: fleet.RoleRouter, Hall: g.Hall, Seeds: g.Seeds, Pool: g.Pool,
+		Servers: g.servers, Log: g.Log.Named("follow"),
+	}
+	g.wallet = &escrow.Wallet{Node: g.Node}
+	g.reporter = &fleetclient.Reporter{Client: g.client, Wallet: g.wallet, Log: g.Log.Named("escrow")}
+	g.reporter.Prepare()
+	g.upstream = &upstream.Pool{Dialect: g.Dialect, OnDial: g.metrics.dials.Inc}
+	g.placer = newPlacer(g.Hall)
+	g.retries = &retryAllowance{ratio: g.RetryRatio, extra: g.RetryExtra, window: g.RetryWindow}
+}
+
+// Run follows the keepers and keeps escrow at hand until ctx ends. Requests are
+// to be served only before; what is not spent is returned then.
+func (g *Gateway) Run(ctx context.Context) error {
+	tasks, work := errgroup.WithContext(ctx)
+	tasks.Go(func() error { return g.reporter.Run(work) })
+	tasks.Go(func() error {
+		return loop.Every(work, tidyEvery, func() {
+			g.upstream.Tidy(time.Now())
+			g.placer.tidy(time.Now())
+		})
+	})
+	follow, stop := context.WithCancel(context.Background())
+	defer stop()
+	followed := make(chan error, 1)
+	go func() { followed <- g.client.Run(follow) }()
+	err := tasks.Wait()
+	g.reporter.Close()
+	g.upstream.Close()
+	stop()
+	return errors.Join(err, <-followed)
+}
+
+// Stop makes the gateway not ready. Requests that still come are served.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Stopping reports whether Stop was called.
+func (g *Gateway) Stopping() bool { return g.stopping.Load() }
+
+// Ready reports whether callers should be sent here.
+func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.client.View() != nil }
+
+// Open returns how many requests are under way.
+func (g *Gateway) Open() int { return int(g.open.Load()) }
+
+// Metrics returns the gateway's figures.
+func (g *Gateway) Metrics() *Metrics { return g.metrics }
--- /dev/null
+++ b/internal/gateway/placer.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+const (
+	// hallPenalty is what sending a prompt to another data hall weighs, in tokens
+	// of prefill: a queue shorter than this does not drive a request out.
+	hallPenalty = 6000
+	// runPenalty is what each request that runs beside weighs, in tokens of
+	// prefill: it slows the tokens of all.
+	runPenalty = 150
+	// partsKept bounds the parts remembered for each server.
+	partsKept = 4096
+	// suspectFirst and suspectMost bound for how long a server that failed is
+	// passed over; the time doubles with each failure in a row.
+	suspectFirst = 500 * time.Millisecond
+	suspectMost  = 8 * time.Second
+	// forgetState is how long the state of a server that is not used is kept.
+	forgetState = 2 * time.Minute
+	// fullPart is the part, in percent, of a plain service's slots that one
+	// router fills before it goes to another data hall.
+	fullPart = 50
+)
+
+// serverState is what this router knows of one life of a server by its own
+// evidence.
+type serverState struct {
+	id sumachead.ServerID
+	// running counts this router's requests there.
+	running int
+	// prefill is the sum of tokens of its requests that have no first event yet.
+	prefill sumachead.Tokens
+	// parts are the prompt parts that requests have brought there.
+	parts map[string]time.Time
+	// failures in a row, and until when the server is passed over.
+	failures  int
+	suspectTo time.Time
+	usedAt    time.Time
+}
+
+// placer chooses backend servers. It is safe for concurrent use.
+type placer struct {
+	hall sumachead.HallID
+
+	mu     sync.Mutex // guards states and what they hold
+	states map[sumachead.ServerID]*serverState
+}
+
+func newPlacer(h sumachead.HallID) *placer {
+	return &placer{hall: h, states: make(map[sumachead.ServerID]*serverState)}
+}
+
+func (p *placer) state(id sumachead.ServerID) *serverState {
+	s := p.states[id]
+	if s == nil {
+		s = &serverState{id: id, parts: make(map[string]time.Time)}
+		p.states[id] = s
+	}
+	return s
+}
+
+// placement is one attempt's place; end it with done.
+type placement struct {
+	placer *placer
+	record *wire.ServerRecord
+	state  *serverState
+	// waiting is the prefill that counts until the first event.
+	waiting sumachead.Tokens
+}
+
+// place chooses among servers, passing over those that were tried; nil when none
+// is left.
+func (p *placer) place(servers []*wire.ServerRecord, tried []sumachead.ServerID, x *exchange) *placement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var best *wire.ServerRecord
+	var bestScore score
+	for _, s := range servers {
+		id := sumachead.ServerID(s.GetId())
+		if slices.Contains(tried, id) {
+			continue
+		}
+		c := p.score(s, p.state(id), x, now)
+		if best == nil || c.less(bestScore) {
+			best, bestScore = s, c
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return p.begin(best, x, now)
+}
+
+// score orders servers; the least is chosen.
+type score struct {
+	// doubt is 0 for a server that is trusted.
+	doubt int
+	cost  sumachead.Tokens
+	rank  uint64
+}
+
+func (a score) less(b score) bool {
+	if a.doubt != b.doubt {
+		return a.doubt < b.doubt
+	}
+	if a.cost != b.cost {
+		return a.cost < b.cost
+	}
+	return a.rank < b.rank
+}
+
+// score weighs one server for a request. The caller holds mu.
+func (p *placer) score(s *wire.ServerRecord, st *serverState, x *exchange, now time.Time) score {
+	c := score{rank: affinity(x.request.Parts, s.GetId())}
+	if now.Before(st.suspectTo) {
+		c.doubt = 1
+	}
+	if s.GetState() == wire.ServerState_SERVER_STATE_SILENT {
+		c.doubt = 2
+	}
+	away := s.GetHall() != string(p.hall)
+	if x.service.GetEngine() == nil {
+		c.cost = plainCost(s, st, away)
+		return c
+	}
+	c.cost = st.prefill + x.request.PromptTokens - st.cached(x.request.Parts) + runPenalty*sumachead.Tokens(st.running)
+	if away {
+		c.cost += hallPenalty
+	}
+	return c
+}
+
+// plainCost weighs a server of a plain service: the own hall first while it has
+// free slots.
+func plainCost(s *wire.ServerRecord, st *serverState, away bool) sumachead.Tokens {
+	slots := max(int(s.GetSlots()), 1)
+	load := sumachead.Tokens(st.running * 100 / slots)
+	if away {
+		load += fullPart
+	}
+	return load
+}
+
+// affinity ranks a server for a prompt: all routers rank alike, so that requests
+// with the same shared parts meet. The last part is the request's own.
+func affinity(parts []sumachead.PromptPart, server string) uint64 {
+	key := ""
+	if len(parts) > 0 {
+		key = parts[max(len(parts)-2, 0)].ID
+	}
+	return xxhash.Sum64String(key + "\x00" + server)
+}
+
+// cached returns how many tokens of the prompt the server should still have.
+func (s *serverState) cached(parts []sumachead.PromptPart) sumachead.Tokens {
+	var sum sumachead.Tokens
+	for _, p := range parts {
+		if _, ok := s.parts[p.ID]; !ok {
+			break
+		}
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// begin counts an attempt at a server. The caller holds mu.
+func (p *placer) begin(r *wire.ServerRecord, x *exchange, now time.Time) *placement {
+	s := p.state(sumachead.ServerID(r.GetId()))
+	l := &placement{placer: p, record: r, state: s, waiting: x.request.PromptTokens - s.cached(x.request.Parts)}
+	s.running++
+	s.prefill += l.waiting
+	s.usedAt = now
+	for _, part := range x.request.Parts {
+		s.parts[part.ID] = now
+	}
+	s.trim()
+	return l
+}
+
+// trim forgets the parts used longest ago when there are too many.
+func (s *serverState) trim() {
+	if len(s.parts) <= partsKept {
+		return
+	}
+	ids := make([]string, 0, len(s.parts))
+	for id := range s.parts {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(s.parts[a].UnixNano(), s.parts[b].UnixNano()) })
+	for _, id := range ids[:len(ids)/2] {
+		delete(s.parts, id)
+	}
+}
+
+// first notes that the answer has begun.
+func (l *placement) first() {
+	l.placer.mu.Lock()
+	defer l.placer.mu.Unlock()
+	l.state.prefill -= l.waiting
+	l.waiting = 0
+}
+
+// done ends an attempt; healthy says that the server did its work.
+func (l *placement) done(healthy bool) {
+	l.placer.mu.Lock()
+	defer l.placer.mu.Unlock()
+	s := l.state
+	s.prefill -= l.waiting
+	l.waiting = 0
+	s.running--
+	if healthy {
+		s.failures, s.suspectTo = 0, time.Time{}
+		return
+	}
+	rest := min(suspectFirst<<min(s.failures, 8), suspectMost)
+	s.failures++
+	s.suspectTo = time.Now().Add(rest)
+}
+
+// cancel ends an attempt that says nothing of the server.
+func (l *placement) cancel() {
+	l.placer.mu.Lock()
+	defer l.placer.mu.Unlock()
+	l.state.prefill -= l.waiting
+	l.waiting = 0
+	l.state.running--
+}
+
+// tidy forgets servers that are not used any more.
+func (p *placer) tidy(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, s := range p.states {
+		if s.running == 0 && now.Sub(s.usedAt) > forgetState {
+			delete(p.states, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/retry.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// retryShare is the part of the fleet's allowance that routers use, for what they
+// can't know of each other.
+const retryShare = 0.6
+
+// retryAllowance bounds what this router sends again, so that all routers
+// together stay within the fleet's bound in any window: a bucket that earns with
+// each request, and holds this router's part of the fixed number.
+type retryAllowance struct {
+	ratio  float64
+	extra  float64
+	window time.Duration
+
+	mu     sync.Mutex // guards the fields below
+	tokens float64
+	filled time.Time
+}
+
+// most returns how many repeats the bucket holds with so many routers.
+func (a *retryAllowance) most(routers int) float64 {
+	return max(a.extra*retryShare/float64(routers), 1)
+}
+
+// note earns a part of a repeat with a request. The caller holds mu.
+func (a *retryAllowance) refill(now time.Time, routers int) {
+	most := a.most(routers)
+	if a.filled.IsZero() {
+		a.tokens = most
+	} else {
+		// The fixed number may be used once a window.
+		a.tokens += most * now.Sub(a.filled).Seconds() / a.window.Seconds() / 2
+	}
+	a.filled = now
+	a.tokens = min(a.tokens, most)
+}
+
+// note takes in a request that is sent for the first time.
+func (a *retryAllowance) note(now time.Time, routers int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refill(now, routers)
+	a.tokens = min(a.tokens+a.ratio*retryShare, a.most(routers))
+}
+
+// take reports whether a request may be sent again, and uses up the allowance
+// for it.
+func (a *retryAllowance) take(now time.Time, routers int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refill(now, routers)
+	if a.tokens < 1 {
+		return false
+	}
+	a.tokens--
+	return true
+}
--- a/internal/keeperclient/client.go
+++ b/internal/keeperclient/client.go
@@ -59,6 +59,22 @@
 	return err
 }
 
+// IsNotLeader reports whether an error, as a keeper sent it, says that another
+// one leads: nothing was done.
+func IsNotLeader(err error) bool {
+	var nl *raft.NotLeaderError
+	return errors.As(decodeError(err), &nl)
+}
+
+// Leader returns the leader that such an error names; empty for none.
+func Leader(err error) string {
+	var nl *raft.NotLeaderError
+	if errors.As(decodeError(err), &nl) {
+		return nl.Leader
+	}
+	return ""
+}
+
 // Client calls the keepers. Set the exported fields before the first call.
 type Client struct {
 	Keepers []config.Keeper
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
+
+	"sumachead/internal/tcp"
 )
 
 const (
@@ -32,6 +34,8 @@
 	TLS     *tls.Config
 	// From is the local IP address to dial from; nil for any.
 	From net.IP
+	// Relay is the address of a relay to connect through; empty for none.
+	Relay string
 
 	mu       sync.Mutex // guards the fields below
 	conn     *connection
@@ -160,14 +164,53 @@
 }
 
 func (c *Client) open() (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := c.openPlain()
+	if err != nil || c.TLS == nil {
+		return conn, err
+	}
+	return c.secure(conn)
+}
+
+// openPlain connects to the address, or to the relay that passes on to it.
+func (c *Client) openPlain() (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
 	if c.From != nil {
 		d.LocalAddr = &net.TCPAddr{IP: c.From}
 	}
-	if c.TLS == nil {
+	if c.Relay == "" {
 		return d.Dial("tcp", c.Address)
 	}
-	return tls.DialWithDialer(&d, "tcp", c.Address, c.TLS)
+	conn, err := d.Dial("tcp", c.Relay)
+	if err != nil {
+		return nil, err
+	}
+	if err := requestRelay(conn, c.Address); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// secure puts TLS on a connection, with the name of the address.
+func (c *Client) secure(conn net.Conn) (net.Conn, error) {
+	config := c.TLS
+	if config.ServerName == "" && !config.InsecureSkipVerify {
+		host, _, err := net.SplitHostPort(c.Address)
+		if err != nil {
+			_ = conn.Close()
+			return nil, trace.Wrap(err)
+		}
+		config = config.Clone()
+		config.ServerName = host
+	}
+	t := tls.Client(conn, config)
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	if err := t.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return t, nil
 }
 
 // Close ends the connection; a later call dials again.
@@ -188,24 +231,32 @@
 	From net.IP
 
 	mu      sync.Mutex // guards clients
-	clients map[string]*Client
+	clients map[way]*Client
 }
 
 // Get returns the client of an address.
-func (p *Pool) Get(address string) *Client {
+func (p *Pool) Get(address string) *Client { return p.GetThrough("", address) }
+
+// GetThrough returns the client of an address that is connected to through a
+// relay; an empty relay means directly.
+func (p *Pool) GetThrough(relay, address string) *Client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.clients == nil {
-		p.clients = make(map[string]*Client)
+		p.clients = make(map[way]*Client)
 	}
-	c := p.clients[address]
+	w := way{relay, address}
+	c := p.clients[w]
 	if c == nil {
-		c = &Client{Address: address, TLS: p.TLS, From: p.From}
-		p.clients[address] = c
+		c = &Client{Address: address, TLS: p.TLS, From: p.From, Relay: relay}
+		p.clients[w] = c
 	}
 	return c
 }
 
+// way is how an address is reached.
+type way struct{ relay, address string }
+
 // Close ends all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -1,12 +1,15 @@
 package rpc
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/rpc"
 	"sync"
 
 	"github.com/gravitational/trace"
+
+	"sumachead/internal/tcp"
 )
 
 // Server serves registered receivers on one address. Set the exported fields
@@ -32,7 +35,7 @@
 
 // Listen binds the address, so that a clash is an error before Run.
 func (s *Server) Listen() error {
-	lis, err := net.Listen("tcp", s.Address)
+	lis, err := tcp.ListenConfig().Listen(context.Background(), "tcp", s.Address)
 	if err != nil {
 		return trace.Wrap(err, "listening for calls on %s", s.Address)
 	}
--- /dev/null
+++ b/internal/telemetry/queue.go
@@ -0,0 +1,69 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queuedLines is how many lines may wait for a slow reader.
+	queuedLines = 2048
+	// flushTimeout bounds the wait for a reader at the end of a process.
+	flushTimeout = 300 * time.Millisecond
+)
+
+// QueuedWriter passes lines on without ever holding its caller up: what a slow
+// reader does not take in is dropped and counted. It implements io.Writer.
+type QueuedWriter struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	close   sync.Once
+}
+
+// NewQueuedWriter returns a writer in front of w.
+func NewQueuedWriter(w io.Writer) *QueuedWriter {
+	q := &QueuedWriter{lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	go q.run(w)
+	return q
+}
+
+// Write implements io.Writer; a call is one line.
+func (q *QueuedWriter) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- append([]byte(nil), line...):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// run passes lines on, several at a time where several wait.
+func (q *QueuedWriter) run(w io.Writer) {
+	defer close(q.done)
+	const batchBytes = 8 << 10
+	for line := range q.lines {
+		batch := line
+		for len(batch) < batchBytes && len(q.lines) > 0 {
+			batch = append(batch, <-q.lines...)
+		}
+		if n := q.dropped.Swap(0); n > 0 {
+			batch = fmt.Appendf(batch, "{\"@message\":\"Log lines were dropped.\",\"lines\":%d}\n", n)
+		}
+		if _, err := w.Write(batch); err != nil {
+			return // nobody reads; later lines are dropped by a full queue
+		}
+	}
+}
+
+// Close passes on what waits, within a short time. Nothing may be written after.
+func (q *QueuedWriter) Close() {
+	q.close.Do(func() { close(q.lines) })
+	select {
+	case <-q.done:
+	case <-time.After(flushTimeout):
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,134 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"sumachead"
+)
+
+// ErrNoConnection says that all connections that this node may have to a server
+// are in use.
+var ErrNoConnection = errors.New("all connections to the server are in use")
+
+// keepIdle bounds the connections that rest for one server.
+const keepIdle = 16
+
+// forgetServer is how long a server without use keeps its place in the pool.
+const forgetServer = time.Minute
+
+// serverConns are the connections to one life of a backend server.
+type serverConns struct {
+	idle   []*conn
+	open   int
+	usedAt time.Time
+}
+
+// Pool keeps connections to backend servers. It is safe for concurrent use. Set
+// the exported fields before the first call.
+type Pool struct {
+	Dialect sumachead.Dialect
+	// OnDial is told of each new connection.
+	OnDial func()
+
+	mu      sync.Mutex // guards servers
+	servers map[Server]*serverConns
+}
+
+// Server is one life of a backend server.
+type Server struct {
+	ID      sumachead.ServerID
+	Address string
+}
+
+// take returns a connection that rests, or makes room for a new one.
+func (p *Pool) take(s Server, most int, now time.Time) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.servers == nil {
+		p.servers = make(map[Server]*serverConns)
+	}
+	sc := p.servers[s]
+	if sc == nil {
+		sc = &serverConns{}
+		p.servers[s] = sc
+	}
+	sc.usedAt = now
+	for len(sc.idle) > 0 {
+		c := sc.idle[len(sc.idle)-1]
+		sc.idle = sc.idle[:len(sc.idle)-1]
+		if c.clean(now) {
+			return c, nil
+		}
+		sc.open--
+		_ = c.Close()
+	}
+	if sc.open >= most {
+		return nil, ErrNoConnection
+	}
+	sc.open++
+	return nil, nil
+}
+
+// connect returns a connection to a server; reused says that it was open before.
+func (p *Pool) connect(ctx context.Context, s Server, most int) (c *conn, reused bool, err error) {
+	c, err = p.take(s, most, time.Now())
+	if err != nil || c != nil {
+		return c, c != nil, err
+	}
+	c, err = dial(ctx, s.Address)
+	if err != nil {
+		p.drop(s)
+		return nil, false, err
+	}
+	if p.OnDial != nil {
+		p.OnDial()
+	}
+	return c, false, nil
+}
+
+// drop takes one connection off the count.
+func (p *Pool) drop(s Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers[s].open--
+}
+
+// put lets a connection rest.
+func (p *Pool) put(s Server, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sc := p.servers[s]
+	if len(sc.idle) < keepIdle {
+		sc.idle = append(sc.idle, c)
+		return
+	}
+	sc.open--
+	_ = c.Close()
+}
+
+// Tidy closes connections that have rested too long, and forgets servers that
+// are not used any more.
+func (p *Pool) Tidy(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s, sc := range p.servers {
+		sc.idle = slices.DeleteFunc(sc.idle, func(c *conn) bool {
+			if now.Before(c.usable) {
+				return false
+			}
+			sc.open--
+			_ = c.Close()
+			return true
+		})
+		if sc.open == 0 && now.Sub(sc.usedAt) > forgetServer {
+			delete(p.servers, s)
+		}
+	}
+}
+
+// Close closes the connections that rest.
+func (p *Pool) Close() { p.Tidy(time.Now().Add(forgetServer)) }
--- a/verdict.go
+++ b/verdict.go
@@ -31,6 +31,7 @@
 	ReasonTooLarge         Reason = "too_large"
 	ReasonDeadlinePassed   Reason = "deadline_passed"
 	ReasonUnknownPool      Reason = "unknown_pool"
+	ReasonUnknownRoute     Reason = "unknown_route"
 	ReasonPoolForbidden    Reason = "pool_forbidden"
 	ReasonKeyConflict      Reason = "key_conflict"
 	ReasonBudgetExhausted  Reason = "budget_exhausted"
@@ -59,7 +60,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		ReasonBadRequest, ReasonUnauthorized, ReasonTooLarge, ReasonDeadlinePassed,
-		ReasonUnknownPool, ReasonPoolForbidden, ReasonKeyConflict, ReasonBudgetExhausted,
+		ReasonUnknownPool, ReasonUnknownRoute, ReasonPoolForbidden, ReasonKeyConflict, ReasonBudgetExhausted,
 		ReasonNoBudget, ReasonLedgerUnreached, ReasonClaimUnavailable, ReasonSettingsStale,
 		ReasonNoServer, ReasonBusy, ReasonShed, ReasonLeaving, ReasonFenced,
 		ReasonServerUnreached, ReasonServerFailed, ReasonBadAnswer, ReasonStuck,
@@ -77,7 +78,7 @@
 		return http.StatusUnauthorized
 	case ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case ReasonUnknownPool:
+	case ReasonUnknownPool, ReasonUnknownRoute:
 		return http.StatusNotFound
 	case ReasonPoolForbidden:
 		return http.StatusForbidden
