Holders give back escrow that another lacks; shared parts get one home

Cause: budgets were left in pieces at idle holders, which reported nothing and so were never asked (256 refusals of one workspace at one router); each hall had a home of its own for a shared part, so that each part was read three times.

Ruled out: the ledger running dry (free was 0, the rest was with other holders).

Change: the leader tells followers which workspaces lack; holders report then and return what they do not need. Prompts go to one home by their last shared part, over all halls.

--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -36,11 +37,30 @@
 	reserved sumachead.Tokens
 }
 
+// wantFor is for how long other holders are asked to give back for one that
+// lacks something: a few reports.
+const wantFor = 2 * time.Second
+
+// gatherBelow is how many times what is lacked may be left for all holders to be
+// asked for all that they do not use: what is left is then in pieces that are too
+// small for anybody.
+const gatherBelow = 8
+
+// want is what a holder lacked that could not be granted.
+type want struct {
+	by     Holder
+	amount sumachead.Tokens
+	at     time.Time
+}
+
 // Sizer decides what each holder should have at hand, by what is left and by
 // demand. It is soft state of the ledger's leader, and safe for concurrent use.
 type Sizer struct {
-	mu      sync.Mutex // guards holders
+	mu      sync.Mutex // guards the fields below
 	holders map[Holder]*holderDemand
+	wants   map[sumachead.WorkspaceID]want
+	// lacking is closed when a workspace is lacking that was not before.
+	lacking chan struct{}
 }
 
 type holderDemand struct {
@@ -54,6 +74,7 @@
 	defer s.mu.Unlock()
 	if s.holders == nil {
 		s.holders = make(map[Holder]*holderDemand)
+		s.wants = make(map[sumachead.WorkspaceID]want)
 	}
 	h := Holder{sumachead.NodeID(r.GetNode()), sumachead.BootID(r.GetBoot())}
 	for other, d := range s.holders {
@@ -79,12 +100,12 @@
 
 // Size returns what to grant on each position of a report, and the answers'
 // wishes, by the book as it stands.
-func (s *Sizer) Size(b *Book, r *wire.EscrowReport) (grants []int64, advice []*wire.EscrowAnswer) {
+func (s *Sizer) Size(b *Book, r *wire.EscrowReport, now time.Time) (grants []int64, advice []*wire.EscrowAnswer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := Holder{sumachead.NodeID(r.GetNode()), sumachead.BootID(r.GetBoot())}
 	for _, p := range r.GetPositions() {
-		grant, a := s.sizeOne(b, h, p)
+		grant, a := s.sizeOne(b, h, p, now)
 		grants = append(grants, int64(grant))
 		advice = append(advice, a)
 	}
@@ -92,7 +113,7 @@
 }
 
 // sizeOne decides on one position.
-func (s *Sizer) sizeOne(b *Book, h Holder, p *wire.EscrowPosition) (sumachead.Tokens, *wire.EscrowAnswer) {
+func (s *Sizer) sizeOne(b *Book, h Holder, p *wire.EscrowPosition, now time.Time) (sumachead.Tokens, *wire.EscrowAnswer) {
 	w := sumachead.WorkspaceID(p.GetWorkspace())
 	a := &wire.EscrowAnswer{Workspace: p.GetWorkspace(), Keep: NoWish}
 	x := b.Holdings(w)[h]
@@ -106,16 +127,66 @@
 	if held*100 < target*lowPart {
 		grant = min(target-held, free)
 	}
-	if need := sumachead.Tokens(p.GetNeeded()); need > grant {
-		grant = min(need, free)
+	if need := sumachead.Tokens(p.GetNeeded()); need > 0 {
+		grant = max(grant, min(need, free))
 		a.Exhausted = free < need && s.remaining(b, w) < need
+		s.noteWant(w, want{by: h, amount: need, at: now}, free)
 	}
-	if reserved := sumachead.Tokens(p.GetReserved()); held*100 > target*slack && held > reserved {
-		a.Keep = int64(max(target, reserved))
+	keep := s.keep(b, w, h, target, sumachead.Tokens(p.GetReserved()), now)
+	if keep >= 0 && held > keep && grant <= 0 {
+		a.Keep = int64(keep)
 	}
 	return max(grant, 0), a
 }
 
+// noteWant remembers what a holder lacks, until it can be granted.
+func (s *Sizer) noteWant(w sumachead.WorkspaceID, n want, free sumachead.Tokens) {
+	if free >= n.amount {
+		delete(s.wants, w)
+		return
+	}
+	old, ok := s.wants[w]
+	s.wants[w] = n
+	if s.lacking != nil && (!ok || n.at.Sub(old.at) > wantFor) {
+		close(s.lacking)
+		s.lacking = nil
+	}
+}
+
+// Lacking lists the workspaces of which some holder lacks escrow, and returns a
+// channel that is closed when there is another.
+func (s *Sizer) Lacking(now time.Time) (ws []string, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w, n := range s.wants {
+		if now.Sub(n.at) > wantFor {
+			delete(s.wants, w)
+			continue
+		}
+		ws = append(ws, string(w))
+	}
+	slices.Sort(ws)
+	if s.lacking == nil {
+		s.lacking = make(chan struct{})
+	}
+	return ws, s.lacking
+}
+
+// keep returns down to how much a holder should give back; NoWish for not at all.
+func (s *Sizer) keep(b *Book, w sumachead.WorkspaceID, h Holder, target, reserved sumachead.Tokens, now time.Time) sumachead.Tokens {
+	n, ok := s.wants[w]
+	switch {
+	case !ok || now.Sub(n.at) > wantFor || n.by == h:
+		if b.Free(w) >= target {
+			return NoWish
+		}
+		return max(target*slack/100, reserved)
+	case s.remaining(b, w) < gatherBelow*n.amount:
+		return reserved
+	}
+	return max(target, reserved)
+}
+
 // target returns what a holder should have at hand, requests under way included.
 func (s *Sizer) target(b *Book, w sumachead.WorkspaceID, h Holder) sumachead.Tokens {
 	left := b.Free(w)
--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -213,6 +213,21 @@
 	return r
 }
 
+// Touch puts workspaces into the next report if there is money of theirs at hand
+// to give back; it reports whether there is.
+func (w *Wallet) Touch(ids []sumachead.WorkspaceID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	any := false
+	for _, id := range ids {
+		if p := w.purses[id]; p != nil && p.atHand() > 0 {
+			p.dirty = true
+			any = true
+		}
+	}
+	return any
+}
+
 // Unsent marks a report's positions as not told, after a call that failed.
 func (w *Wallet) Unsent(r *wire.EscrowReport) {
 	w.mu.Lock()
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -139,10 +140,10 @@
 }
 
 // Size asks a sizer what to grant on a report, by the book as it stands.
-func (m *Machine) Size(s *escrow.Sizer, r *wire.EscrowReport) ([]int64, []*wire.EscrowAnswer) {
+func (m *Machine) Size(s *escrow.Sizer, r *wire.EscrowReport, now time.Time) ([]int64, []*wire.EscrowAnswer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return s.Size(m.book, r)
+	return s.Size(m.book, r, now)
 }
 
 // Free returns what a workspace's budget has that is not granted.
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	k.sizer.Note(r, time.Now())
-	grants, advice := k.machine.Size(k.sizer, r)
+	grants, advice := k.machine.Size(k.sizer, r, time.Now())
 	c := &wire.FleetCommand{Command: &wire.FleetCommand_Grant{Grant: &wire.EscrowGrant{Report: r, Grants: grants}}}
 	result, err := k.propose(c)
 	if err != nil {
@@ -97,6 +97,11 @@
 	proto.Merge(reply, result.(*wire.EscrowReply))
 	for i, a := range reply.GetAnswers() {
 		a.Keep, a.Exhausted = advice[i].GetKeep(), advice[i].GetExhausted()
+		if p := r.GetPositions()[i]; p.GetNeeded() > 0 {
+			k.Log.Info("A holder lacked escrow.", "node", r.GetNode(), "workspace", p.GetWorkspace(), "needed", p.GetNeeded(),
+				"spent", p.GetSpent(), "reserved", p.GetReserved(), "rate", p.GetRate(), "grant", grants[i],
+				"granted", a.GetGranted(), "free", k.machine.Free(sumachead.WorkspaceID(p.GetWorkspace())), "exhausted", a.GetExhausted())
+		}
 	}
 	if reply.GetClosed() {
 		k.Log.Info("A holder of escrow is closed.", "node", r.GetNode(), "boot", r.GetBoot(), "asked", r.GetClosing())
@@ -123,6 +128,7 @@
 	}
 	reply.Keepers = k.node.Status().GetMembers()
 	reply.Leader = k.Address
+	reply.Lacking, _ = k.sizer.Lacking(time.Now())
 	reply.Routers = uint32(k.followers.count(RoleRouter))
 	if r.GetRole() == RoleRouter {
 		reply.Relays = k.followers.relaysFor(r.GetNode())
@@ -139,9 +145,11 @@
 	if d.GetNumber() > r.GetNumber() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
 		return
 	}
+	_, lacking := k.sizer.Lacking(time.Now())
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
+	case <-lacking:
 	case <-declared:
 	case <-servers:
 	case <-t.C:
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -60,6 +60,9 @@
 	Pool    *rpc.Pool
 	Servers *registry.Table
 	Log     hclog.Logger
+	// OnLacking is told of workspaces of which another node lacks escrow; nil
+	// for a node that holds none.
+	OnLacking func([]sumachead.WorkspaceID)
 
 	view    atomic.Pointer[catalog.View]
 	routers atomic.Uint32
@@ -171,6 +174,13 @@
 	if d := r.GetDeclaration(); d != nil {
 		c.adopt(d)
 	}
+	if len(r.GetLacking()) > 0 && c.OnLacking != nil {
+		ids := make([]sumachead.WorkspaceID, 0, len(r.GetLacking()))
+		for _, id := range r.GetLacking() {
+			ids = append(ids, sumachead.WorkspaceID(id))
+		}
+		c.OnLacking(ids)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.way != w {
--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -15,8 +15,11 @@
 const (
 	// reportEvery is how often a holder tells what it has spent.
 	reportEvery = 700 * time.Millisecond
-	// reportGap is the least time between reports that requests wait for.
-	reportGap = 15 * time.Millisecond
+	// reportGap is the least time between reports that requests wait for, and
+	// lackingGap that after one which the ledger could not meet: others have to
+	// give back first.
+	reportGap  = 15 * time.Millisecond
+	lackingGap = 60 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = 700 * time.Millisecond
 	// closingTimeout bounds the last report of a holder that stops.
@@ -35,13 +38,21 @@
 
 	boot sumachead.BootID
 	kick chan struct{}
+	// gap is the least time before the next report. Run alone uses it.
+	gap time.Duration
 }
 
 // Prepare opens the wallet. Call it before Run.
 func (r *Reporter) Prepare() {
 	r.boot = sumachead.BootID(uuid.NewString())
 	r.kick = make(chan struct{}, 1)
+	r.gap = reportGap
 	r.Wallet.Kick = r.Kick
+	r.Client.OnLacking = func(ids []sumachead.WorkspaceID) {
+		if r.Wallet.Touch(ids) {
+			r.Kick()
+		}
+	}
 	r.Wallet.Open(r.boot)
 }
 
@@ -64,7 +75,7 @@
 			return nil
 		case <-t.C:
 		case <-r.kick:
-			time.Sleep(reportGap)
+			time.Sleep(r.gap)
 		}
 		if v := r.Client.View(); v != nil && v.Number != watched {
 			watched = v.Number
@@ -89,6 +100,10 @@
 		r.Log.Debug("A report of escrow was not taken.", "positions", len(report.GetPositions()), "error", err)
 		return
 	}
+	r.gap = reportGap
+	if unmet(report, reply) {
+		r.gap = lackingGap
+	}
 	next := sumachead.BootID(uuid.NewString())
 	if r.Wallet.Take(reply, r.boot, next, time.Now()) {
 		r.Log.Warn("The ledger had closed this holder; it starts anew.", "boot", r.boot, "next", next)
@@ -96,6 +111,16 @@
 	}
 }
 
+// unmet reports whether a position lacks more than the ledger granted on it.
+func unmet(report *wire.EscrowReport, reply *wire.EscrowReply) bool {
+	for i, a := range reply.GetAnswers() {
+		if p := report.GetPositions()[i]; p.GetNeeded() > a.GetGranted()-p.GetGranted() {
+			return true
+		}
+	}
+	return false
+}
+
 // Close returns what has not been spent. Call it after Run has ended and no
 // request is under way.
 func (r *Reporter) Close() {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -112,6 +112,8 @@
 	}
 	id := sumachead.ServerID(l.record.GetId())
 	d.tried = append(d.tried, id)
+	d.Log.Info("A request is placed.", "request", d.x.request.ID, "server", id, "prefill", l.waiting,
+		"prompt", d.x.request.PromptTokens, "running", l.state.running, "parts", d.x.request.Parts)
 	a, err := d.send(l, id)
 	if err != nil {
 		return d.failed(l, err)
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -14,8 +14,13 @@
 
 const (
 	// hallPenalty is what sending a prompt to another data hall weighs, in tokens
-	// of prefill: a queue shorter than this does not drive a request out.
-	hallPenalty = 6000
+	// of prefill: some milliseconds. It decides only between servers that are
+	// alike, since a prompt's bytes cost far less than reading its parts again.
+	hallPenalty = 300
+	// againWeight is how much more a shared part that has to be read again weighs
+	// than the same tokens in the queue: it is work for nothing, and it holds up
+	// the tokens of all that run there.
+	againWeight = 3
 	// runPenalty is what each request that runs beside weighs, in tokens of
 	// prefill: it slows the tokens of all.
 	runPenalty = 150
@@ -86,12 +91,13 @@
 	now := time.Now()
 	var best *wire.ServerRecord
 	var bestScore score
+	first := home(servers, x.request.Parts)
 	for _, s := range servers {
 		id := sumachead.ServerID(s.GetId())
 		if slices.Contains(tried, id) {
 			continue
 		}
-		c := p.score(s, p.state(id), x, now)
+		c := p.score(s, p.state(id), x, first, now)
 		if best == nil || c.less(bestScore) {
 			best, bestScore = s, c
 		}
@@ -121,7 +127,7 @@
 }
 
 // score weighs one server for a request. The caller holds mu.
-func (p *placer) score(s *wire.ServerRecord, st *serverState, x *exchange, now time.Time) score {
+func (p *placer) score(s *wire.ServerRecord, st *serverState, x *exchange, home string, now time.Time) score {
 	c := score{rank: affinity(x.request.Parts, s.GetId())}
 	if now.Before(st.suspectTo) {
 		c.doubt = 1
@@ -134,13 +140,49 @@
 		c.cost = plainCost(s, st, away)
 		return c
 	}
-	c.cost = st.prefill + x.request.PromptTokens - st.cached(x.request.Parts) + runPenalty*sumachead.Tokens(st.running)
+	c.cost = st.prefill + runPenalty*sumachead.Tokens(st.running)
+	if s.GetId() != home {
+		shared := sharedParts(x.request.Parts)
+		c.cost += againWeight * (total(shared) - st.cached(shared))
+	}
 	if away {
 		c.cost += hallPenalty
 	}
 	return c
 }
 
+// home returns the server that all routers send a prompt to first, so that its
+// shared parts are read once; empty for a prompt without parts.
+func home(servers []*wire.ServerRecord, parts []sumachead.PromptPart) string {
+	if len(parts) == 0 {
+		return ""
+	}
+	best := ""
+	var rank uint64
+	for _, s := range servers {
+		if s.GetState() != wire.ServerState_SERVER_STATE_READY {
+			continue
+		}
+		if r := affinity(parts, s.GetId()); best == "" || r < rank {
+			best, rank = s.GetId(), r
+		}
+	}
+	return best
+}
+
+// sharedParts are a prompt's parts without the last, which is the request's own.
+func sharedParts(parts []sumachead.PromptPart) []sumachead.PromptPart {
+	return parts[:max(len(parts)-1, 0)]
+}
+
+func total(parts []sumachead.PromptPart) sumachead.Tokens {
+	var sum sumachead.Tokens
+	for _, p := range parts {
+		sum += p.Tokens
+	}
+	return sum
+}
+
 // plainCost weighs a server of a plain service: the own hall first while it has
 // free slots.
 func plainCost(s *wire.ServerRecord, st *serverState, away bool) sumachead.Tokens {
