A second way to the keepers through relays; less escrow out at a time

Ruled out: writing each bill to the log (two commands a request); large escrow for cuts (lost with its holder).

Change: searches follow the hint; relays beside the engines carry routers' calls in a cut; a holder has an eighth of its share of what is left, and reports early.

--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -16,16 +16,17 @@
 	// liveFor is how long a holder that has not reported counts as alive: some
 	// reports.
 	liveFor = 4 * time.Second
-	// horizon is for how long, at the rate it reports, a holder should be able
-	// to go on without the ledger: longer than the cuts of some seconds that
-	// networks heal by themselves, a few times over for demand that rises.
-	horizon = 25 * time.Second
-	// floorPart is the part of an even share, in percent, that a holder gets
-	// without any demand of its own, so that the first request need not wait.
-	floorPart = 25
-	// outPart is the part of a budget, in percent, that may be with holders
-	// while nobody needs more.
-	outPart = 90
+	// outPart is the part of what is left, one in so many, that may be with
+	// holders while nobody lacks any: what is lost when all of them crash.
+	outPart = 8
+	// leastHold and mostHold bound for how long, at the rate it reports, a holder
+	// should be able to go on without the ledger. The least covers some reports
+	// and the election of a leader; the most, cuts that heal by themselves.
+	leastHold = 1500 * time.Millisecond
+	mostHold  = 10 * time.Second
+	// floorPart is the part of what is left, one in so many, that each holder gets
+	// without any demand of its own, so that a first request need not wait.
+	floorPart = 100
 	// slack is how far, in percent of its target, a holder may be above it
 	// before it is asked to give back.
 	slack = 150
@@ -195,20 +196,21 @@
 			left += x.Out() - x.Spent
 		}
 	}
-	left = left * outPart / 100
-	n := sumachead.Tokens(max(len(s.holders), 1))
-	floor := max(left, 0) / n * floorPart / 100
+	left = max(left, 0)
+	floor := left / floorPart
 	var rates sumachead.Tokens
 	for _, d := range s.holders {
 		rates += d.workspaces[w].rate
 	}
-	if rates == 0 {
-		return floor
+	mine := s.holders[h].workspaces[w]
+	if rates == 0 || mine.rate == 0 {
+		return floor + mine.reserved
 	}
-	rate := s.holders[h].workspaces[w].rate
-	share := floor + (left-floor*n)*rate/rates
-	wish := floor + rate*sumachead.Tokens(horizon/time.Second)
-	return max(min(share, wish), 0)
+	most := left * mine.rate / rates
+	byPart := most / outPart
+	least := mine.rate * sumachead.Tokens(leastHold/time.Millisecond) / 1000
+	wish := min(max(byPart, least), mine.rate*sumachead.Tokens(mostHold/time.Second))
+	return min(max(wish, floor)+mine.reserved, most)
 }
 
 // remaining returns the most that may still become available: the total without
--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -28,6 +28,8 @@
 	// rate is demand in tokens a second as of rateAt.
 	rate   float64
 	rateAt time.Time
+	// low is the amount at hand below which a report is due at once.
+	low sumachead.Tokens
 	// dirty: something changed since the last report.
 	dirty bool
 	// exhaustedAt is when the ledger said that a request did not fit, and
@@ -154,6 +156,10 @@
 	if p.atHand() >= bound {
 		p.reserved += bound
 		p.dirty = true
+		if p.atHand() < p.low {
+			p.low = 0 // once a report
+			w.Kick()
+		}
 		return &Reservation{w, w.boot, id, bound}, admitted, nil
 	}
 	if now.Sub(p.exhaustedAt) < exhaustedFor && bound >= p.exhaustedBy {
@@ -259,6 +265,8 @@
 func (w *Wallet) takeOne(a *wire.EscrowAnswer, now time.Time) {
 	p := w.purse(sumachead.WorkspaceID(a.GetWorkspace()))
 	p.granted = max(p.granted, sumachead.Tokens(a.GetGranted()))
+	const lowPart = 2
+	p.low = p.atHand() / lowPart
 	p.exhaustedAt = time.Time{}
 	if a.GetExhausted() {
 		p.exhaustedAt, p.exhaustedBy = now, p.atHand()+1
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -116,18 +116,25 @@
 		return err
 	}
 	k.followers.saw(r, time.Now())
-	s.hold(r)
+	if r.GetRole() == RoleRelay {
+		time.Sleep(min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxFollowWait))
+	} else {
+		s.hold(r)
+	}
 	if err := k.leading(); err != nil {
 		return err
 	}
+	reply.Keepers = k.node.Status().GetMembers()
+	reply.Leader = k.Address
+	if r.GetRole() == RoleRelay {
+		return nil
+	}
 	k.servers.Lead(k.history(), time.Now())
 	answer, _ := k.servers.Since(r.GetHistory(), r.GetVersion())
 	proto.Merge(reply, answer)
 	if d, _ := k.machine.Declaration(); d.GetNumber() > r.GetNumber() {
 		reply.Declaration = d
 	}
-	reply.Keepers = k.node.Status().GetMembers()
-	reply.Leader = k.Address
 	reply.Lacking, _ = k.sizer.Lacking(time.Now())
 	reply.Routers = uint32(k.followers.count(RoleRouter))
 	if r.GetRole() == RoleRouter {
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -257,6 +257,11 @@
 		}
 	}
 	reply, err := rpc.Call[wire.FollowReply](ctx, c.Pool.GetThrough(w.Relay, w.Address), "Fleet.Follow", request)
+	if leader := keeperclient.Leader(err); leader != "" && leader != w.Address {
+		// The seeds need not hold the leader.
+		w.Address = leader
+		reply, err = rpc.Call[wire.FollowReply](ctx, c.Pool.GetThrough(w.Relay, w.Address), "Fleet.Follow", request)
+	}
 	if err != nil {
 		return nil
 	}
