Little escrow at hand, and nothing billed where nothing was handed out

Cause: budgets were used up by our books some percent before what workspaces had received; from then on every refusal was a false one.

Change: a request of which no event was handed out is free; a holder has at hand what two seconds need, at most 12 thousandths of the budget over all holders.

--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -16,20 +16,21 @@
 	// liveFor is how long a holder that has not reported counts as alive: some
 	// reports.
 	liveFor = 4 * time.Second
-	// outPart is the part of what is left, one in so many, that may be with
-	// holders while nobody lacks any: what is lost when all of them crash.
-	outPart = 8
-	// leastHold and mostHold bound for how long, at the rate it reports, a holder
-	// should be able to go on without the ledger. The least covers some reports
-	// and the election of a leader; the most, cuts that heal by themselves.
-	leastHold = 1500 * time.Millisecond
-	mostHold  = 10 * time.Second
-	// floorPart is the part of what is left, one in so many, that each holder gets
-	// without any demand of its own, so that a first request need not wait.
-	floorPart = 100
-	// slack is how far, in percent of its target, a holder may be above it
-	// before it is asked to give back.
-	slack = 150
+	// outPart is the part of a budget's total, in thousandths, that all holders
+	// together may have at hand beyond what requests under way need. It is lost
+	// when they crash, and then budgets are used up that much too early; a report
+	// takes some milliseconds, so that little at hand is enough while the ledger
+	// is reached.
+	outPart = 12
+	// longestHold bounds for how long, at the rate it reports, a holder should be
+	// able to go on without the ledger: the election of a leader.
+	longestHold = 2 * time.Second
+	// lowPart is the part of what it should have at hand, in percent, below which
+	// a holder is filled up.
+	lowPart = 70
+	// slack is how much, in percent of what it should have at hand, a holder may
+	// have before it is asked to give back.
+	slack = 200
 )
 
 // demand is what a live holder last said of one workspace.
@@ -120,21 +121,19 @@
 	x := b.Holdings(w)[h]
 	x.Spent = max(x.Spent, sumachead.Tokens(p.GetSpent()))
 	x.Returned = max(x.Returned, sumachead.Tokens(p.GetReturned()))
-	held := x.Out() - x.Spent
-	target := s.target(b, w, h)
+	atHand := x.Out() - x.Spent - sumachead.Tokens(p.GetReserved())
+	hold := s.hold(b, w, h)
 	free := b.Free(w)
 	var grant sumachead.Tokens
-	const lowPart = 70 // percent of the target below which it is filled up
-	if held*100 < target*lowPart {
-		grant = min(target-held, free)
+	if atHand*100 < hold*lowPart {
+		grant = min(hold-atHand, free)
 	}
 	if need := sumachead.Tokens(p.GetNeeded()); need > 0 {
 		grant = max(grant, min(need, free))
 		a.Exhausted = free < need && s.remaining(b, w) < need
 		s.noteWant(w, want{by: h, amount: need, at: now}, free)
 	}
-	keep := s.keep(b, w, h, target, sumachead.Tokens(p.GetReserved()), now)
-	if keep >= 0 && held > keep && grant <= 0 {
+	if keep := s.keep(b, w, h, hold, now); keep >= 0 && atHand > keep && grant <= 0 {
 		a.Keep = int64(keep)
 	}
 	return max(grant, 0), a
@@ -173,44 +172,37 @@
 	return ws, s.lacking
 }
 
-// keep returns down to how much a holder should give back; NoWish for not at all.
-func (s *Sizer) keep(b *Book, w sumachead.WorkspaceID, h Holder, target, reserved sumachead.Tokens, now time.Time) sumachead.Tokens {
+// keep returns down to how much at hand a holder should give back; NoWish for not
+// at all.
+func (s *Sizer) keep(b *Book, w sumachead.WorkspaceID, h Holder, hold sumachead.Tokens, now time.Time) sumachead.Tokens {
 	n, ok := s.wants[w]
 	switch {
-	case !ok || now.Sub(n.at) > wantFor || n.by == h:
-		if b.Free(w) >= target {
-			return NoWish
-		}
-		return max(target*slack/100, reserved)
+	case ok && n.by == h && now.Sub(n.at) <= wantFor:
+		return NoWish
+	case !ok || now.Sub(n.at) > wantFor:
+		return hold * slack / 100
 	case s.remaining(b, w) < gatherBelow*n.amount:
-		return reserved
+		return 0
 	}
-	return max(target, reserved)
+	return hold
 }
 
-// target returns what a holder should have at hand, requests under way included.
-func (s *Sizer) target(b *Book, w sumachead.WorkspaceID, h Holder) sumachead.Tokens {
-	left := b.Free(w)
-	for other, x := range b.Holdings(w) {
-		if s.live(other) {
-			left += x.Out() - x.Spent
-		}
-	}
-	left = max(left, 0)
-	floor := left / floorPart
+// hold returns what a holder should have at hand beyond what its requests under
+// way need.
+func (s *Sizer) hold(b *Book, w sumachead.WorkspaceID, h Holder) sumachead.Tokens {
 	var rates sumachead.Tokens
 	for _, d := range s.holders {
 		rates += d.workspaces[w].rate
 	}
-	mine := s.holders[h].workspaces[w]
-	if rates == 0 || mine.rate == 0 {
-		return floor + mine.reserved
+	rate := s.holders[h].workspaces[w].rate
+	if rate == 0 {
+		return 0
 	}
-	most := left * mine.rate / rates
-	byPart := most / outPart
-	least := mine.rate * sumachead.Tokens(leastHold/time.Millisecond) / 1000
-	wish := min(max(byPart, least), mine.rate*sumachead.Tokens(mostHold/time.Second))
-	return min(max(wish, floor)+mine.reserved, most)
+	total, _ := b.Total(w)
+	const thousand = 1000
+	byTime := rate * sumachead.Tokens(longestHold/time.Millisecond) / thousand
+	byPart := total * outPart / thousand * rate / rates
+	return min(byTime, byPart)
 }
 
 // remaining returns the most that may still become available: the total without
--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -271,10 +271,10 @@
 	if a.GetExhausted() {
 		p.exhaustedAt, p.exhaustedBy = now, p.atHand()+1
 	}
-	held := p.granted - p.returned - p.spent
-	if keep := sumachead.Tokens(a.GetKeep()); keep >= 0 && held > keep {
-		p.returned += max(min(held-keep, p.atHand()), 0)
+	if keep := sumachead.Tokens(a.GetKeep()); keep >= 0 && p.atHand() > keep {
+		p.returned += p.atHand() - keep
 		p.dirty = true
+		w.Kick()
 	}
 }
 
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -97,11 +97,7 @@
 	proto.Merge(reply, result.(*wire.EscrowReply))
 	for i, a := range reply.GetAnswers() {
 		a.Keep, a.Exhausted = advice[i].GetKeep(), advice[i].GetExhausted()
-		if p := r.GetPositions()[i]; p.GetNeeded() > 0 {
-			k.Log.Info("A holder lacked escrow.", "node", r.GetNode(), "workspace", p.GetWorkspace(), "needed", p.GetNeeded(),
-				"spent", p.GetSpent(), "reserved", p.GetReserved(), "rate", p.GetRate(), "grant", grants[i],
-				"granted", a.GetGranted(), "free", k.machine.Free(sumachead.WorkspaceID(p.GetWorkspace())), "exhausted", a.GetExhausted())
-		}
+		k.noteGrant(r.GetNode(), r.GetPositions()[i], grants[i], a)
 	}
 	if reply.GetClosed() {
 		k.Log.Info("A holder of escrow is closed.", "node", r.GetNode(), "boot", r.GetBoot(), "asked", r.GetClosing())
@@ -109,6 +105,17 @@
 	return nil
 }
 
+// noteGrant logs what was decided on a position, if anything was.
+func (k *Keeper) noteGrant(node string, p *wire.EscrowPosition, grant int64, a *wire.EscrowAnswer) {
+	if grant == 0 && a.GetKeep() < 0 && p.GetNeeded() == 0 {
+		return
+	}
+	k.Log.Info("Escrow of a holder is sized.", "node", node, "workspace", p.GetWorkspace(), "needed", p.GetNeeded(),
+		"spent", p.GetSpent(), "reserved", p.GetReserved(), "rate", p.GetRate(), "grant", grant, "granted", a.GetGranted(),
+		"returned", p.GetReturned(), "keep", a.GetKeep(), "exhausted", a.GetExhausted(),
+		"free", k.machine.Free(sumachead.WorkspaceID(p.GetWorkspace())))
+}
+
 // Follow tells a node what it lacks; it is held until there is something.
 func (s *service) Follow(r *wire.FollowRequest, reply *wire.FollowReply) error {
 	k := s.keeper
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -87,10 +87,11 @@
 	}
 }
 
-// bill returns what the request cost: its prompt once it was sent, and the
-// tokens of the events handed out.
+// bill returns what the request cost: its prompt and the tokens of the events
+// handed out. A request of which nothing was handed out costs nothing: its
+// workspace has received nothing.
 func (x *exchange) bill() sumachead.Tokens {
-	if x.attempts == 0 {
+	if x.events == 0 {
 		return 0
 	}
 	return x.request.PromptTokens + sumachead.Tokens(x.events*max(x.service.GetEngine().GetEventTokens(), 1))
