Routers tell each other their loads; placement by the expected first event

Cause: late first events and long pauses. Each router saw only its own queue: a server that was the home of several busy prompts was sent more by all of them, and read up to eight long prompts side by side, which held up all its streams.

Ruled out: too few engines (a fifth of their prefill is used); slow forwarding (0 to 30 ms before placement).

Change: the leading keeper adds up what routers have under way at servers, without the log; a server is chosen by when its first event is to be expected, what would be read again, and how many long prompts it reads. A report to the ledger that is late goes over another way too; who was refused for lack of escrow comes back after 250 ms.

--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -141,7 +141,7 @@
 		select {
 		case <-changed:
 		case <-timer.C:
-			const comeBack = time.Second // a few reports
+			const comeBack = 250 * time.Millisecond // some reports
 			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonLedgerUnreached, "too little escrow at hand", time.Now().Add(comeBack))
 		case <-ctx.Done():
 			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonDeadlinePassed, "the caller has gone", time.Time{})
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -66,6 +66,7 @@
 	servers   *registry.Table
 	sizer     *escrow.Sizer
 	followers *followers
+	loads     *loads
 	metrics   *metrics
 }
 
@@ -78,6 +79,7 @@
 	k.servers = &registry.Table{Heartbeat: k.Heartbeat}
 	k.sizer = &escrow.Sizer{}
 	k.followers = newFollowers()
+	k.loads = newLoads()
 	k.machine = NewMachine()
 	k.machine.OnLeaving = func(id string) { k.servers.Leave(id, time.Now()) }
 	t := newTransport(ctx, k.Pool)
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -116,6 +116,15 @@
 		"free", k.machine.Free(sumachead.WorkspaceID(p.GetWorkspace())))
 }
 
+// Loads exchanges what routers have under way at backend servers.
+func (s *service) Loads(r *wire.LoadReport, reply *wire.LoadReply) error {
+	if !s.keeper.node.Leading() {
+		return s.keeper.leading()
+	}
+	proto.Merge(reply, s.keeper.loads.exchange(r, time.Now()))
+	return nil
+}
+
 // Follow tells a node what it lacks; it is held until there is something.
 func (s *service) Follow(r *wire.FollowRequest, reply *wire.FollowReply) error {
 	k := s.keeper
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -32,8 +32,12 @@
 	answerWithin = 600 * time.Millisecond
 	// searchTimeout bounds the question to all keepers at once.
 	searchTimeout = 700 * time.Millisecond
-	// relayDelay is the head start that direct ways have in a search.
-	relayDelay = 60 * time.Millisecond
+	// relayDelay is the head start that direct ways have in a search: some round
+	// trips between data halls.
+	relayDelay = 20 * time.Millisecond
+	// hedgeAfter is how long a call may take before other ways are tried beside
+	// it: several times what a commit takes.
+	hedgeAfter = 60 * time.Millisecond
 	// searchPause separates searches in which nobody led.
 	searchPause = 150 * time.Millisecond
 	// directAgain is how often a node that goes through a relay tries the direct
@@ -291,12 +295,67 @@
 	}()
 }
 
-// Call runs a method at the leader, once. An error leaves open whether it was
-// carried out.
-func Call[R any](ctx context.Context, c *Client, method string, args proto.Message) (*R, error) {
+// CallOnce runs a method at the leader, over the known way only.
+func CallOnce[R any](ctx context.Context, c *Client, method string, args proto.Message) (*R, error) {
 	w, ok := c.Way()
 	if !ok {
 		return nil, trace.ConnectionProblem(nil, "no way to the leading keeper is known")
 	}
 	return rpc.Call[R](ctx, c.Pool.GetThrough(w.Relay, w.Address), method, args)
 }
+
+// Call runs a method at the leader. When the reply is late, it looks for another
+// way and calls there as well, so the method must be idempotent. An error leaves
+// open whether it was carried out.
+func Call[R any](ctx context.Context, c *Client, method string, args proto.Message) (*R, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w, ok := c.Way()
+	if !ok {
+		return nil, trace.ConnectionProblem(nil, "no way to the leading keeper is known")
+	}
+	replies := make(chan callResult[R], 2)
+	callWay := func(w Way) {
+		r, err := rpc.Call[R](ctx, c.Pool.GetThrough(w.Relay, w.Address), method, args)
+		replies <- callResult[R]{r, err}
+	}
+	go callWay(w)
+	t := time.NewTimer(hedgeAfter)
+	defer t.Stop()
+	select {
+	case r := <-replies:
+		if r.err == nil {
+			return r.reply, nil
+		}
+		// Failed at once: another way is worth a try.
+		replies <- r
+	case <-t.C:
+	}
+	go func() {
+		if other, ok := c.searchWay(ctx); ok {
+			callWay(other)
+			return
+		}
+		replies <- callResult[R]{err: trace.ConnectionProblem(nil, "no other way to the leading keeper was found")}
+	}()
+	first := <-replies
+	if first.err == nil {
+		return first.reply, nil
+	}
+	second := <-replies
+	return second.reply, second.err
+}
+
+// callResult is how a call over one way ended.
+type callResult[R any] struct {
+	reply *R
+	err   error
+}
+
+// searchWay looks for a way to the leader, whether or not one is known.
+func (c *Client) searchWay(ctx context.Context) (Way, bool) {
+	if !c.search(ctx) {
+		return Way{}, false
+	}
+	return c.Way()
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -112,8 +112,8 @@
 	}
 	id := sumachead.ServerID(l.record.GetId())
 	d.tried = append(d.tried, id)
-	d.Log.Info("A request is placed.", "request", d.x.request.ID, "server", id, "prefill", l.waiting,
-		"prompt", d.x.request.PromptTokens, "running", l.state.running, "parts", d.x.request.Parts)
+	d.Log.Info("A request is placed.", "request", d.x.request.ID, "server", id, "hall", l.record.GetHall(),
+		"prompt", d.x.request.PromptTokens, "unread", l.waiting, "queued", l.queued, "running", l.running, "home", l.home)
 	a, err := d.send(l, id)
 	if err != nil {
 		return d.failed(l, err)
@@ -136,6 +136,7 @@
 	}
 	most := max(int(x.service.GetMaxConns())*connPart/100/d.client.Routers(), 1)
 	x.attempts++
+	x.server = id
 	a, err := d.upstream.Send(d.ctx, upstream.Server{ID: id, Address: l.record.GetAddress()}, most, x.request, t)
 	var f *upstream.Failure
 	if errors.As(err, &f) && f.Verdict == sumachead.NotRun {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"sumachead"
@@ -28,8 +29,30 @@
 	started bool
 	// attempts counts the servers that the request was sent to.
 	attempts int
+	// firstAt is when the first byte was handed out; zero before.
+	firstAt time.Time
+	// server is where the last attempt went.
+	server sumachead.ServerID
 	// events counts the events handed out to the caller.
 	events int64
+	// eventAt is when the last of them was, and pause the longest time between
+	// two.
+	eventAt time.Time
+	pause   time.Duration
+}
+
+// noteEvent keeps the pauses between events.
+func (x *exchange) noteEvent(now time.Time) {
+	if !x.eventAt.IsZero() {
+		x.pause = max(x.pause, now.Sub(x.eventAt))
+	}
+	x.eventAt = now
+}
+
+// start sends the head of the answer.
+func (x *exchange) start(status int, header http.Header, size int) {
+	x.started, x.firstAt = true, time.Now()
+	x.answer.Start(status, header, size)
 }
 
 // handler deals with an exchange; a filter wraps one handler in another.
@@ -59,6 +82,7 @@
 		return x.started, f
 	}
 	g.metrics.noteServed(x)
+	g.noteServed(x)
 	return x.started, nil
 }
 
@@ -102,6 +126,13 @@
 	return x.route.GetPriority()
 }
 
+// noteServed logs a request with a whole answer.
+func (g *Gateway) noteServed(x *exchange) {
+	g.Log.Info("A request is served.", "request", x.request.ID, "route", x.route.GetName(), "workspace", x.workspace(),
+		"declaration", x.view.Number, "server", x.server, "attempts", x.attempts, "events", x.events,
+		"first", x.firstAt.Sub(x.arrived), "pause", x.pause, "after", time.Since(x.arrived))
+}
+
 // noteRefusal counts and logs a request that ended without its whole answer.
 func (g *Gateway) noteRefusal(x *exchange, f *sumachead.Refusal) {
 	g.metrics.refusals.WithLabelValues(string(f.Reason)).Inc()
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -10,9 +10,9 @@
 	// comeBackSoon is when to come back after a refusal that should pass
 	// quickly.
 	comeBackSoon = 300 * time.Millisecond
-	// escrowShare is the part of the objective for which a request waits for
-	// escrow: a refusal after that is too late to be made good.
-	escrowShare = 5
+	// escrowShare is the part of the objective, in percent, for which a request
+	// waits for escrow: a refusal after a quarter is too late to be made good.
+	escrowShare = 22
 	// defaultObjective stands in for a route that has none.
 	defaultObjective = time.Second
 )
@@ -76,7 +76,7 @@
 		if objective == 0 {
 			objective = defaultObjective
 		}
-		wait := x.arrived.Add(objective / escrowShare)
+		wait := x.arrived.Add(objective * escrowShare / 100)
 		money, err := g.wallet.Reserve(x.ctx, x.workspace(), bound, wait)
 		if err != nil {
 			return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	tasks, work := errgroup.WithContext(ctx)
 	tasks.Go(func() error { return g.reporter.Run(work) })
+	tasks.Go(func() error { return g.loadsLoop(work) })
 	tasks.Go(func() error {
 		return loop.Every(work, tidyEvery, func() {
 			g.upstream.Tidy(time.Now())
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -13,17 +13,39 @@
 )
 
 const (
-	// hallPenalty is what sending a prompt to another data hall weighs, in tokens
-	// of prefill: some milliseconds. It decides only between servers that are
-	// alike, since a prompt's bytes cost far less than reading its parts again.
-	hallPenalty = 300
-	// againWeight is how much more a shared part that has to be read again weighs
-	// than the same tokens in the queue: it is work for nothing, and it holds up
-	// the tokens of all that run there.
-	againWeight = 3
-	// runPenalty is what each request that runs beside weighs, in tokens of
-	// prefill: it slows the tokens of all.
-	runPenalty = 150
+	// hallPenalty is what sending a prompt to another data hall weighs: its bytes
+	// cost far less than reading its parts again, so that it decides only between
+	// servers that are alike.
+	hallPenalty = 5 * time.Millisecond
+	// latePart is the part of the objective, in percent, up to which an expected
+	// first event counts as in time; the rest is for what this router can't see.
+	latePart = 70
+	// latePenalty is what an expected late first event weighs, in objectives:
+	// more than reading any prompt again.
+	latePenalty = 4
+	// waitShare is the part, one in so many, of the time to the first event that
+	// counts while it is in time.
+	waitShare = 4
+	// firstSpeed is how many tokens of prompts a server reads in a millisecond, as
+	// long as nothing was measured; slowest and fastest bound what is measured.
+	firstSpeed = 30.0
+	slowest    = 1.0
+	fastest    = 1000.0
+	// speedWeight is the weight of one measurement.
+	speedWeight = 0.05
+	// measureFrom is the least number of tokens that a measurement needs to say
+	// anything of the speed.
+	measureFrom = 2000
+	// longPrompt is from how many unread tokens on a prompt holds up the tokens of
+	// those that run beside it.
+	longPrompt = 2000
+	// sideBySide is how many long prompts a server may read at a time before the
+	// pauses of its streams grow too long; each further one weighs an objective.
+	sideBySide = 2
+	// othersFor is how long what other routers told is believed.
+	othersFor = time.Second
+	// runSlows is how much each request that runs beside slows a first event.
+	runSlows = time.Millisecond
 	// partsKept bounds the parts remembered for each server.
 	partsKept = 4096
 	// suspectFirst and suspectMost bound for how long a server that failed is
@@ -45,6 +67,14 @@
 	running int
 	// prefill is the sum of tokens of its requests that have no first event yet.
 	prefill sumachead.Tokens
+	// otherRunning and otherPrefill are the same of all other routers, as they
+	// last told.
+	otherRunning int
+	otherPrefill sumachead.Tokens
+	// reading counts this router's long prompts that have no first event yet,
+	// otherReading those of all other routers.
+	reading      int
+	otherReading int
 	// parts are the prompt parts that requests have brought there.
 	parts map[string]time.Time
 	// failures in a row, and until when the server is passed over.
@@ -57,12 +87,16 @@
 type placer struct {
 	hall sumachead.HallID
 
-	mu     sync.Mutex // guards states and what they hold
+	mu     sync.Mutex // guards the fields below, and what states hold
 	states map[sumachead.ServerID]*serverState
+	// othersAt is when other routers' loads were told.
+	othersAt time.Time
+	// speed is how many tokens of prompts servers read in a millisecond.
+	speed float64
 }
 
 func newPlacer(h sumachead.HallID) *placer {
-	return &placer{hall: h, states: make(map[sumachead.ServerID]*serverState)}
+	return &placer{hall: h, states: make(map[sumachead.ServerID]*serverState), speed: firstSpeed}
 }
 
 func (p *placer) state(id sumachead.ServerID) *serverState {
@@ -81,6 +115,13 @@
 	state  *serverState
 	// waiting is the prefill that counts until the first event.
 	waiting sumachead.Tokens
+	// queued and running are what all routers had there before, as far as this
+	// one knew.
+	queued  sumachead.Tokens
+	running int
+	begun   time.Time
+	// home: the server is the first choice for the prompt's shared parts.
+	home bool
 }
 
 // place chooses among servers, passing over those that were tried; nil when none
@@ -105,14 +146,16 @@
 	if best == nil {
 		return nil
 	}
-	return p.begin(best, x, now)
+	l := p.begin(best, x, now)
+	l.home = best.GetId() == first
+	return l
 }
 
 // score orders servers; the least is chosen.
 type score struct {
 	// doubt is 0 for a server that is trusted.
 	doubt int
-	cost  sumachead.Tokens
+	cost  time.Duration
 	rank  uint64
 }
 
@@ -140,17 +183,46 @@
 		c.cost = plainCost(s, st, away)
 		return c
 	}
-	c.cost = st.prefill + runPenalty*sumachead.Tokens(st.running)
-	if s.GetId() != home {
-		shared := sharedParts(x.request.Parts)
-		c.cost += againWeight * (total(shared) - st.cached(shared))
-	}
+	c.cost = p.engineCost(st, x, s.GetId() == home, now)
 	if away {
 		c.cost += hallPenalty
 	}
 	return c
 }
 
+// engineCost weighs an engine by when the first event is to be expected and by
+// what would have to be read again. The caller holds mu.
+func (p *placer) engineCost(st *serverState, x *exchange, home bool, now time.Time) time.Duration {
+	shared := sharedParts(x.request.Parts)
+	again := total(shared) - st.cached(shared)
+	if home {
+		again = 0 // other routers have brought them
+	}
+	unread := again + x.request.PromptTokens - total(shared)
+	queued, running, reading := st.prefill, st.running, st.reading
+	if now.Sub(p.othersAt) < othersFor {
+		queued += st.otherPrefill
+		running += st.otherRunning
+		reading += st.otherReading
+	}
+	wait := p.readTime(queued+unread) + time.Duration(running)*runSlows
+	cost := wait/waitShare + p.readTime(again)
+	objective := x.objective()
+	if objective > 0 && wait > objective*latePart/100 {
+		cost += latePenalty*objective + wait
+	}
+	if unread >= longPrompt && reading >= sideBySide {
+		cost += objective * time.Duration(reading-sideBySide+1)
+	}
+	return cost
+}
+
+// readTime returns how long a server takes to read tokens of prompts. The caller
+// holds mu.
+func (p *placer) readTime(n sumachead.Tokens) time.Duration {
+	return time.Duration(float64(n) / p.speed * float64(time.Millisecond))
+}
+
 // home returns the server that all routers send a prompt to first, so that its
 // shared parts are read once; empty for a prompt without parts.
 func home(servers []*wire.ServerRecord, parts []sumachead.PromptPart) string {
@@ -185,13 +257,13 @@
 
 // plainCost weighs a server of a plain service: the own hall first while it has
 // free slots.
-func plainCost(s *wire.ServerRecord, st *serverState, away bool) sumachead.Tokens {
+func plainCost(s *wire.ServerRecord, st *serverState, away bool) time.Duration {
 	slots := max(int(s.GetSlots()), 1)
-	load := sumachead.Tokens(st.running * 100 / slots)
+	load := st.running * 100 / slots
 	if away {
 		load += fullPart
 	}
-	return load
+	return time.Duration(load)
 }
 
 // affinity ranks a server for a prompt: all routers rank alike, so that requests
@@ -219,9 +291,15 @@
 // begin counts an attempt at a server. The caller holds mu.
 func (p *placer) begin(r *wire.ServerRecord, x *exchange, now time.Time) *placement {
 	s := p.state(sumachead.ServerID(r.GetId()))
-	l := &placement{placer: p, record: r, state: s, waiting: x.request.PromptTokens - s.cached(x.request.Parts)}
+	l := &placement{
+		placer: p, record: r, state: s, waiting: x.request.PromptTokens - s.cached(x.request.Parts),
+		queued: s.prefill + s.otherPrefill, running: s.running + s.otherRunning, begun: now,
+	}
 	s.running++
 	s.prefill += l.waiting
+	if l.waiting >= longPrompt {
+		s.reading++
+	}
 	s.usedAt = now
 	for _, part := range x.request.Parts {
 		s.parts[part.ID] = now
@@ -247,9 +325,22 @@
 
 // first notes that the answer has begun.
 func (l *placement) first() {
-	l.placer.mu.Lock()
-	defer l.placer.mu.Unlock()
+	p := l.placer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n := l.queued + l.waiting; l.waiting > 0 && n >= measureFrom {
+		measured := float64(n) / max(float64(time.Since(l.begun))/float64(time.Millisecond), 1)
+		p.speed += speedWeight * (min(max(measured, slowest), fastest) - p.speed)
+	}
+	l.read()
+}
+
+// read takes the prompt off what the server has to read. The caller holds mu.
+func (l *placement) read() {
 	l.state.prefill -= l.waiting
+	if l.waiting >= longPrompt {
+		l.state.reading--
+	}
 	l.waiting = 0
 }
 
@@ -258,8 +349,7 @@
 	l.placer.mu.Lock()
 	defer l.placer.mu.Unlock()
 	s := l.state
-	s.prefill -= l.waiting
-	l.waiting = 0
+	l.read()
 	s.running--
 	if healthy {
 		s.failures, s.suspectTo = 0, time.Time{}
@@ -274,8 +364,7 @@
 func (l *placement) cancel() {
 	l.placer.mu.Lock()
 	defer l.placer.mu.Unlock()
-	l.state.prefill -= l.waiting
-	l.waiting = 0
+	l.read()
 	l.state.running--
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"sumachead"
 	"sumachead/internal/upstream"
@@ -33,8 +34,7 @@
 	case len(body) > maxWhole:
 		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonBadAnswer, Err: errors.New("the answer is too large")}
 	}
-	d.x.started = true
-	d.x.answer.Start(a.Status, a.Header, len(body))
+	d.x.start(a.Status, a.Header, len(body))
 	return d.write(body)
 }
 
@@ -105,9 +105,9 @@
 	l.first()
 	if s.header == nil {
 		s.status, s.header = a.Status, a.Header
-		d.x.started = true
-		d.x.answer.Start(s.status, s.header, -1)
+		d.x.start(s.status, s.header, -1)
 	}
+	d.x.noteEvent(time.Now())
 	for event := range bytes.SplitAfterSeq(part, eventEnd) {
 		s.note(event, d.x)
 	}
@@ -135,8 +135,7 @@
 func (d *dispatch) endStream(a *upstream.Answer) error {
 	s := d.stream
 	if s.header == nil {
-		d.x.started = true
-		d.x.answer.Start(a.Status, a.Header, -1)
+		d.x.start(a.Status, a.Header, -1)
 	}
 	if len(s.buffer) == 0 {
 		return nil
