--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,320 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/gravitational/trace"
+	"github.com/hashicorp/go-hclog"
+	"google.golang.org/protobuf/proto"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/escrow"
+	"sumachead/internal/rpc"
+)
+
+// member is one keeper of a test's group.
+type member struct {
+	*Keeper
+	stop func()
+}
+
+// cluster is a group of keepers in one process.
+type cluster struct {
+	t         *testing.T
+	dir       string
+	addresses []string
+	founders  []string
+	members   []*member
+}
+
+func newCluster(t *testing.T, n, founders int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir(), members: make([]*member, n)}
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.addresses = append(c.addresses, l.Addr().String())
+		_ = l.Close()
+	}
+	c.founders = c.addresses[:founders]
+	for i := range n {
+		c.start(i, true)
+	}
+	t.Cleanup(func() {
+		for i := range c.members {
+			c.halt(i)
+		}
+	})
+	return c
+}
+
+func (c *cluster) data(i int) string { return filepath.Join(c.dir, fmt.Sprint(i)) }
+
+func (c *cluster) start(i int, first bool) {
+	c.t.Helper()
+	pool := &rpc.Pool{}
+	k := &Keeper{
+		Node: sumachead.NodeID(fmt.Sprint("core-", i)), Address: c.addresses[i], Data: c.data(i),
+		Seeds: func() []string { return c.founders }, Heartbeat: time.Second,
+		RPC: &rpc.Server{Address: c.addresses[i]}, Pool: pool, Log: hclog.NewNullLogger(),
+	}
+	if first {
+		k.Founders = c.founders
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	if err := k.Prepare(ctx); err != nil {
+		c.t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := k.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			c.t.Errorf("keeper %d: %v", i, err)
+		}
+	}()
+	c.members[i] = &member{k, func() {
+		cancel()
+		<-done
+		pool.Close()
+	}}
+}
+
+func (c *cluster) halt(i int) {
+	if m := c.members[i]; m != nil {
+		m.stop()
+		c.members[i] = nil
+	}
+}
+
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	c.t.Fatalf("not in time: %s", what)
+}
+
+// voters waits for a number of voters, as the leader sees them.
+func (c *cluster) voters(n int) {
+	c.t.Helper()
+	c.eventually(fmt.Sprint(n, " voters"), func() bool {
+		for _, m := range c.members {
+			if m != nil && m.node.Leading() {
+				return voters(m.node.Status().GetMembers()) == n
+			}
+		}
+		return false
+	})
+}
+
+func declaration(number uint64, source string) *wire.Declaration {
+	return &wire.Declaration{Number: number, Source: []byte(source), Catalog: &wire.Catalog{
+		Services:   []*wire.Service{{Name: "pool"}},
+		Workspaces: []*wire.WorkspaceAccess{{Name: "clerks", Keys: []string{"k"}, Prepaid: proto.Int64(1000)}},
+	}}
+}
+
+func (c *cluster) declare(i int, d *wire.Declaration) {
+	c.t.Helper()
+	c.eventually(fmt.Sprint("declaration ", d.GetNumber()), func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return c.members[i].Declare(ctx, d) == nil
+	})
+}
+
+// read returns the number and source that a keeper answers with.
+func (c *cluster) read(i int) string {
+	c.t.Helper()
+	var got string
+	c.eventually("a read", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		d, err := c.members[i].Declaration(ctx)
+		got = fmt.Sprintf("%d %s", d.GetNumber(), d.GetSource())
+		return err == nil
+	})
+	return got
+}
+
+func TestFoundingAndNumbers(t *testing.T) {
+	c := newCluster(t, 5, 3)
+	c.voters(5)
+	steps := []struct {
+		at   int
+		d    *wire.Declaration
+		want string
+	}{
+		{0, declaration(5, "five"), "5 five"},
+		{4, declaration(9, "nine"), "9 nine"},
+		{1, declaration(7, "seven"), "9 nine"},       // an older one comes late
+		{2, declaration(9, "another"), "9 nine"},     // a race on one number
+		{3, declaration(9, "nine"), "9 nine"},        // a resend
+		{0, declaration(12, "twelve"), "12 twelve"},  // numbers rise by uneven steps
+		{1, declaration(12, "another"), "12 twelve"}, // other content under a held number
+	}
+	for _, s := range steps {
+		c.declare(s.at, s.d)
+		for i := range c.members {
+			if d := cmp.Diff(s.want, c.read(i)); d != "" {
+				t.Fatalf("after %d at keeper %d, read at %d (-want +got):\n%s", s.d.GetNumber(), s.at, i, d)
+			}
+		}
+	}
+	bad := declaration(20, "bad")
+	bad.Catalog.Routes = []*wire.Route{{Name: "r", Host: "h", PathPrefix: "/", TimeoutMillis: 1, Shares: []*wire.ServiceShare{{Service: "none", Weight: 1}}}}
+	if err := c.members[0].Declare(context.Background(), bad); !trace.IsBadParameter(err) {
+		t.Fatalf("an invalid declaration: %v", err)
+	}
+	if got := c.read(2); got != "12 twelve" {
+		t.Fatalf("an invalid declaration left a trace: %s", got)
+	}
+}
+
+func TestAllStopAtOnceAndComeBack(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.declare(0, declaration(4, "four"))
+	for i := range c.members {
+		c.halt(i)
+	}
+	for i := range c.members {
+		c.start(i, false)
+	}
+	if got := c.read(1); got != "4 four" {
+		t.Fatalf("after all stopped: %s", got)
+	}
+}
+
+func TestEmptyDiskJoinsAsAnotherSelf(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.declare(0, declaration(4, "four"))
+	old := c.members[2].identity.GetIncarnation()
+	c.halt(2)
+	if err := os.RemoveAll(c.data(2)); err != nil {
+		t.Fatal(err)
+	}
+	c.start(2, false)
+	if c.members[2].identity.GetIncarnation() == old {
+		t.Fatal("an empty disk votes as its old self")
+	}
+	c.voters(3)
+	if got := c.read(2); got != "4 four" {
+		t.Fatalf("at the keeper with the new disk: %s", got)
+	}
+}
+
+func TestReplacedHostIsForgotten(t *testing.T) {
+	c := newCluster(t, 4, 3)
+	c.voters(4)
+	c.halt(1)
+	// An even number of voters: the silent one loses its place.
+	c.voters(3)
+	c.declare(0, declaration(4, "four"))
+	c.start(1, false)
+	c.voters(4)
+	if got := c.read(1); got != "4 four" {
+		t.Fatalf("at the keeper that came back: %s", got)
+	}
+}
+
+func TestLeavingServerStaysSoAfterItsLeaderIsLost(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	record := &wire.ServerRecord{Id: "i-1", Service: "pool", Address: "10.0.0.1:80", Sequence: 1}
+	beat := func(i int, r *wire.ServerRecord) {
+		c.eventually("a heartbeat", func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return c.members[i].Beat(ctx, r) == nil
+		})
+	}
+	beat(0, record)
+	leaving := proto.CloneOf(record)
+	leaving.State, leaving.Sequence = wire.ServerState_SERVER_STATE_LEAVING, 2
+	beat(1, leaving)
+	for i, m := range c.members {
+		if m.node.Leading() {
+			c.halt(i)
+			break
+		}
+	}
+	late := proto.CloneOf(record)
+	late.Sequence = 3
+	for i, m := range c.members {
+		if m != nil {
+			beat(i, late)
+		}
+	}
+	c.eventually("a leader without the server", func() bool {
+		for _, m := range c.members {
+			if m != nil && m.node.Leading() {
+				return len(m.servers.Servers("pool")) == 0
+			}
+		}
+		return false
+	})
+}
+
+func TestMachineRestores(t *testing.T) {
+	m := NewMachine()
+	apply := func(c *wire.FleetCommand) any {
+		data, err := proto.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return m.Apply(1, data)
+	}
+	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Declare{Declare: declaration(3, "three")}})
+	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Leaving{Leaving: &wire.ServerLeaving{Id: "i-1"}}})
+	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Grant{Grant: &wire.EscrowGrant{
+		Report: &wire.EscrowReport{Node: "n", Boot: "b", Positions: []*wire.EscrowPosition{{Workspace: "clerks"}}},
+		Grants: []int64{400},
+	}}})
+	data, err := m.Snapshot()()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewMachine()
+	var left []string
+	restored.OnLeaving = func(id string) { left = append(left, id) }
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	d, _ := restored.Declaration()
+	got := fmt.Sprint(d.GetNumber(), " ", string(d.GetSource()), " ", restored.Free("clerks"), " ", left)
+	if diff := cmp.Diff("3 three 600 [i-1]", got); diff != "" {
+		t.Fatalf("(-want +got):\n%s", diff)
+	}
+	if _, advice := restored.Size(&escrow.Sizer{}, &wire.EscrowReport{}, time.Now()); len(advice) != 0 {
+		t.Fatal("advice without positions")
+	}
+}
+
+func TestRelaysAreOfDifferentHallsAndStay(t *testing.T) {
+	f := newFollowers()
+	now := time.Now()
+	for i := range 9 {
+		f.saw(&wire.FollowRequest{
+			Node: fmt.Sprint("side-", i), Role: RoleRelay, Hall: fmt.Sprint("hall-", i%3), RelayAddress: fmt.Sprint("10.0.0.", i, ":1"),
+		}, now)
+	}
+	first := f.relaysFor("router-1")
+	if len(first) < relaysEach {
+		t.Fatalf("relays %v", first)
+	}
+	if d := cmp.Diff(first, f.relaysFor("router-1")); d != "" {
+		t.Fatalf("they change (-want +got):\n%s", d)
+	}
+}
--- /dev/null
+++ b/internal/fleetclient/client_test.go
@@ -0,0 +1,176 @@
+package fleetclient
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"sumachead/api/wire"
+	"sumachead/internal/fleet"
+	"sumachead/internal/registry"
+	"sumachead/internal/rpc"
+)
+
+// fakeKeeper answers questions as a keeper would.
+type fakeKeeper struct {
+	// leader is the address that it names; its own where it leads.
+	leader  string
+	address string
+	number  atomic.Uint64
+	frozen  atomic.Bool
+	reports atomic.Int64
+}
+
+func (k *fakeKeeper) hold() {
+	for k.frozen.Load() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Follow answers a question.
+func (k *fakeKeeper) Follow(_ *wire.FollowRequest, reply *wire.FollowReply) error {
+	k.hold()
+	if k.leader != k.address {
+		return errors.New("not_leader:" + k.leader)
+	}
+	reply.Leader = k.address
+	reply.Declaration = &wire.Declaration{Number: k.number.Load(), Catalog: &wire.Catalog{}}
+	time.Sleep(5 * time.Millisecond)
+	return nil
+}
+
+// Report counts reports.
+func (k *fakeKeeper) Report(_ *wire.EscrowReport, _ *wire.EscrowReply) error {
+	k.hold()
+	k.reports.Add(1)
+	return nil
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func serve(t *testing.T, k *fakeKeeper) {
+	t.Helper()
+	s := &rpc.Server{Address: k.address}
+	if err := s.Register("Fleet", k); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Run() }()
+	t.Cleanup(s.Close)
+}
+
+func newClient(t *testing.T, seeds ...string) *Client {
+	t.Helper()
+	c := &Client{
+		Node: "router-1", Role: fleet.RoleRouter, Seeds: func() []string { return seeds }, Pool: &rpc.Pool{},
+		Servers: &registry.Table{}, Log: hclog.NewNullLogger(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = c.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		c.Pool.Close()
+	})
+	return c
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+func TestSearchFollowsTheHint(t *testing.T) {
+	leader := &fakeKeeper{address: freeAddress(t)}
+	leader.leader = leader.address
+	leader.number.Store(3)
+	seed := &fakeKeeper{address: freeAddress(t), leader: leader.address}
+	serve(t, leader)
+	serve(t, seed)
+	c := newClient(t, seed.address)
+	eventually(t, "a declaration from a leader that is no seed", func() bool { return c.View() != nil && c.View().Number == 3 })
+}
+
+func TestDeclarationNeverGoesBack(t *testing.T) {
+	leader := &fakeKeeper{address: freeAddress(t)}
+	leader.leader = leader.address
+	leader.number.Store(7)
+	serve(t, leader)
+	c := newClient(t, leader.address)
+	eventually(t, "number 7", func() bool { return c.View() != nil && c.View().Number == 7 })
+	leader.number.Store(5)
+	time.Sleep(100 * time.Millisecond)
+	if n := c.View().Number; n != 7 {
+		t.Fatalf("went back to %d", n)
+	}
+}
+
+func TestRelayCarriesWhatTheDirectWayDoesNot(t *testing.T) {
+	leader := &fakeKeeper{address: freeAddress(t)}
+	leader.leader = leader.address
+	leader.number.Store(1)
+	serve(t, leader)
+	relay := &rpc.Relay{Address: freeAddress(t), MaxConns: 4, Allowed: func(a string) bool { return a == leader.address }}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = relay.Run(ctx) }()
+	pool := &rpc.Pool{}
+	defer pool.Close()
+	call := func(target string) error {
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		_, err := rpc.Call[wire.FollowReply](callCtx, pool.GetThrough(relay.Address, target), "Fleet.Follow", &wire.FollowRequest{})
+		return err
+	}
+	eventually(t, "a call through the relay", func() bool { return call(leader.address) == nil })
+	if call(freeAddress(t)) == nil {
+		t.Fatal("a relay passed a call on to an address that is no keeper's")
+	}
+}
+
+func TestLateCallIsSentOverAnotherWay(t *testing.T) {
+	old := &fakeKeeper{address: freeAddress(t)}
+	old.leader = old.address
+	next := &fakeKeeper{address: freeAddress(t)}
+	next.leader = old.address
+	serve(t, old)
+	serve(t, next)
+	c := newClient(t, old.address, next.address)
+	eventually(t, "a leader", func() bool { _, ok := c.Way(); return ok })
+	old.frozen.Store(true)
+	defer old.frozen.Store(false)
+	next.leader = next.address
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	begun := time.Now()
+	if _, err := Call[wire.EscrowReply](ctx, c, "Fleet.Report", &wire.EscrowReport{}); err != nil {
+		t.Fatal(err)
+	}
+	if d := time.Since(begun); d > 500*time.Millisecond || next.reports.Load() != 1 {
+		t.Fatalf("took %v, %d reports at the next leader", d, next.reports.Load())
+	}
+}
