Declarations are stored and sent packed; routers get no document

Counted by method (new counter sumachead_rpc_sent_bytes_total): 25 MB of answers to followers, 11 MB of the log, 8 MB of reads, all of them declarations with 350 routes whose document went along.

Ruled out: reports, loads, heartbeats (under 2 MB together).

Change: catalogue and document are deflated once, at the keeper that takes them; the document goes to no router, and a read of it to no keeper that has it.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -31,15 +31,28 @@
 		k.Log.Warn("A declaration is refused.", "number", d.GetNumber(), "error", err)
 		return err
 	}
-	reply, err := ask[wire.DeclareReply](ctx, k, "Fleet.Declare", d, (&service{k}).Declare)
+	p, err := catalog.Pack(d)
+	if err != nil {
+		return err
+	}
+	reply, err := ask[wire.DeclareReply](ctx, k, "Fleet.Declare", p, (&service{k}).Declare)
 	k.Log.Info("A declaration was taken.", "number", d.GetNumber(), "held", reply.GetNumber(), "error", err)
 	return err
 }
 
-// Declaration returns the declaration in force; the answer is linearizable. Its
-// number is 0 before the first.
-func (k *Keeper) Declaration(ctx context.Context) (*wire.Declaration, error) {
-	return ask[wire.Declaration](ctx, k, "Fleet.Read", &wire.Empty{}, (&service{k}).Read)
+// Document returns the newest declaration's number and the document as its
+// operator sent it; the answer is linearizable. The number is 0 before the first.
+func (k *Keeper) Document(ctx context.Context) (number uint64, source []byte, err error) {
+	own := k.machine.Packed()
+	reply, err := ask[wire.PackedDeclaration](ctx, k, "Fleet.Read", &wire.DocumentRequest{Number: own.GetNumber()}, (&service{k}).Read)
+	if err != nil {
+		return 0, nil, err
+	}
+	if reply.GetNumber() == own.GetNumber() {
+		reply = own
+	}
+	source, err = catalog.Source(reply)
+	return reply.GetNumber(), source, err
 }
 
 // Beat takes in a backend server's heartbeat or notice.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/catalog"
 	"sumachead/internal/escrow"
 	"sumachead/internal/rpc"
 )
@@ -143,8 +144,8 @@
 	c.eventually("a read", func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		d, err := c.members[i].Declaration(ctx)
-		got = fmt.Sprintf("%d %s", d.GetNumber(), d.GetSource())
+		number, source, err := c.members[i].Document(ctx)
+		got = fmt.Sprintf("%d %s", number, source)
 		return err == nil
 	})
 	return got
@@ -276,7 +277,11 @@
 		}
 		return m.Apply(1, data)
 	}
-	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Declare{Declare: declaration(3, "three")}})
+	p, err := catalog.Pack(declaration(3, "three"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Declare{Declare: p}})
 	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Leaving{Leaving: &wire.ServerLeaving{Id: "i-1"}}})
 	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Grant{Grant: &wire.EscrowGrant{
 		Report: &wire.EscrowReport{Node: "n", Boot: "b", Positions: []*wire.EscrowPosition{{Workspace: "clerks"}}},
@@ -292,8 +297,11 @@
 	if err := restored.Restore(data); err != nil {
 		t.Fatal(err)
 	}
-	d, _ := restored.Declaration()
-	got := fmt.Sprint(d.GetNumber(), " ", string(d.GetSource()), " ", restored.Free("clerks"), " ", left)
+	source, err := catalog.Source(restored.Packed())
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := fmt.Sprint(restored.Packed().GetNumber(), " ", string(source), " ", restored.Free("clerks"), " ", left)
 	if diff := cmp.Diff("3 three 600 [i-1]", got); diff != "" {
 		t.Fatalf("(-want +got):\n%s", diff)
 	}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -26,6 +26,7 @@
 
 	mu          sync.Mutex // guards the fields below
 	declaration *wire.Declaration
+	packed      *wire.PackedDeclaration
 	book        *escrow.Book
 	leaving     []string
 	isLeaving   map[string]bool
@@ -35,7 +36,7 @@
 // NewMachine returns the state before the first command.
 func NewMachine() *Machine {
 	return &Machine{
-		declaration: &wire.Declaration{}, book: escrow.NewBook(),
+		declaration: &wire.Declaration{}, packed: &wire.PackedDeclaration{}, book: escrow.NewBook(),
 		isLeaving: make(map[string]bool), changed: make(chan struct{}),
 	}
 }
@@ -61,15 +62,19 @@
 }
 
 // declare puts a declaration in force if its number is the highest.
-func (m *Machine) declare(d *wire.Declaration) *wire.DeclareReply {
-	if d.GetNumber() > m.declaration.GetNumber() {
-		m.put(d)
+func (m *Machine) declare(p *wire.PackedDeclaration) *wire.DeclareReply {
+	if p.GetNumber() > m.declaration.GetNumber() {
+		d, err := catalog.Unpack(p)
+		if err != nil {
+			panic("fleet: a declaration does not unpack: " + err.Error()) // as above
+		}
+		m.put(d, p)
 	}
 	return &wire.DeclareReply{Number: m.declaration.GetNumber()}
 }
 
-func (m *Machine) put(d *wire.Declaration) {
-	m.declaration = d
+func (m *Machine) put(d *wire.Declaration, p *wire.PackedDeclaration) {
+	m.declaration, m.packed = d, p
 	m.book.SetTotals(catalog.Totals(d.GetCatalog()))
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -95,7 +100,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := &wire.FleetSnapshot{
-		Declaration: m.declaration, Accounts: m.book.Snapshot(), Leaving: append([]string(nil), m.leaving...),
+		Declaration: m.packed, Accounts: m.book.Snapshot(), Leaving: append([]string(nil), m.leaving...),
 	}
 	return func() ([]byte, error) {
 		data, err := proto.Marshal(s)
@@ -109,14 +114,18 @@
 	if err := proto.Unmarshal(data, s); err != nil {
 		return trace.Wrap(err, "decoding a snapshot of the fleet")
 	}
+	p := s.GetDeclaration()
+	if p == nil {
+		p = &wire.PackedDeclaration{}
+	}
+	d, err := catalog.Unpack(p)
+	if err != nil {
+		return err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.book.Restore(s.GetAccounts())
-	d := s.GetDeclaration()
-	if d == nil {
-		d = &wire.Declaration{}
-	}
-	m.put(d)
+	m.put(d, p)
 	m.leaving, m.isLeaving = nil, make(map[string]bool)
 	for _, id := range s.GetLeaving() {
 		m.leave(id)
@@ -132,6 +141,14 @@
 	return m.declaration, m.changed
 }
 
+// Packed returns the declaration in force as it is stored; it must not be
+// changed.
+func (m *Machine) Packed() *wire.PackedDeclaration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.packed
+}
+
 // Leaving reports whether a server's life is known to leave.
 func (m *Machine) Leaving(id string) bool {
 	m.mu.Lock()
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"sumachead/internal/rpc"
 )
 
 // metrics are a keeper's figures.
@@ -11,6 +13,7 @@
 
 func newMetrics(k *Keeper) *metrics {
 	m := &metrics{Registry: prometheus.NewRegistry()}
+	m.Registry.MustRegister(rpc.Traffic{})
 	gauge := func(name, help string, f func() float64) {
 		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
 	}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -38,8 +38,8 @@
 }
 
 // Declare commits a declaration.
-func (s *service) Declare(d *wire.Declaration, reply *wire.DeclareReply) error {
-	result, err := s.keeper.propose(&wire.FleetCommand{Command: &wire.FleetCommand_Declare{Declare: d}})
+func (s *service) Declare(p *wire.PackedDeclaration, reply *wire.DeclareReply) error {
+	result, err := s.keeper.propose(&wire.FleetCommand{Command: &wire.FleetCommand_Declare{Declare: p}})
 	if err != nil {
 		return err
 	}
@@ -47,13 +47,17 @@
 	return nil
 }
 
-// Read returns the declaration in force; the answer is linearizable.
-func (s *service) Read(_ *wire.Empty, reply *wire.Declaration) error {
+// Read returns the newest declaration's document, unless the asker has it; the
+// answer is linearizable.
+func (s *service) Read(r *wire.DocumentRequest, reply *wire.PackedDeclaration) error {
 	if err := s.keeper.leading(); err != nil {
 		return err
 	}
-	d, _ := s.keeper.machine.Declaration()
-	proto.Merge(reply, d)
+	p := s.keeper.machine.Packed()
+	reply.Number = p.GetNumber()
+	if p.GetNumber() != r.GetNumber() {
+		reply.Source = p.GetSource()
+	}
 	return nil
 }
 
@@ -148,8 +152,8 @@
 	k.servers.Lead(k.history(), time.Now())
 	answer, _ := k.servers.Since(r.GetHistory(), r.GetVersion())
 	proto.Merge(reply, answer)
-	if d, _ := k.machine.Declaration(); d.GetNumber() > r.GetNumber() {
-		reply.Declaration = d
+	if p := k.machine.Packed(); p.GetNumber() > r.GetNumber() {
+		reply.Declaration = &wire.PackedDeclaration{Number: p.GetNumber(), Catalog: p.GetCatalog()}
 	}
 	reply.Lacking, _ = k.sizer.Lacking(time.Now())
 	reply.Routers = uint32(k.followers.count(RoleRouter))
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -175,8 +175,8 @@
 func (c *Client) take(r *wire.FollowReply, w Way) {
 	c.Servers.Take(r, time.Now())
 	c.routers.Store(r.GetRouters())
-	if d := r.GetDeclaration(); d != nil {
-		c.Adopt(d)
+	if p := r.GetDeclaration(); p != nil {
+		c.unpack(p)
 	}
 	if len(r.GetLacking()) > 0 && c.OnLacking != nil {
 		ids := make([]sumachead.WorkspaceID, 0, len(r.GetLacking()))
@@ -200,6 +200,19 @@
 	}
 }
 
+// unpack puts a declaration in force that is new to this node.
+func (c *Client) unpack(p *wire.PackedDeclaration) {
+	if v := c.View(); v != nil && v.Number >= p.GetNumber() {
+		return
+	}
+	d, err := catalog.Unpack(p)
+	if err != nil {
+		c.Log.Error("A declaration can't be read.", "number", p.GetNumber(), "error", err)
+		return
+	}
+	c.Adopt(d)
+}
+
 // Adopt puts a declaration in force unless one with a higher number is.
 func (c *Client) Adopt(d *wire.Declaration) {
 	if v := c.View(); v != nil && v.Number >= d.GetNumber() {
--- a/internal/fleetclient/client_test.go
+++ b/internal/fleetclient/client_test.go
@@ -39,7 +39,7 @@
 		return errors.New("not_leader:" + k.leader)
 	}
 	reply.Leader = k.address
-	reply.Declaration = &wire.Declaration{Number: k.number.Load(), Catalog: &wire.Catalog{}}
+	reply.Declaration = &wire.PackedDeclaration{Number: k.number.Load()}
 	time.Sleep(5 * time.Millisecond)
 	return nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sumachead"
+	"sumachead/internal/rpc"
 )
 
 // Metrics are a gateway's figures.
@@ -43,7 +44,7 @@
 		m.refusals.WithLabelValues(string(r))
 		m.retries.WithLabelValues(string(r))
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.served, m.dials, m.whole)
+	m.Registry.MustRegister(m.refusals, m.retries, m.served, m.dials, m.whole, rpc.Traffic{})
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "sumachead_gateway_declaration_number", Help: "Number of the declaration in force.",
 	}, func() float64 {
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -42,7 +42,7 @@
 }
 
 // send writes a header and a body as one unit.
-func (s *stream) send(header proto.Message, body any) error {
+func (s *stream) send(method string, header proto.Message, body any) error {
 	m, ok := body.(proto.Message)
 	if !ok {
 		m = &wire.Empty{}
@@ -52,12 +52,15 @@
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return trace.Wrap(err)
 	}
-	if _, err := protodelim.MarshalTo(s.w, header); err != nil {
+	head, err := protodelim.MarshalTo(s.w, header)
+	if err != nil {
 		return trace.Wrap(err)
 	}
-	if _, err := protodelim.MarshalTo(s.w, m); err != nil {
+	n, err := protodelim.MarshalTo(s.w, m)
+	if err != nil {
 		return trace.Wrap(err)
 	}
+	noteSent(method, head+n)
 	return trace.Wrap(s.w.Flush())
 }
 
@@ -90,14 +93,14 @@
 
 // WriteResponse implements net/rpc.ServerCodec.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
-	return c.send(&wire.ReplyHeader{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
+	return c.send(r.ServiceMethod, &wire.ReplyHeader{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
 }
 
 type clientCodec struct{ *stream }
 
 // WriteRequest implements net/rpc.ClientCodec.
 func (c *clientCodec) WriteRequest(r *rpc.Request, body any) error {
-	return c.send(&wire.CallHeader{Method: r.ServiceMethod, Seq: r.Seq}, body)
+	return c.send(r.ServiceMethod, &wire.CallHeader{Method: r.ServiceMethod, Seq: r.Seq}, body)
 }
 
 // ReadResponseHeader implements net/rpc.ClientCodec.
