Grown site: reports are committed together, searches are one at a time, fewer lines

Change: reports that come within 0.7 ms for each router (20 ms at most) are one command; a search asks two keepers through each relay, and callers share it; relays ask every 3 s; one line for a request, bounded for each kind, with a count of those left out.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -283,10 +283,10 @@
 	}
 	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Declare{Declare: p}})
 	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Leaving{Leaving: &wire.ServerLeaving{Id: "i-1"}}})
-	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Grant{Grant: &wire.EscrowGrant{
+	apply(&wire.FleetCommand{Command: &wire.FleetCommand_Grants{Grants: &wire.EscrowGrants{Grants: []*wire.EscrowGrant{{
 		Report: &wire.EscrowReport{Node: "n", Boot: "b", Positions: []*wire.EscrowPosition{{Workspace: "clerks"}}},
 		Grants: []int64{400},
-	}}})
+	}}}}})
 	data, err := m.Snapshot()()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/followers.go
+++ b/internal/fleet/followers.go
@@ -22,6 +22,8 @@
 	// followerLives is how long a follower counts after its last question: some
 	// holds of a question.
 	followerLives = 3 * time.Second
+	// relayLives is the same for relays, which ask less often.
+	relayLives = 10 * time.Second
 	// relaysEach is how many relays a router is told of: enough that some are
 	// in halls that a cut has not reached.
 	relaysEach = 4
@@ -50,7 +52,11 @@
 		role: r.GetRole(), hall: sumachead.HallID(r.GetHall()), relay: r.GetRelayAddress(), seen: now,
 	}
 	for n, x := range f.nodes {
-		if now.Sub(x.seen) > followerLives {
+		lives := followerLives
+		if x.role == RoleRelay {
+			lives = relayLives
+		}
+		if now.Sub(x.seen) > lives {
 			delete(f.nodes, n)
 		}
 	}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -19,6 +19,7 @@
 	"sumachead/internal/raft"
 	"sumachead/internal/registry"
 	"sumachead/internal/rpc"
+	"sumachead/internal/telemetry"
 	"sumachead/internal/wal"
 )
 
@@ -68,6 +69,9 @@
 	followers *followers
 	loads     *loads
 	metrics   *metrics
+	lines     *telemetry.Lines
+	reports   chan *pendingReport
+	stopped   chan struct{}
 }
 
 // Prepare opens the folder and the group. Call it before Run; other methods may
@@ -80,6 +84,9 @@
 	k.sizer = &escrow.Sizer{}
 	k.followers = newFollowers()
 	k.loads = newLoads()
+	k.lines = &telemetry.Lines{}
+	k.reports = make(chan *pendingReport)
+	k.stopped = make(chan struct{})
 	k.machine = NewMachine()
 	k.machine.OnLeaving = func(id string) { k.servers.Leave(id, time.Now()) }
 	t := newTransport(ctx, k.Pool)
@@ -110,7 +117,7 @@
 	tasks, work := errgroup.WithContext(work)
 	tasks.Go(k.RPC.Run)
 	tasks.Go(func() error { return k.node.Run(work) })
-	for _, f := range []func(context.Context) error{k.joinLoop, k.membersLoop, k.sweepLoop, k.copyLoop} {
+	for _, f := range []func(context.Context) error{k.joinLoop, k.membersLoop, k.sweepLoop, k.copyLoop, k.reportsLoop} {
 		tasks.Go(func() error { return f(work) })
 	}
 	k.Log.Info("Serving.", "address", k.Address, "incarnation", k.identity.GetIncarnation(), "founder", k.identity.GetFounders() != nil)
@@ -120,6 +127,7 @@
 	case <-work.Done():
 	}
 	stop()
+	close(k.stopped)
 	k.RPC.Close()
 	return tasks.Wait()
 }
--- a/internal/fleet/loads.go
+++ b/internal/fleet/loads.go
@@ -11,6 +11,10 @@
 // loadLives is how long a router's report counts: some reports.
 const loadLives = time.Second
 
+// tellFrom is from how many queued tokens on a load is worth telling: less is read
+// within some milliseconds.
+const tellFrom = 500
+
 type routerLoads struct {
 	loads []*wire.ServerLoad
 	at    time.Time
@@ -42,6 +46,9 @@
 			continue
 		}
 		for _, s := range x.loads {
+			if s.GetQueued() < tellFrom {
+				continue
+			}
 			sum := sums[s.GetId()]
 			if sum == nil {
 				sum = &wire.ServerLoad{Id: s.GetId()}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -53,8 +53,12 @@
 	switch {
 	case c.GetDeclare() != nil:
 		return m.declare(c.GetDeclare())
-	case c.GetGrant() != nil:
-		return m.book.Apply(c.GetGrant())
+	case c.GetGrants() != nil:
+		var replies []*wire.EscrowReply
+		for _, g := range c.GetGrants().GetGrants() {
+			replies = append(replies, m.book.Apply(g))
+		}
+		return replies
 	case c.GetLeaving() != nil:
 		m.leave(c.GetLeaving().GetId())
 	}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -18,6 +18,8 @@
 	proposeTimeout = 900 * time.Millisecond
 	// maxFollowWait bounds how long a question of a follower is held.
 	maxFollowWait = time.Second
+	// maxRelayWait is the same for relays, to which little is ever new.
+	maxRelayWait = 4 * time.Second
 )
 
 // service takes the calls of other processes that only the leader can answer.
@@ -85,41 +87,6 @@
 	return nil
 }
 
-// Report takes in what a holder of escrow spent, and grants what it should have.
-func (s *service) Report(r *wire.EscrowReport, reply *wire.EscrowReply) error {
-	k := s.keeper
-	if err := k.leading(); err != nil {
-		return err
-	}
-	k.sizer.Note(r, time.Now())
-	grants, advice := k.machine.Size(k.sizer, r, time.Now())
-	c := &wire.FleetCommand{Command: &wire.FleetCommand_Grant{Grant: &wire.EscrowGrant{Report: r, Grants: grants}}}
-	result, err := k.propose(c)
-	if err != nil {
-		return err
-	}
-	proto.Merge(reply, result.(*wire.EscrowReply))
-	for i, a := range reply.GetAnswers() {
-		a.Keep, a.Exhausted = advice[i].GetKeep(), advice[i].GetExhausted()
-		k.noteGrant(r.GetNode(), r.GetPositions()[i], grants[i], a)
-	}
-	if reply.GetClosed() {
-		k.Log.Info("A holder of escrow is closed.", "node", r.GetNode(), "boot", r.GetBoot(), "asked", r.GetClosing())
-	}
-	return nil
-}
-
-// noteGrant logs what was decided on a position, if anything was.
-func (k *Keeper) noteGrant(node string, p *wire.EscrowPosition, grant int64, a *wire.EscrowAnswer) {
-	if grant == 0 && a.GetKeep() < 0 && p.GetNeeded() == 0 {
-		return
-	}
-	k.Log.Info("Escrow of a holder is sized.", "node", node, "workspace", p.GetWorkspace(), "needed", p.GetNeeded(),
-		"spent", p.GetSpent(), "reserved", p.GetReserved(), "rate", p.GetRate(), "grant", grant, "granted", a.GetGranted(),
-		"returned", p.GetReturned(), "keep", a.GetKeep(), "exhausted", a.GetExhausted(),
-		"free", k.machine.Free(sumachead.WorkspaceID(p.GetWorkspace())))
-}
-
 // Loads exchanges what routers have under way at backend servers.
 func (s *service) Loads(r *wire.LoadReport, reply *wire.LoadReply) error {
 	if !s.keeper.node.Leading() {
@@ -137,7 +104,7 @@
 	}
 	k.followers.saw(r, time.Now())
 	if r.GetRole() == RoleRelay {
-		time.Sleep(min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxFollowWait))
+		time.Sleep(min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxRelayWait))
 	} else {
 		s.hold(r)
 	}
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -14,11 +14,13 @@
 
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/singleflight"
 	"google.golang.org/protobuf/proto"
 
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/catalog"
+	"sumachead/internal/fleet"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/registry"
 	"sumachead/internal/rpc"
@@ -28,6 +30,8 @@
 	// holdFor is how long the leader may hold a question when nothing is new.
 	// It bounds how late a dead leader or a cut is noticed.
 	holdFor = 600 * time.Millisecond
+	// relayHoldFor is the same for a relay, which only learns of keepers.
+	relayHoldFor = 3 * time.Second
 	// answerWithin bounds an answer beyond its hold.
 	answerWithin = 600 * time.Millisecond
 	// searchTimeout bounds the question to all keepers at once.
@@ -35,6 +39,8 @@
 	// relayDelay is the head start that direct ways have in a search: some round
 	// trips between data halls.
 	relayDelay = 20 * time.Millisecond
+	// throughEach is how many keepers a search asks through each relay.
+	throughEach = 2
 	// hedgeAfter is how long a call may take before other ways are tried beside
 	// it: several times what a commit takes.
 	hedgeAfter = 60 * time.Millisecond
@@ -70,6 +76,8 @@
 
 	view    atomic.Pointer[catalog.View]
 	routers atomic.Uint32
+	// searching makes one of searches that are wanted at the same time.
+	searching singleflight.Group
 
 	mu sync.Mutex // guards the fields below
 	// way is the last way that worked; empty when lost.
@@ -77,6 +85,8 @@
 	keepers []string
 	relays  []string
 	heardAt time.Time
+	// searches counts searches, so that each asks other keepers through relays.
+	searches int
 	// directAt is when the direct way is to be tried again.
 	directAt time.Time
 }
@@ -145,9 +155,13 @@
 
 // follow asks the leader once; false means that the way is lost.
 func (c *Client) follow(ctx context.Context, w Way) bool {
-	callCtx, cancel := context.WithTimeout(ctx, holdFor+answerWithin)
+	hold := holdFor
+	if c.Role == fleet.RoleRelay {
+		hold = relayHoldFor
+	}
+	callCtx, cancel := context.WithTimeout(ctx, hold+answerWithin)
 	defer cancel()
-	reply, err := rpc.Call[wire.FollowReply](callCtx, c.Pool.GetThrough(w.Relay, w.Address), "Fleet.Follow", c.request(holdFor))
+	reply, err := rpc.Call[wire.FollowReply](callCtx, c.Pool.GetThrough(w.Relay, w.Address), "Fleet.Follow", c.request(hold))
 	if err == nil {
 		c.take(reply, w)
 		return true
@@ -222,7 +236,9 @@
 	c.Log.Info("A declaration is in force.", "number", d.GetNumber(), "routes", len(d.GetCatalog().GetRoutes()))
 }
 
-// ways lists all ways to all keepers, direct ones first.
+// ways lists the ways that a search asks: all keepers directly, and a few through
+// each relay, others for each search. A keeper that does not lead names the one
+// that does, so that asking all of them through all relays would tell no more.
 func (c *Client) ways() []Way {
 	keepers := c.Keepers()
 	var ws []Way
@@ -231,11 +247,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, r := range c.relays {
-		for _, k := range keepers {
-			ws = append(ws, Way{r, k})
+	for i, r := range c.relays {
+		for j := range min(throughEach, len(keepers)) {
+			ws = append(ws, Way{r, keepers[(c.searches+i+j)%len(keepers)]})
 		}
 	}
+	c.searches++
 	return ws
 }
 
@@ -245,11 +262,24 @@
 	way   Way
 }
 
-// search asks all keepers at once, over all ways, and takes the first answer of
-// a leader; false means that nobody led.
+// search asks keepers over all ways at once and takes the first answer of a
+// leader; false means that nobody led. Searches that are wanted at the same time
+// are one.
 func (c *Client) search(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
-	defer cancel()
+	done := c.searching.DoChan("", func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), searchTimeout)
+		defer cancel()
+		return c.searchOnce(ctx), nil
+	})
+	select {
+	case r := <-done:
+		return r.Val.(bool)
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *Client) searchOnce(ctx context.Context) bool {
 	ws := c.ways()
 	answers := make(chan *found, len(ws))
 	request := c.request(0)
--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -19,7 +19,9 @@
 	// lackingGap that after one which the ledger could not meet: others have to
 	// give back first.
 	reportGap  = 15 * time.Millisecond
-	lackingGap = 60 * time.Millisecond
+	lackingGap = 40 * time.Millisecond
+	// lackingEach is added to that for each router.
+	lackingEach = 5 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = 700 * time.Millisecond
 	// closingTimeout bounds the last report of a holder that stops.
@@ -102,7 +104,7 @@
 	}
 	r.gap = reportGap
 	if unmet(report, reply) {
-		r.gap = lackingGap
+		r.gap = lackingGap + lackingEach*time.Duration(r.Client.Routers())
 	}
 	next := sumachead.BootID(uuid.NewString())
 	if r.Wallet.Take(reply, r.boot, next, time.Now()) {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -56,8 +56,8 @@
 			return stop
 		}
 		g.metrics.retries.WithLabelValues(string(f.Reason)).Inc()
-		g.Log.Info("A request is sent again.", "request", x.request.ID, "reason", f.Reason, "verdict", f.Verdict,
-			"cause", f.Err, "attempts", x.attempts, "events", x.events, "after", time.Since(x.arrived))
+		g.failures.Info(g.Log, "A request is sent again.", append(x.fields(),
+			"reason", f.Reason, "verdict", f.Verdict, "cause", f.Err.Error())...)
 	}
 }
 
@@ -112,8 +112,7 @@
 	}
 	id := sumachead.ServerID(l.record.GetId())
 	d.tried = append(d.tried, id)
-	d.Log.Info("A request is placed.", "request", d.x.request.ID, "server", id, "hall", l.record.GetHall(),
-		"prompt", d.x.request.PromptTokens, "unread", l.waiting, "queued", l.queued, "running", l.running, "home", l.home)
+	d.x.placement = l
 	a, err := d.send(l, id)
 	if err != nil {
 		return d.failed(l, err)
@@ -136,7 +135,6 @@
 	}
 	most := max(int(x.service.GetMaxConns())*connPart/100/d.client.Routers(), 1)
 	x.attempts++
-	x.server = id
 	a, err := d.upstream.Send(d.ctx, upstream.Server{ID: id, Address: l.record.GetAddress()}, most, x.request, t)
 	var f *upstream.Failure
 	if errors.As(err, &f) && f.Verdict == sumachead.NotRun {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -31,8 +31,8 @@
 	attempts int
 	// firstAt is when the first byte was handed out; zero before.
 	firstAt time.Time
-	// server is where the last attempt went.
-	server sumachead.ServerID
+	// placement is where the last attempt went; nil before the first.
+	placement *placement
 	// events counts the events handed out to the caller.
 	events int64
 	// eventAt is when the last of them was, and pause the longest time between
@@ -126,25 +126,35 @@
 	return x.route.GetPriority()
 }
 
-// noteServed logs a request with a whole answer.
+// noteServed logs a request with a whole answer; above a rate, some of them.
 func (g *Gateway) noteServed(x *exchange) {
-	g.Log.Info("A request is served.", "request", x.request.ID, "route", x.route.GetName(), "workspace", x.workspace(),
-		"declaration", x.view.Number, "server", x.server, "attempts", x.attempts, "events", x.events,
-		"first", x.firstAt.Sub(x.arrived), "pause", x.pause, "after", time.Since(x.arrived))
+	g.lines.Info(g.Log, "A request is served.", append(x.fields(),
+		"first", x.firstAt.Sub(x.arrived), "pause", x.pause)...)
 }
 
 // noteRefusal counts and logs a request that ended without its whole answer.
 func (g *Gateway) noteRefusal(x *exchange, f *sumachead.Refusal) {
 	g.metrics.refusals.WithLabelValues(string(f.Reason)).Inc()
-	route := ""
+	g.failures.Info(g.Log, "A request has no whole answer.", append(x.fields(),
+		"reason", f.Reason, "verdict", f.Verdict, "detail", f.Detail, "started", x.started)...)
+}
+
+// fields are what all lines about a request tell: what it was, under which
+// declaration it was dealt with, where it was placed and what was known there.
+func (x *exchange) fields() []any {
+	fields := []any{
+		"request", x.request.ID, "workspace", x.workspace(), "attempts", x.attempts, "events", x.events,
+		"after", time.Since(x.arrived),
+	}
 	if x.route != nil {
-		route = x.route.GetName()
+		fields = append(fields, "route", x.route.GetName())
 	}
-	var number uint64
 	if x.view != nil {
-		number = x.view.Number
+		fields = append(fields, "declaration", x.view.Number)
+	}
+	if l := x.placement; l != nil {
+		fields = append(fields, "server", l.record.GetId(), "home", l.home, "prompt", x.request.PromptTokens,
+			"unread", l.unread, "queued", l.queued, "running", l.running)
 	}
-	g.Log.Info("A request has no whole answer.", "request", x.request.ID, "reason", f.Reason, "verdict", f.Verdict,
-		"detail", f.Detail, "route", route, "workspace", x.workspace(), "declaration", number,
-		"attempts", x.attempts, "started", x.started, "events", x.events, "after", time.Since(x.arrived))
+	return fields
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,12 +16,17 @@
 	"sumachead/internal/loop"
 	"sumachead/internal/registry"
 	"sumachead/internal/rpc"
+	"sumachead/internal/telemetry"
 	"sumachead/internal/upstream"
 )
 
 // tidyEvery is how often connections that rest are looked at.
 const tidyEvery = 2 * time.Second
 
+// failuresASecond is how many lines a second are kept of each kind of failure: a
+// full queue of callers that are all refused.
+const failuresASecond = 60
+
 // Gateway is the router of a declared fleet. Set the exported fields before
 // Prepare.
 type Gateway struct {
@@ -48,6 +53,10 @@
 	placer   *placer
 	retries  *retryAllowance
 	metrics  *Metrics
+	// lines bounds what is logged of requests that are served, failures of those
+	// that are not, of which more is kept.
+	lines    *telemetry.Lines
+	failures *telemetry.Lines
 	open     atomic.Int64
 	stopping atomic.Bool
 }
@@ -56,6 +65,8 @@
 func (g *Gateway) Prepare() {
 	g.servers = &registry.Table{Heartbeat: g.Heartbeat}
 	g.metrics = newMetrics(g)
+	g.lines = &telemetry.Lines{}
+	g.failures = &telemetry.Lines{PerSecond: failuresASecond}
 	g.client = &fleetclient.Client{
 		Node: g.Node, Role: fleet.RoleRouter, Hall: g.Hall, Seeds: g.Seeds, Pool: g.Pool,
 		Servers: g.servers, Log: g.Log.Named("follow"),
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -113,7 +113,9 @@
 	placer *placer
 	record *wire.ServerRecord
 	state  *serverState
-	// waiting is the prefill that counts until the first event.
+	// unread is what the server is expected to have to read of the prompt, and
+	// waiting the same until the first event, when it becomes 0.
+	unread  sumachead.Tokens
 	waiting sumachead.Tokens
 	// queued and running are what all routers had there before, as far as this
 	// one knew.
@@ -291,8 +293,9 @@
 // begin counts an attempt at a server. The caller holds mu.
 func (p *placer) begin(r *wire.ServerRecord, x *exchange, now time.Time) *placement {
 	s := p.state(sumachead.ServerID(r.GetId()))
+	unread := x.request.PromptTokens - s.cached(x.request.Parts)
 	l := &placement{
-		placer: p, record: r, state: s, waiting: x.request.PromptTokens - s.cached(x.request.Parts),
+		placer: p, record: r, state: s, unread: unread, waiting: unread,
 		queued: s.prefill + s.otherPrefill, running: s.running + s.otherRunning, begun: now,
 	}
 	s.running++
--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -11,6 +11,8 @@
 const (
 	// queuedLines is how many lines may wait for a slow reader.
 	queuedLines = 2048
+	// batchBytes is from how many bytes on a write takes no further lines.
+	batchBytes = 8 << 10
 	// flushTimeout bounds the wait for a reader at the end of a process.
 	flushTimeout = 300 * time.Millisecond
 )
@@ -44,7 +46,6 @@
 // run passes lines on, several at a time where several wait.
 func (q *QueuedWriter) run(w io.Writer) {
 	defer close(q.done)
-	const batchBytes = 8 << 10
 	for line := range q.lines {
 		batch := line
 		for len(batch) < batchBytes && len(q.lines) > 0 {
