--- a/internal/fleet/loads.go
+++ b/internal/fleet/loads.go
@@ -57,7 +57,6 @@
 			}
 			sum.Queued += s.GetQueued()
 			sum.Running += s.GetRunning()
-			sum.Reading += s.GetReading()
 		}
 	}
 	return reply
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -58,9 +58,7 @@
 	var out []*wire.ServerLoad
 	for id, s := range p.states {
 		if s.running > 0 {
-			out = append(out, &wire.ServerLoad{
-				Id: string(id), Queued: int64(s.prefill), Running: int64(s.running), Reading: int64(s.reading),
-			})
+			out = append(out, &wire.ServerLoad{Id: string(id), Queued: int64(s.prefill), Running: int64(s.running)})
 		}
 	}
 	return out
@@ -72,11 +70,10 @@
 	defer p.mu.Unlock()
 	p.othersAt = now
 	for _, s := range p.states {
-		s.otherPrefill, s.otherRunning, s.otherReading = 0, 0, 0
+		s.otherPrefill, s.otherRunning = 0, 0
 	}
 	for _, l := range loads {
 		s := p.state(sumachead.ServerID(l.GetId()))
 		s.otherPrefill, s.otherRunning = sumachead.Tokens(l.GetQueued()), int(l.GetRunning())
-		s.otherReading = int(l.GetReading())
 	}
 }
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -19,7 +19,7 @@
 	hallPenalty = 5 * time.Millisecond
 	// latePart is the part of the objective, in percent, up to which an expected
 	// first event counts as in time; the rest is for what this router can't see.
-	latePart = 70
+	latePart = 150
 	// latePenalty is what an expected late first event weighs, in objectives:
 	// more than reading any prompt again.
 	latePenalty = 4
@@ -36,12 +36,6 @@
 	// measureFrom is the least number of tokens that a measurement needs to say
 	// anything of the speed.
 	measureFrom = 2000
-	// longPrompt is from how many unread tokens on a prompt holds up the tokens of
-	// those that run beside it.
-	longPrompt = 2000
-	// sideBySide is how many long prompts a server may read at a time before the
-	// pauses of its streams grow too long; each further one weighs an objective.
-	sideBySide = 2
 	// othersFor is how long what other routers told is believed.
 	othersFor = time.Second
 	// runSlows is how much each request that runs beside slows a first event.
@@ -71,10 +65,6 @@
 	// last told.
 	otherRunning int
 	otherPrefill sumachead.Tokens
-	// reading counts this router's long prompts that have no first event yet,
-	// otherReading those of all other routers.
-	reading      int
-	otherReading int
 	// parts are the prompt parts that requests have brought there.
 	parts map[string]time.Time
 	// failures in a row, and until when the server is passed over.
@@ -201,11 +191,10 @@
 		again = 0 // other routers have brought them
 	}
 	unread := again + x.request.PromptTokens - total(shared)
-	queued, running, reading := st.prefill, st.running, st.reading
+	queued, running := st.prefill, st.running
 	if now.Sub(p.othersAt) < othersFor {
 		queued += st.otherPrefill
 		running += st.otherRunning
-		reading += st.otherReading
 	}
 	wait := p.readTime(queued+unread) + time.Duration(running)*runSlows
 	cost := wait/waitShare + p.readTime(again)
@@ -213,9 +202,6 @@
 	if objective > 0 && wait > objective*latePart/100 {
 		cost += latePenalty*objective + wait
 	}
-	if unread >= longPrompt && reading >= sideBySide {
-		cost += objective * time.Duration(reading-sideBySide+1)
-	}
 	return cost
 }
 
@@ -300,9 +286,6 @@
 	}
 	s.running++
 	s.prefill += l.waiting
-	if l.waiting >= longPrompt {
-		s.reading++
-	}
 	s.usedAt = now
 	for _, part := range x.request.Parts {
 		s.parts[part.ID] = now
@@ -341,9 +324,6 @@
 // read takes the prompt off what the server has to read. The caller holds mu.
 func (l *placement) read() {
 	l.state.prefill -= l.waiting
-	if l.waiting >= longPrompt {
-		l.state.reading--
-	}
 	l.waiting = 0
 }
 
