sumachead explain: a request's story from log files

The lines about a request in order, and before each what its process, and others on the same server or workspace, believed. Lint is clean again.

--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -274,14 +274,14 @@
 func (w *Wallet) Touch(ids []sumachead.WorkspaceID) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	any := false
+	found := false
 	for _, id := range ids {
 		if p := w.purses[id]; p != nil && p.atHand() > 0 {
 			p.dirty = true
-			any = true
+			found = true
 		}
 	}
-	return any
+	return found
 }
 
 // Unsent marks a report's positions as not told, after a call that failed.
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -134,6 +134,7 @@
 		{"keeper", "remove", "take a keeper out for good", &keeperRemove{app: a}},
 		{"", "tls", "make certificates", &struct{}{}},
 		{"tls", "init", "make an authority, and certificates for processes", &tlsInit{app: a}},
+		{"", "explain", "tell a request's story from log files", &explainCommand{app: a}},
 		{"", "load", "run a load against a router", &loadCommand{app: a}},
 	}
 	for _, c := range commands {
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -97,7 +97,7 @@
 	}
 	a := &Answer{pool: p, server: s, conn: c}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	if err := a.exchange(p.encode(s, r, t), r); err != nil {
+	if err := a.exchange(p.encode(r, t), r); err != nil {
 		a.stop()
 		_ = c.Close()
 		p.drop(s)
@@ -107,7 +107,7 @@
 }
 
 // encode returns the bytes of a request.
-func (p *Pool) encode(s Server, r *sumachead.CallerRequest, t *sumachead.Attempt) []byte {
+func (p *Pool) encode(r *sumachead.CallerRequest, t *sumachead.Attempt) []byte {
 	h := r.Header.Clone()
 	p.Dialect.Encode(h, r, t)
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
@@ -173,6 +173,7 @@
 // requests, which a server may send twice, are passed over.
 func (a *Answer) readHead(r *sumachead.CallerRequest) error {
 	for range maxSurplus + 1 {
+		//nolint:bodyclose // Close ends the connection, or gives it back once the body was read
 		resp, err := http.ReadResponse(a.conn.br, &http.Request{Method: r.Method})
 		if err != nil {
 			return &Failure{sumachead.MayHaveRun, sumachead.ReasonServerFailed, err}
