--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -337,3 +337,20 @@
 	}
 	return 0
 }
+
+// Sum is a wallet's money of all workspaces, by state.
+type Sum struct{ AtHand, Reserved, Spent, Returned sumachead.Tokens }
+
+// Sum adds up all workspaces.
+func (w *Wallet) Sum() Sum {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var s Sum
+	for _, p := range w.purses {
+		s.AtHand += p.atHand()
+		s.Reserved += p.reserved
+		s.Spent += p.spent
+		s.Returned += p.returned
+	}
+	return s
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -15,13 +15,16 @@
 	"github.com/gravitational/trace"
 )
 
+// messageStarting is the first line of each life of a process.
+const messageStarting = "Starting."
+
 // maxLine bounds one line of a log.
 const maxLine = 1 << 20
 
 // beliefs are the messages that change what a process believes, with the field
 // that tells them apart where one message speaks of several things.
 var beliefs = map[string]string{
-	"Starting.":                                          "",
+	messageStarting:                                      "",
 	"A declaration is in force.":                         "",
 	"The leading keeper is found.":                       "",
 	"The way to the leading keeper is lost.":             "",
@@ -114,7 +117,7 @@
 // believes of a server or a workspace bears on requests elsewhere as well.
 func note(held map[string]map[string]Line, l Line, about string) {
 	p := l.process()
-	if held[p] == nil {
+	if held[p] == nil || l.Message == messageStarting { // a new process believes nothing yet
 		held[p] = make(map[string]Line)
 	}
 	held[p][fmt.Sprint(l.Message, "/", l.Fields[about])] = l
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
@@ -60,6 +61,8 @@
 	RPC       *rpc.Server
 	Pool      *rpc.Pool
 	Log       hclog.Logger
+	// Collectors are told beside the keeper's own figures.
+	Collectors []prometheus.Collector
 
 	identity  *wire.Identity
 	machine   *Machine
@@ -97,6 +100,8 @@
 		SnapshotEvery: snapshotEvery, Log: k.Log.Named("group"),
 	}
 	k.metrics = newMetrics(k)
+	k.metrics.Registry.MustRegister(k.Collectors...)
+	k.node.Synced = func(d time.Duration) { k.metrics.syncs.Observe(d.Seconds()) }
 	return k.node.Open()
 }
 
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -9,10 +9,21 @@
 // metrics are a keeper's figures.
 type metrics struct {
 	Registry *prometheus.Registry
+
+	syncs   prometheus.Histogram
+	commits prometheus.Histogram
 }
 
 func newMetrics(k *Keeper) *metrics {
-	m := &metrics{Registry: prometheus.NewRegistry()}
+	histogram := func(name, help string) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14)})
+	}
+	m := &metrics{
+		Registry: prometheus.NewRegistry(),
+		syncs:    histogram("sumachead_keeper_sync_seconds", "Time of a synced write to the log."),
+		commits:  histogram("sumachead_keeper_commit_seconds", "Time from a command to its result at the leader."),
+	}
+	m.Registry.MustRegister(m.syncs, m.commits)
 	m.Registry.MustRegister(rpc.Traffic{})
 	gauge := func(name, help string, f func() float64) {
 		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -171,7 +171,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
+	begun := time.Now()
 	result, err := k.node.Propose(ctx, data)
+	if err == nil {
+		k.metrics.commits.Observe(time.Since(begun).Seconds())
+	}
 	return result, keeperclient.EncodeError(err)
 }
 
--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -37,6 +37,9 @@
 	Client *Client
 	Wallet *escrow.Wallet
 	Log    hclog.Logger
+	// Taken is told how long a report took that the ledger has taken; nil for
+	// nobody.
+	Taken func(time.Duration)
 
 	boot sumachead.BootID
 	kick chan struct{}
@@ -96,7 +99,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	begun := time.Now()
 	reply, err := Call[wire.EscrowReply](ctx, r.Client, "Fleet.Report", report)
+	if err == nil && r.Taken != nil {
+		r.Taken(time.Since(begun))
+	}
 	if err != nil {
 		r.Wallet.Unsent(report)
 		r.Log.Debug("A report of escrow was not taken.", "positions", len(report.GetPositions()), "error", err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	}
 	g.wallet = &escrow.Wallet{Node: g.Node}
 	g.reporter = &fleetclient.Reporter{Client: g.client, Wallet: g.wallet, Log: g.Log.Named("escrow")}
+	g.reporter.Taken = func(d time.Duration) { g.metrics.ledger.Observe(d.Seconds()) }
 	g.reporter.Prepare()
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, OnDial: g.metrics.dials.Inc}
 	g.placer = newPlacer(g.Hall)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sumachead"
+	"sumachead/internal/escrow"
 	"sumachead/internal/rpc"
 )
 
@@ -17,7 +18,18 @@
 	retries  *prometheus.CounterVec
 	served   prometheus.Counter
 	dials    prometheus.Counter
+	first    prometheus.Histogram
 	whole    prometheus.Histogram
+	pause    prometheus.Histogram
+	ledger   prometheus.Histogram
+}
+
+// seconds are the buckets of all histograms: from a call within a data hall to
+// the longest that callers wait.
+var seconds = prometheus.ExponentialBuckets(0.002, 2, 14)
+
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: seconds})
 }
 
 func newMetrics(g *Gateway) *Metrics {
@@ -35,28 +47,62 @@
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sumachead_gateway_dials_total", Help: "New connections to backend servers.",
 		}),
-		whole: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "sumachead_gateway_answer_seconds", Help: "Time to the end of a whole answer.",
-			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
-		}),
+		first:  histogram("sumachead_gateway_first_byte_seconds", "Time to the first byte of an answer."),
+		whole:  histogram("sumachead_gateway_answer_seconds", "Time to the end of a whole answer."),
+		pause:  histogram("sumachead_gateway_pause_seconds", "Longest pause between events of a whole answer."),
+		ledger: histogram("sumachead_gateway_ledger_seconds", "Time of a report of escrow that was taken."),
 	}
 	for _, r := range sumachead.Reasons() {
 		m.refusals.WithLabelValues(string(r))
 		m.retries.WithLabelValues(string(r))
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.served, m.dials, m.whole, rpc.Traffic{})
-	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "sumachead_gateway_declaration_number", Help: "Number of the declaration in force.",
-	}, func() float64 {
+	m.Registry.MustRegister(m.refusals, m.retries, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, rpc.Traffic{})
+	m.gauges(g)
+	return m
+}
+
+// gauges registers what is read when it is asked for.
+func (m *Metrics) gauges(g *Gateway) {
+	gauge := func(name, help string, f func() float64) {
+		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
+	}
+	gauge("sumachead_gateway_declaration_number", "Number of the declaration in force; 0 before the first.", func() float64 {
 		if v := g.client.View(); v != nil {
 			return float64(v.Number)
 		}
 		return 0
-	}))
-	return m
+	})
+	gauge("sumachead_gateway_open_requests", "Requests under way.", func() float64 { return float64(g.Open()) })
+	gauge("sumachead_gateway_servers", "Backend servers known that are not leaving.", func() float64 { return float64(g.servers.Count()) })
+	gauge("sumachead_gateway_relayed", "1 while the leading keeper is reached through a relay.", func() float64 {
+		if w, _ := g.client.Way(); w.Relay != "" {
+			return 1
+		}
+		return 0
+	})
+	gauge("sumachead_gateway_keeper_age_seconds", "Time since the leading keeper last answered.", func() float64 {
+		return time.Since(g.client.HeardAt()).Seconds()
+	})
+	for _, s := range []struct {
+		state string
+		of    func(escrow.Sum) sumachead.Tokens
+	}{
+		{"at_hand", func(s escrow.Sum) sumachead.Tokens { return s.AtHand }},
+		{"reserved", func(s escrow.Sum) sumachead.Tokens { return s.Reserved }},
+		{"spent", func(s escrow.Sum) sumachead.Tokens { return s.Spent }},
+		{"returned", func(s escrow.Sum) sumachead.Tokens { return s.Returned }},
+	} {
+		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sumachead_gateway_escrow_tokens", Help: "Escrow of all workspaces, by state.", ConstLabels: prometheus.Labels{"state": s.state},
+		}, func() float64 { return float64(s.of(g.wallet.Sum())) }))
+	}
 }
 
 func (m *Metrics) noteServed(x *exchange) {
 	m.served.Inc()
+	m.first.Observe(x.firstAt.Sub(x.arrived).Seconds())
 	m.whole.Observe(time.Since(x.arrived).Seconds())
+	if x.events > 1 {
+		m.pause.Observe(x.pause.Seconds())
+	}
 }
--- /dev/null
+++ b/internal/metricspage/page_test.go
@@ -0,0 +1,104 @@
+// Package metricspage keeps docs/METRICS.md true. It holds tests only.
+package metricspage
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sumachead/api/wire"
+	"sumachead/internal/fleet"
+	"sumachead/internal/gateway"
+	"sumachead/internal/rpc"
+	"sumachead/internal/telemetry"
+)
+
+var update = flag.Bool("update", false, "write docs/METRICS.md")
+
+const page = "../../docs/METRICS.md"
+
+const head = `# Figures that processes tell
+
+Made from the code by ` + "`go test ./internal/metricspage -update`" + ` and checked by the
+tests. Names follow the conventions of Prometheus; all times are in seconds.
+Refusals and retries have a counter for each reason ([OPERATIONS.md](OPERATIONS.md)
+says what to do about them), also before the first of its kind.
+
+`
+
+// rows lists the metrics of a registry, each once.
+func rows(t *testing.T, r *prometheus.Registry) []string {
+	t.Helper()
+	families, err := r.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, f := range families {
+		labels := ""
+		for _, l := range f.GetMetric()[0].GetLabel() {
+			labels += l.GetName() + " "
+		}
+		kind := strings.ToLower(f.GetType().String())
+		out = append(out, fmt.Sprintf("| `%s` | %s | %s | %s |", f.GetName(), kind, strings.TrimSpace(labels), f.GetHelp()))
+	}
+	slices.Sort(out)
+	return out
+}
+
+func section(title string, rows []string) string {
+	return "## " + title + "\n\n| name | kind | labels | what it tells |\n| --- | --- | --- | --- |\n" + strings.Join(rows, "\n") + "\n"
+}
+
+// callNobody sends one call, so that the counters by method have a row.
+func callNobody(ctx context.Context, t *testing.T) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+	defer cancel()
+	_, _ = rpc.Call[wire.Empty](ctx, &rpc.Client{Address: lis.Addr().String()}, "Nobody.Answers", &wire.Empty{}) // it is sent
+}
+
+func TestPageIsTrue(t *testing.T) {
+	out := telemetry.NewQueuedWriter(os.Stderr)
+	g := &gateway.Gateway{Log: hclog.NewNullLogger(), Seeds: func() []string { return nil }}
+	g.Prepare()
+	g.Metrics().Registry.MustRegister(out.Dropped())
+	k := &fleet.Keeper{
+		Node: "core-1", Address: "127.0.0.1:1", Data: t.TempDir(), Founders: []string{"127.0.0.1:1"}, Heartbeat: time.Second,
+		RPC: &rpc.Server{}, Pool: &rpc.Pool{}, Log: hclog.NewNullLogger(), Collectors: []prometheus.Collector{out.Dropped()},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := k.Prepare(ctx); err != nil {
+		t.Fatal(err)
+	}
+	callNobody(ctx, t)
+	want := head + section("Routers", rows(t, g.Metrics().Registry)) + "\n" + section("Keepers", rows(t, k.Metrics()))
+	if *update {
+		if err := os.WriteFile(page, []byte(want), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(want, string(got)); d != "" {
+		t.Fatalf("docs/METRICS.md is not what the code tells; run with -update (-want +got):\n%s", d)
+	}
+}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -55,6 +55,8 @@
 	Election      time.Duration
 	SnapshotEvery uint64
 	Log           hclog.Logger
+	// Synced is told how long each synced write took; nil for nobody.
+	Synced func(time.Duration)
 
 	storage *Storage
 	core    *Core
@@ -265,7 +267,7 @@
 		if state == nil && len(r.Entries) > 0 {
 			state = n.core.HardState()
 		}
-		return n.storage.Save(state, r.Entries)
+		return n.save(state, r.Entries)
 	}
 	if r.State != nil {
 		n.storage.state = r.State
@@ -279,6 +281,16 @@
 	return n.storage.SaveSnapshot(r.Snapshot, r.Entries)
 }
 
+// save writes to the log and tells how long that took.
+func (n *Node) save(state *wire.HardState, entries []*wire.LogEntry) error {
+	begun := time.Now()
+	err := n.storage.Save(state, entries)
+	if n.Synced != nil && (state != nil || len(entries) > 0) {
+		n.Synced(time.Since(begun))
+	}
+	return err
+}
+
 func (n *Node) apply(entries []*wire.LogEntry) {
 	for _, e := range entries {
 		var result any
--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 const (
@@ -20,8 +22,10 @@
 // QueuedWriter passes lines on without ever holding its caller up: what a slow
 // reader does not take in is dropped and counted. It implements io.Writer.
 type QueuedWriter struct {
-	lines   chan []byte
+	lines chan []byte
+	// dropped counts since the last line that told of it, total for good.
 	dropped atomic.Int64
+	total   atomic.Int64
 	done    chan struct{}
 	close   sync.Once
 }
@@ -39,6 +43,7 @@
 	case q.lines <- append([]byte(nil), line...):
 	default:
 		q.dropped.Add(1)
+		q.total.Add(1)
 	}
 	return len(line), nil
 }
@@ -60,6 +65,13 @@
 	}
 }
 
+// Dropped tells to Prometheus how many lines a slow reader has cost.
+func (q *QueuedWriter) Dropped() prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "sumachead_log_lines_dropped_total", Help: "Log lines that were dropped because the reader of the output was slow.",
+	}, func() float64 { return float64(q.total.Load()) })
+}
+
 // Close passes on what waits, within a short time. Nothing may be written after.
 func (q *QueuedWriter) Close() {
 	q.close.Do(func() { close(q.lines) })
