A fault soak of the fleet: kills, stops, freezes, cuts, lost disks, races, server faults

Real node processes on loopback behind relays of the test; promises are checked while it runs and at the end: reads never older than what was acknowledged, budgets, single runs, whole answers, true refusals, leaving servers, invalid declarations.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -143,7 +143,9 @@
 		ID: "i-" + name, Service: service, Hall: hall, Address: loopback(freePort()), Control: f.controls,
 		Every: 300 * time.Millisecond, EventEvery: 3 * time.Millisecond, Work: 20 * time.Millisecond,
 	}
+	f.mu.Lock()
 	f.server[name] = r
+	f.mu.Unlock()
 	go func() { _ = r.Run(f.ctx) }()
 }
 
--- /dev/null
+++ b/internal/scenario/fleetsoak_test.go
@@ -0,0 +1,396 @@
+package scenario
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sumachead/internal/standin"
+)
+
+// fleetSoak is a random mix of faults against a fleet of real processes, under
+// load, with the promises checked while it runs.
+type fleetSoak struct {
+	t    *testing.T
+	f    *fleet
+	rand *rand.Rand
+
+	mu       sync.Mutex // guards the fields below
+	acked    int        // highest number that was acknowledged
+	sent     int        // highest number that was sent
+	prepaid  int        // highest budget that was sent
+	faults   map[string]int
+	outcomes map[string]int
+	broken   []string
+	wiped    time.Time // when the last disk that was lost came back
+}
+
+const (
+	// soakSeed and soakShort are the run that CI does.
+	soakSeed  = 7
+	soakShort = 12 * time.Second
+	// catchUp is how long a keeper with a new disk may take until another may be
+	// lost.
+	catchUp = 5 * time.Second
+	// settle is how long the system has at the end, without faults.
+	settle = 20 * time.Second
+)
+
+// TestFleetSoak runs for a short time with a fixed seed; SOAK=5m and SEED=N run it
+// for longer, SEED=0 with a seed of its own.
+func TestFleetSoak(t *testing.T) {
+	lasts, seed := soakShort, uint64(soakSeed)
+	if d, err := time.ParseDuration(os.Getenv("SOAK")); err == nil {
+		lasts = d
+		if seed, err = strconv.ParseUint(os.Getenv("SEED"), 10, 64); err != nil || seed == 0 {
+			seed = uint64(time.Now().UnixNano())
+		}
+	}
+	t.Logf("SEED=%d", seed)
+	node, err := exec.LookPath("sumachead-node")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sh := fleetShape{keepers: 5, routers: 4, relays: 4, engines: 4, desks: 3, prepaid: 400_000}
+	s := &fleetSoak{
+		t: t, f: newFleet(t.TempDir(), node, sh), rand: rand.New(rand.NewPCG(seed, 2)),
+		acked: 1, sent: 1, prepaid: sh.prepaid, faults: make(map[string]int), outcomes: make(map[string]int),
+	}
+	atOnce <- struct{}{}
+	defer func() { <-atOnce }()
+	if err := s.f.build(); err != nil {
+		t.Fatal(err)
+	}
+	defer s.f.close()
+	if err := s.f.startAll(); err != nil {
+		t.Fatal(err)
+	}
+	s.run(time.Now().Add(lasts))
+	s.recover()
+	s.report()
+}
+
+// run causes faults and load until a moment.
+func (s *fleetSoak) run(until time.Time) {
+	var all sync.WaitGroup
+	const callers, readers = 12, 2
+	for i := range callers {
+		r := rand.New(rand.NewPCG(s.rand.Uint64(), uint64(i)))
+		all.Go(func() { s.call(r, until) })
+	}
+	for i := range readers {
+		r := rand.New(rand.NewPCG(s.rand.Uint64(), uint64(i)))
+		all.Go(func() { s.read(r, until) })
+	}
+	s.operate(&all, until)
+	const series = 2 // faults overlap
+	for i := range series {
+		r := rand.New(rand.NewPCG(s.rand.Uint64(), uint64(i)))
+		all.Go(func() {
+			for time.Now().Before(until) {
+				s.fault(r)
+				time.Sleep(time.Duration(r.IntN(1200)) * time.Millisecond)
+			}
+		})
+	}
+	all.Wait()
+}
+
+func (s *fleetSoak) note(counts map[string]int, what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts[what]++
+}
+
+func (s *fleetSoak) breaks(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = append(s.broken, fmt.Sprintf(format, args...))
+}
+
+// call sends requests of all kinds to all routers.
+func (s *fleetSoak) call(r *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		q := fleetRequest{router: fmt.Sprintf("router-%d", r.IntN(s.f.shape.routers)+1), prompt: 20 + r.IntN(100), events: 1 + r.IntN(30)}
+		q.kind = []string{"stream", "stream", "hold", "check"}[r.IntN(4)]
+		if r.IntN(10) == 0 {
+			q.leave = time.Duration(r.IntN(80)) * time.Millisecond
+		}
+		c := s.f.ask(q)
+		s.note(s.outcomes, q.kind+" "+c.String())
+		pause := time.Duration(r.IntN(40)) * time.Millisecond
+		if !c.whole {
+			pause += 100 * time.Millisecond
+		}
+		time.Sleep(pause)
+	}
+}
+
+// read reads the declaration at random keepers: what is read is never older than
+// what was acknowledged before.
+func (s *fleetSoak) read(r *rand.Rand, until time.Time) {
+	controls := s.f.controls()
+	for time.Now().Before(until) {
+		s.mu.Lock()
+		acked := s.acked
+		s.mu.Unlock()
+		at := controls[r.IntN(len(controls))]
+		if n := s.f.document(at); n != 0 && n < acked {
+			s.breaks("%s answered with declaration %d after %d was acknowledged", at, n, acked)
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
+// operate starts two operators who race.
+func (s *fleetSoak) operate(all *sync.WaitGroup, until time.Time) {
+	for i := range 2 {
+		r := rand.New(rand.NewPCG(s.rand.Uint64(), uint64(i)))
+		all.Go(func() {
+			for time.Now().Before(until) {
+				s.declare(r)
+				time.Sleep(time.Duration(300+r.IntN(1500)) * time.Millisecond)
+			}
+		})
+	}
+}
+
+// declare sends one declaration, again and again until it is taken; at times an
+// older number or an invalid one.
+func (s *fleetSoak) declare(r *rand.Rand) {
+	controls := s.f.controls()
+	s.mu.Lock()
+	d := fleetDocument{number: s.sent + 1 + r.IntN(3), routes: r.IntN(20), prepaid: s.prepaid}
+	if r.IntN(4) == 0 {
+		d.prepaid += r.IntN(100_000)
+	}
+	bad := r.IntN(8) == 0
+	if !bad {
+		s.sent, s.prepaid = max(s.sent, d.number), max(s.prepaid, d.prepaid)
+	}
+	s.mu.Unlock()
+	d.bad = bad
+	for range 20 {
+		switch status := s.f.put(controls[r.IntN(len(controls))], d.encode()); {
+		case bad && status == 200:
+			s.breaks("an invalid declaration %d was acknowledged", d.number)
+			return
+		case bad && status == 400:
+			return
+		case status == 200:
+			s.mu.Lock()
+			s.acked = max(s.acked, d.number)
+			s.mu.Unlock()
+			return
+		case !bad && status == 400:
+			s.breaks("declaration %d was refused", d.number)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// fault causes one fault and, where it lasts, ends it.
+func (s *fleetSoak) fault(r *rand.Rand) {
+	lasts := time.Duration(300+r.IntN(2500)) * time.Millisecond
+	pick := func(class string, n int) *process { return s.f.processes[fmt.Sprintf("%s-%d", class, r.IntN(n)+1)] }
+	kinds := []struct {
+		name string
+		do   func()
+	}{
+		{"kill router", func() { s.bounce(pick("router", s.f.shape.routers), (*process).kill, lasts/4) }},
+		{"kill keeper", func() { s.bounce(pick("keeper", s.f.shape.keepers), (*process).kill, lasts) }},
+		{"kill relay", func() { s.bounce(pick("side", s.f.shape.relays), (*process).kill, lasts/4) }},
+		{"stop router", func() { s.bounce(pick("router", s.f.shape.routers), s.stopProcess, lasts/4) }},
+		{"stop keeper", func() { s.bounce(pick("keeper", s.f.shape.keepers), s.stopProcess, lasts/4) }},
+		{"freeze router", func() { s.freeze(pick("router", s.f.shape.routers), lasts) }},
+		{"freeze keeper", func() { s.freeze(pick("keeper", s.f.shape.keepers), lasts) }},
+		{"wipe keeper", func() { s.wipe(pick("keeper", s.f.shape.keepers)) }},
+		{"cut routers from keepers", func() { s.cut("router", "keeper", lasts) }},
+		{"cut a router from keepers", func() { s.cut(pick("router", s.f.shape.routers).name, "keeper", lasts) }},
+		{"cut a keeper", func() { s.cut(pick("keeper", s.f.shape.keepers).name, "keeper", lasts) }},
+		{"cut a hall", func() { s.cut("hall-1", "hall-2", lasts) }},
+		{"kill all keepers", func() { s.killAll("keeper") }},
+		{"server faults", func() { s.serverFault(r, lasts) }},
+		{"new server for an old one", func() { s.replaceServer(r) }},
+	}
+	k := kinds[r.IntN(len(kinds))]
+	s.note(s.faults, k.name)
+	k.do()
+}
+
+// bounce ends a process and starts it again after a time.
+func (s *fleetSoak) bounce(p *process, end func(*process), after time.Duration) {
+	if !s.claim(p) {
+		return
+	}
+	defer s.free(p)
+	end(p)
+	time.Sleep(after)
+	if err := s.f.start(p); err != nil {
+		s.breaks("%s did not start: %v", p.name, err)
+	}
+}
+
+func (s *fleetSoak) stopProcess(p *process) {
+	if err := p.stop(); err != nil {
+		s.breaks("%v", err)
+	}
+}
+
+// claim makes sure that one fault at a time deals with a process.
+func (s *fleetSoak) claim(p *process) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.frozen || !p.running() {
+		return false
+	}
+	p.frozen = true
+	return true
+}
+
+func (s *fleetSoak) free(p *process) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.frozen = false
+}
+
+func (s *fleetSoak) freeze(p *process, lasts time.Duration) {
+	if !s.claim(p) {
+		return
+	}
+	defer s.free(p)
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(lasts)
+	p.signal(syscall.SIGCONT)
+}
+
+// wipe loses a keeper's disk; one at a time, and only when the last has caught up.
+func (s *fleetSoak) wipe(p *process) {
+	s.mu.Lock()
+	early := time.Since(s.wiped) < catchUp
+	if !early {
+		s.wiped = time.Now().Add(time.Hour)
+	}
+	s.mu.Unlock()
+	if early {
+		return
+	}
+	s.bounce(p, func(p *process) {
+		p.kill()
+		if err := os.RemoveAll(p.data); err != nil {
+			s.breaks("%v", err)
+		}
+	}, 200*time.Millisecond)
+	s.mu.Lock()
+	s.wiped = time.Now()
+	s.mu.Unlock()
+}
+
+func (s *fleetSoak) cut(a, b string, lasts time.Duration) {
+	s.f.net.set(a, b, true)
+	time.Sleep(lasts)
+	s.f.net.set(a, b, false)
+}
+
+func (s *fleetSoak) killAll(class string) {
+	var all sync.WaitGroup
+	for _, name := range s.f.order {
+		if p := s.f.processes[name]; p.role == class {
+			all.Go(func() { s.bounce(p, (*process).kill, 300*time.Millisecond) })
+		}
+	}
+	all.Wait()
+}
+
+func (s *fleetSoak) serverFault(r *rand.Rand, lasts time.Duration) {
+	faults := []standin.ReplicaFaults{{LoseAnswer: true}, {BreakAfter: 2}, {Surplus: true}, {Refuse: true}, {Hang: true}}
+	names := slices.Sorted(maps.Keys(s.servers()))
+	server := s.servers()[names[r.IntN(len(names))]]
+	server.Set(faults[r.IntN(len(faults))])
+	time.Sleep(lasts)
+	server.Set(standin.ReplicaFaults{})
+}
+
+// servers returns the backend servers that have not left.
+func (s *fleetSoak) servers() map[string]*standin.Replica {
+	s.f.mu.Lock()
+	defer s.f.mu.Unlock()
+	out := make(map[string]*standin.Replica)
+	for name, r := range s.f.server {
+		if r.DrainAcked().IsZero() {
+			out[name] = r
+		}
+	}
+	return out
+}
+
+// replaceServer starts a server and lets an old one of its service go.
+func (s *fleetSoak) replaceServer(r *rand.Rand) {
+	names := slices.Sorted(maps.Keys(s.servers()))
+	name := names[r.IntN(len(names))]
+	old := s.servers()[name]
+	s.f.addServer(fmt.Sprintf("%s+%d", strings.Split(name, "+")[0], r.IntN(1_000_000)), old.Service, old.Hall)
+	for range 10 {
+		if old.Drain(s.f.ctx) {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+// recover ends all faults; everything must be served again, and the newest
+// declaration be there.
+func (s *fleetSoak) recover() {
+	s.f.net.healAll()
+	for _, r := range s.servers() {
+		r.Set(standin.ReplicaFaults{})
+	}
+	for _, name := range s.f.order {
+		if p := s.f.processes[name]; !p.running() {
+			if err := s.f.start(p); err != nil {
+				s.t.Fatal(err)
+			}
+		}
+	}
+	top := fleetDocument{number: s.sent + 10, prepaid: s.prepaid + 100_000}
+	if err := s.f.declare(top, settle); err != nil {
+		s.breaks("after all faults: %v", err)
+	}
+	s.prepaid = top.prepaid
+	err := eventually(settle, "all routers serve all kinds after all faults", func() bool {
+		for i := range s.f.shape.routers {
+			for _, kind := range []string{"stream", "hold", "check"} {
+				if !s.f.ask(fleetRequest{kind: kind, router: fmt.Sprintf("router-%d", i+1), prompt: 20, events: 3}).whole {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	if err != nil {
+		s.breaks("%v", err)
+	}
+}
+
+func (s *fleetSoak) report() {
+	s.t.Logf("processes %d, requests %d, declarations to %d", len(s.f.order), s.f.requests, s.acked)
+	s.t.Logf("faults %v", s.faults)
+	s.t.Logf("outcomes %v", s.outcomes)
+	s.broken = append(s.broken, s.f.promises(s.prepaid)...)
+	if names := s.f.crashes(); len(names) > 0 {
+		s.broken = append(s.broken, fmt.Sprintf("crashed or raced: %v", names))
+	}
+	for _, b := range s.broken {
+		s.t.Error(b)
+	}
+}
