--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -31,7 +31,8 @@
 	faults   map[string]int
 	outcomes map[string]int
 	broken   []string
-	wiped    time.Time // when the last disk that was lost came back
+	busy     map[string]bool // processes that a fault deals with
+	wiped    time.Time       // when the last disk that was lost came back
 }
 
 const (
@@ -64,6 +65,7 @@
 	s := &fleetSoak{
 		t: t, f: newFleet(t.TempDir(), node, sh), rand: rand.New(rand.NewPCG(seed, 2)),
 		acked: 1, sent: 1, prepaid: sh.prepaid, faults: make(map[string]int), outcomes: make(map[string]int),
+		busy: make(map[string]bool),
 	}
 	atOnce <- struct{}{}
 	defer func() { <-atOnce }()
@@ -251,17 +253,17 @@
 func (s *fleetSoak) claim(p *process) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p.frozen || !p.running() {
+	if s.busy[p.name] || !p.running() {
 		return false
 	}
-	p.frozen = true
+	s.busy[p.name] = true
 	return true
 }
 
 func (s *fleetSoak) free(p *process) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p.frozen = false
+	delete(s.busy, p.name)
 }
 
 func (s *fleetSoak) freeze(p *process, lasts time.Duration) {
@@ -389,8 +391,26 @@
 	s.broken = append(s.broken, s.f.promises(s.prepaid)...)
 	if names := s.f.crashes(); len(names) > 0 {
 		s.broken = append(s.broken, fmt.Sprintf("crashed or raced: %v", names))
+		s.showCrashes(names)
 	}
 	for _, b := range s.broken {
 		s.t.Error(b)
 	}
 }
+
+// showCrashes prints what crashed processes said.
+func (s *fleetSoak) showCrashes(names []string) {
+	const most = 6000
+	for _, n := range names {
+		data, err := os.ReadFile(s.f.path(n + ".log"))
+		if err != nil {
+			s.t.Log(err)
+			continue
+		}
+		for _, mark := range []string{"WARNING: DATA RACE", "\npanic: "} {
+			if i := strings.Index(string(data), mark); i >= 0 {
+				s.t.Logf("%s:\n%s", n, data[i:min(i+most, len(data))])
+			}
+		}
+	}
+}
