Nothing written after the end of the log's queue can crash a process

Change: closing signals the queue and leaves its channel open; later lines are dropped. TestWritingAfterTheEndIsHarmless panics without it.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -48,7 +48,7 @@
 
 func newFleet(dir, node string, s fleetShape) *fleet {
 	f := &fleet{
-		system: newSystem(dir, "", "", shape{}), shape: s, node: node, base: 20 + int(worlds.Add(1))%90,
+		system: newSystem(dir, "", "", shape{}), shape: s, node: node, base: 20 + (os.Getpid()+int(worlds.Add(1)))%90,
 		inner: freePort(), front: freePort(), ready: freePort(), ctl: freePort(), server: make(map[string]*standin.Replica),
 	}
 	f.ctx, f.stop = context.WithCancel(context.Background())
--- a/internal/telemetry/lines_test.go
+++ b/internal/telemetry/lines_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -81,3 +82,19 @@
 type writerFunc func([]byte) (int, error)
 
 func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
+func TestWritingAfterTheEndIsHarmless(t *testing.T) {
+	var out bytes.Buffer
+	q := NewQueuedWriter(&out)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 1000 {
+				_, _ = q.Write([]byte("line\n"))
+			}
+		})
+	}
+	q.Close()
+	writers.Wait()
+	_, _ = q.Write([]byte("late\n"))
+}
--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -26,13 +26,15 @@
 	// dropped counts since the last line that told of it, total for good.
 	dropped atomic.Int64
 	total   atomic.Int64
-	done    chan struct{}
-	close   sync.Once
+	// stop is closed by Close, done when the last line has been passed on.
+	stop  chan struct{}
+	done  chan struct{}
+	close sync.Once
 }
 
 // NewQueuedWriter returns a writer in front of w.
 func NewQueuedWriter(w io.Writer) *QueuedWriter {
-	q := &QueuedWriter{lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	q := &QueuedWriter{lines: make(chan []byte, queuedLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go q.run(w)
 	return q
 }
@@ -48,23 +50,41 @@
 	return len(line), nil
 }
 
-// run passes lines on, several at a time where several wait.
+// run passes lines on until the writer is closed and nothing waits.
 func (q *QueuedWriter) run(w io.Writer) {
 	defer close(q.done)
-	for line := range q.lines {
-		batch := line
-		for len(batch) < batchBytes && len(q.lines) > 0 {
-			batch = append(batch, <-q.lines...)
+	for {
+		line, ok := q.next()
+		if !ok {
+			return
+		}
+		for len(line) < batchBytes && len(q.lines) > 0 {
+			line = append(line, <-q.lines...)
 		}
 		if n := q.dropped.Swap(0); n > 0 {
-			batch = fmt.Appendf(batch, "{\"@message\":\"Log lines were dropped.\",\"lines\":%d}\n", n)
+			line = fmt.Appendf(line, "{\"@message\":\"Log lines were dropped.\",\"lines\":%d}\n", n)
 		}
-		if _, err := w.Write(batch); err != nil {
+		if _, err := w.Write(line); err != nil {
 			return // nobody reads; later lines are dropped by a full queue
 		}
 	}
 }
 
+// next waits for a line; ok is false once the writer is closed and none waits.
+func (q *QueuedWriter) next() (line []byte, ok bool) {
+	select {
+	case line := <-q.lines:
+		return line, true
+	case <-q.stop:
+	}
+	select {
+	case line := <-q.lines:
+		return line, true
+	default:
+		return nil, false
+	}
+}
+
 // Dropped tells to Prometheus how many lines a slow reader has cost.
 func (q *QueuedWriter) Dropped() prometheus.Collector {
 	return prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -72,9 +92,10 @@
 	}, func() float64 { return float64(q.total.Load()) })
 }
 
-// Close passes on what waits, within a short time. Nothing may be written after.
+// Close passes on what waits, within a short time. What goroutines that still run
+// write afterwards is dropped.
 func (q *QueuedWriter) Close() {
-	q.close.Do(func() { close(q.lines) })
+	q.close.Do(func() { close(q.stop) })
 	select {
 	case <-q.done:
 	case <-time.After(flushTimeout):
