--- a/internal/escrow/book.go
+++ b/internal/escrow/book.go
@@ -30,14 +30,22 @@
 	// closed is what holders that are gone count as having spent.
 	closed   sumachead.Tokens
 	holdings map[Holder]Holding
+	// out is the sum of what all holdings have out.
+	out sumachead.Tokens
 }
 
-func (a *account) out() sumachead.Tokens {
-	sum := a.closed
-	for _, h := range a.holdings {
-		sum += h.Out()
-	}
-	return sum
+func newAccount() *account { return &account{holdings: make(map[Holder]Holding)} }
+
+// put replaces one holding.
+func (a *account) put(h Holder, x Holding) {
+	a.out += x.Out() - a.holdings[h].Out()
+	a.holdings[h] = x
+}
+
+// drop forgets one holding.
+func (a *account) drop(h Holder) {
+	a.out -= a.holdings[h].Out()
+	delete(a.holdings, h)
 }
 
 // Book is the ledger of escrow. It is deterministic and not safe for concurrent
@@ -69,7 +77,7 @@
 func (b *Book) Free(w sumachead.WorkspaceID) sumachead.Tokens {
 	free := b.totals[w]
 	if a := b.accounts[w]; a != nil {
-		free -= a.out()
+		free -= a.closed + a.out
 	}
 	return free
 }
@@ -149,7 +157,7 @@
 		} else {
 			a.closed += x.Out()
 		}
-		delete(a.holdings, h)
+		a.drop(h)
 	}
 }
 
@@ -158,15 +166,15 @@
 	w := sumachead.WorkspaceID(p.GetWorkspace())
 	a := b.accounts[w]
 	if a == nil {
-		a = &account{holdings: make(map[Holder]Holding)}
+		a = newAccount()
 		b.accounts[w] = a
 	}
 	x := a.holdings[h]
 	x.Spent = max(x.Spent, sumachead.Tokens(p.GetSpent()))
 	x.Returned = max(x.Returned, sumachead.Tokens(p.GetReturned()))
-	a.holdings[h] = x
+	a.put(h, x)
 	x.Granted += max(0, min(grant, b.Free(w)))
-	a.holdings[h] = x
+	a.put(h, x)
 	return x.Granted
 }
 
@@ -232,13 +240,14 @@
 	b.accounts = make(map[sumachead.WorkspaceID]*account)
 	b.boots = make(map[sumachead.NodeID]sumachead.BootID)
 	for _, s := range accounts {
-		a := &account{closed: sumachead.Tokens(s.GetClosed()), holdings: make(map[Holder]Holding)}
+		a := newAccount()
+		a.closed = sumachead.Tokens(s.GetClosed())
 		for _, x := range s.GetHoldings() {
 			h := Holder{sumachead.NodeID(x.GetNode()), sumachead.BootID(x.GetBoot())}
-			a.holdings[h] = Holding{
+			a.put(h, Holding{
 				Granted: sumachead.Tokens(x.GetGranted()), Returned: sumachead.Tokens(x.GetReturned()),
 				Spent: sumachead.Tokens(x.GetSpent()),
-			}
+			})
 			b.boots[h.Node] = h.Boot
 		}
 		b.accounts[sumachead.WorkspaceID(s.GetWorkspace())] = a
--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -33,12 +33,6 @@
 	slack = 200
 )
 
-// demand is what a live holder last said of one workspace.
-type demand struct {
-	rate     sumachead.Tokens
-	reserved sumachead.Tokens
-}
-
 // wantFor is for how long other holders are asked to give back for one that
 // lacks something: a few reports.
 const wantFor = 2 * time.Second
@@ -60,14 +54,17 @@
 type Sizer struct {
 	mu      sync.Mutex // guards the fields below
 	holders map[Holder]*holderDemand
-	wants   map[sumachead.WorkspaceID]want
+	// rates are the sums of all holders' rates.
+	rates map[sumachead.WorkspaceID]sumachead.Tokens
+	wants map[sumachead.WorkspaceID]want
 	// lacking is closed when a workspace is lacking that was not before.
 	lacking chan struct{}
 }
 
 type holderDemand struct {
-	seen       time.Time
-	workspaces map[sumachead.WorkspaceID]demand
+	seen time.Time
+	// rates is what the holder last said, in tokens a second.
+	rates map[sumachead.WorkspaceID]sumachead.Tokens
 }
 
 // Note takes in what a holder reports.
@@ -77,24 +74,33 @@
 	if s.holders == nil {
 		s.holders = make(map[Holder]*holderDemand)
 		s.wants = make(map[sumachead.WorkspaceID]want)
+		s.rates = make(map[sumachead.WorkspaceID]sumachead.Tokens)
 	}
 	h := Holder{sumachead.NodeID(r.GetNode()), sumachead.BootID(r.GetBoot())}
 	for other, d := range s.holders {
 		if now.Sub(d.seen) > liveFor || (other.Node == h.Node && other != h) {
-			delete(s.holders, other)
+			s.forget(other)
 		}
 	}
 	d := s.holders[h]
 	if d == nil {
-		d = &holderDemand{workspaces: make(map[sumachead.WorkspaceID]demand)}
+		d = &holderDemand{rates: make(map[sumachead.WorkspaceID]sumachead.Tokens)}
 		s.holders[h] = d
 	}
 	d.seen = now
 	for _, p := range r.GetPositions() {
-		d.workspaces[sumachead.WorkspaceID(p.GetWorkspace())] = demand{
-			rate: sumachead.Tokens(p.GetRate()), reserved: sumachead.Tokens(p.GetReserved()),
-		}
+		w, rate := sumachead.WorkspaceID(p.GetWorkspace()), sumachead.Tokens(p.GetRate())
+		s.rates[w] += rate - d.rates[w]
+		d.rates[w] = rate
+	}
+}
+
+// forget takes a holder's demand off the sums. The caller holds mu.
+func (s *Sizer) forget(h Holder) {
+	for w, rate := range s.holders[h].rates {
+		s.rates[w] -= rate
 	}
+	delete(s.holders, h)
 }
 
 // live reports whether a holder has reported lately. The caller holds mu.
@@ -193,14 +199,11 @@
 // hold returns what a holder should have at hand beyond what its requests under
 // way need.
 func (s *Sizer) hold(b *Book, w sumachead.WorkspaceID, h Holder) sumachead.Tokens {
-	var rates sumachead.Tokens
-	for _, d := range s.holders {
-		rates += d.workspaces[w].rate
-	}
-	rate := s.holders[h].workspaces[w].rate
-	if rate == 0 {
+	d := s.holders[h]
+	if d == nil || d.rates[w] == 0 {
 		return 0
 	}
+	rate, rates := d.rates[w], s.rates[w]
 	total, _ := b.Total(w)
 	const thousand = 1000
 	byTime := rate * sumachead.Tokens(longestHold/time.Millisecond) / thousand
