--- a/internal/telemetry/lines_test.go
+++ b/internal/telemetry/lines_test.go
@@ -96,5 +96,7 @@
 	}
 	q.Close()
 	writers.Wait()
-	_, _ = q.Write([]byte("late\n"))
+	if _, err := q.Write([]byte("late\n")); err != nil {
+		t.Fatal(err)
+	}
 }
