--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -16,15 +16,15 @@
 	// liveFor is how long a holder that has not reported counts as alive: some
 	// reports.
 	liveFor = 4 * time.Second
-	// outPart is the part of a budget's total, in thousandths, that all holders
-	// together may have at hand beyond what requests under way need. It is lost
-	// when they crash, and then budgets are used up that much too early; a report
-	// takes some milliseconds, so that little at hand is enough while the ledger
-	// is reached.
-	outPart = 12
+	// outPart is the part of what is free of a budget, one in so many, that all
+	// holders together should have at hand beyond what requests under way need: it
+	// is lost when they crash. A report takes some milliseconds, so that little is
+	// enough while the ledger is reached.
+	outPart = 16
 	// longestHold bounds for how long, at the rate it reports, a holder should be
-	// able to go on without the ledger: the election of a leader.
-	longestHold = 2 * time.Second
+	// able to go on without the ledger: the election of a leader, a keepers' cut
+	// that heals by itself.
+	longestHold = 4 * time.Second
 	// lowPart is the part of what it should have at hand, in percent, below which
 	// a holder is filled up.
 	lowPart = 70
@@ -204,10 +204,9 @@
 		return 0
 	}
 	rate, rates := d.rates[w], s.rates[w]
-	total, _ := b.Total(w)
 	const thousand = 1000
 	byTime := rate * sumachead.Tokens(longestHold/time.Millisecond) / thousand
-	byPart := total * outPart / thousand * rate / rates
+	byPart := max(b.Free(w), 0) / outPart * rate / rates
 	return min(byTime, byPart)
 }
 
