--- /dev/null
+++ b/internal/gateway/lines_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/catalog"
+	"sumachead/internal/telemetry"
+)
+
+// servedExchange is a request as it is when its line is written.
+func servedExchange() *exchange {
+	now := time.Now()
+	return &exchange{
+		request: &sumachead.CallerRequest{ID: "9c41d07be2a35f68", PromptTokens: 17000}, route: &wire.Route{Name: "r-2yhvz3p"},
+		view: &catalog.View{Number: 7}, access: &wire.WorkspaceAccess{Name: "clerks"}, arrived: now, firstAt: now, attempts: 1, events: 40,
+		placement: &placement{record: &wire.ServerRecord{Id: "i-7f3a91c2"}},
+	}
+}
+
+// countingWriter counts bytes.
+type countingWriter struct{ n int64 }
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.n += int64(len(p))
+	return len(p), nil
+}
+
+// BenchmarkServedLine writes the line of a served request: at the usual load each
+// one, at ten times that most are left out.
+func BenchmarkServedLine(b *testing.B) {
+	loads := []struct {
+		name  string
+		bound int
+	}{{"usual", 1 << 30}, {"left_out", 1}}
+	for _, load := range loads {
+		b.Run(load.name, func(b *testing.B) {
+			w := &countingWriter{}
+			out := telemetry.NewQueuedWriter(io.Discard)
+			defer out.Close()
+			log := hclog.New(&hclog.LoggerOptions{Name: "router-1", Output: io.MultiWriter(w, out), JSONFormat: true})
+			g := &Gateway{Log: log, lines: &telemetry.Lines{PerSecond: load.bound}}
+			x := servedExchange()
+			for b.Loop() {
+				g.noteServed(x)
+			}
+			b.ReportMetric(float64(w.n)/float64(b.N), "bytes/line")
+		})
+	}
+}
