escrow: purse and reservation in files of their own; holders and reports read in one place

Cause: wallet.go held the purse's sums, requests that wait and the reports in 356 lines. A holder was made from a message's two fields in four places, and a position was folded into a holding in two. Comments on remaining, changed and known were not true or began with another name.

Ruled out: a type for the amounts that purse and Holding share: one is in memory only, and its reserved and rate have no place in the other.

Change: purse.go, reservation.go; purse.position out of Report; holderOf and Holding.reported; compareHoldings by cmp; what each field holds, and which methods need the lock. Figures, order and messages are the same.

Conclusion: behaviour unchanged.

--- a/internal/escrow/book.go
+++ b/internal/escrow/book.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -14,6 +15,17 @@
 	Boot sumachead.BootID
 }
 
+// holderMessage is a message that names a holder.
+type holderMessage interface {
+	GetNode() string
+	GetBoot() string
+}
+
+// holderOf returns the holder that a message is about.
+func holderOf(m holderMessage) Holder {
+	return Holder{sumachead.NodeID(m.GetNode()), sumachead.BootID(m.GetBoot())}
+}
+
 // Holding is what one holder has of one workspace's budget. The amounts are
 // totals since the holder started.
 type Holding struct {
@@ -25,10 +37,19 @@
 // Out returns what the holder has been granted and has not returned.
 func (h Holding) Out() sumachead.Tokens { return h.Granted - h.Returned }
 
+// reported returns the holding with what a position tells; an older report
+// changes nothing.
+func (h Holding) reported(p *wire.EscrowPosition) Holding {
+	h.Spent = max(h.Spent, sumachead.Tokens(p.GetSpent()))
+	h.Returned = max(h.Returned, sumachead.Tokens(p.GetReturned()))
+	return h
+}
+
 // account is one workspace's budget.
 type account struct {
 	// closed is what holders that are gone count as having spent.
-	closed   sumachead.Tokens
+	closed sumachead.Tokens
+	// holdings are those of holders that are not gone; put and drop change them.
 	holdings map[Holder]Holding
 	// out is the sum of what all holdings have out.
 	out sumachead.Tokens
@@ -51,6 +72,7 @@
 // Book is the ledger of escrow. It is deterministic and not safe for concurrent
 // use.
 type Book struct {
+	// totals are the workspaces' budgets; one without a limit has none.
 	totals   map[sumachead.WorkspaceID]sumachead.Tokens
 	accounts map[sumachead.WorkspaceID]*account
 	// boots is the newest life of each node that holds escrow.
@@ -88,7 +110,7 @@
 	return total, limited
 }
 
-// Known reports whether the holder's life is the one that the book deals with,
+// known reports whether the holder's life is the one that the book deals with,
 // or one that it has not heard of and that holds nothing yet.
 func (b *Book) known(r *wire.EscrowReport) bool {
 	if b.boots[sumachead.NodeID(r.GetNode())] == sumachead.BootID(r.GetBoot()) {
@@ -110,7 +132,7 @@
 	if !b.known(r) {
 		return &wire.EscrowReply{Closed: true}
 	}
-	h := Holder{sumachead.NodeID(r.GetNode()), sumachead.BootID(r.GetBoot())}
+	h := holderOf(r)
 	b.enter(h)
 	reply := &wire.EscrowReply{}
 	for i, p := range r.GetPositions() {
@@ -169,9 +191,7 @@
 		a = newAccount()
 		b.accounts[w] = a
 	}
-	x := a.holdings[h]
-	x.Spent = max(x.Spent, sumachead.Tokens(p.GetSpent()))
-	x.Returned = max(x.Returned, sumachead.Tokens(p.GetReturned()))
+	x := a.holdings[h].reported(p)
 	a.put(h, x)
 	x.Granted += max(0, min(grant, b.Free(w)))
 	a.put(h, x)
@@ -222,17 +242,9 @@
 	return out
 }
 
+// compareHoldings orders by node, then by life.
 func compareHoldings(a, b *wire.HoldingState) int {
-	if a.GetNode() != b.GetNode() {
-		if a.GetNode() < b.GetNode() {
-			return -1
-		}
-		return 1
-	}
-	if a.GetBoot() < b.GetBoot() {
-		return -1
-	}
-	return 1
+	return cmp.Or(cmp.Compare(a.GetNode(), b.GetNode()), cmp.Compare(a.GetBoot(), b.GetBoot()))
 }
 
 // Restore replaces the accounts.
@@ -243,7 +255,7 @@
 		a := newAccount()
 		a.closed = sumachead.Tokens(s.GetClosed())
 		for _, x := range s.GetHoldings() {
-			h := Holder{sumachead.NodeID(x.GetNode()), sumachead.BootID(x.GetBoot())}
+			h := holderOf(x)
 			a.put(h, Holding{
 				Granted: sumachead.Tokens(x.GetGranted()), Returned: sumachead.Tokens(x.GetReturned()),
 				Spent: sumachead.Tokens(x.GetSpent()),
--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -56,12 +56,15 @@
 	holders map[Holder]*holderDemand
 	// rates are the sums of all holders' rates.
 	rates map[sumachead.WorkspaceID]sumachead.Tokens
+	// wants are what holders lack, one holder for each workspace.
 	wants map[sumachead.WorkspaceID]want
 	// lacking is closed when a workspace is lacking that was not before.
 	lacking chan struct{}
 }
 
+// holderDemand is what one holder has told of its demand.
 type holderDemand struct {
+	// seen is when it last reported.
 	seen time.Time
 	// rates is what the holder last said, in tokens a second.
 	rates map[sumachead.WorkspaceID]sumachead.Tokens
@@ -76,7 +79,7 @@
 		s.wants = make(map[sumachead.WorkspaceID]want)
 		s.rates = make(map[sumachead.WorkspaceID]sumachead.Tokens)
 	}
-	h := Holder{sumachead.NodeID(r.GetNode()), sumachead.BootID(r.GetBoot())}
+	h := holderOf(r)
 	for other, d := range s.holders {
 		if now.Sub(d.seen) > liveFor || (other.Node == h.Node && other != h) {
 			s.forget(other)
@@ -111,7 +114,7 @@
 func (s *Sizer) Size(b *Book, r *wire.EscrowReport, now time.Time) (grants []int64, advice []*wire.EscrowAnswer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := Holder{sumachead.NodeID(r.GetNode()), sumachead.BootID(r.GetBoot())}
+	h := holderOf(r)
 	for _, p := range r.GetPositions() {
 		grant, a := s.sizeOne(b, h, p, now)
 		grants = append(grants, int64(grant))
@@ -120,13 +123,11 @@
 	return grants, advice
 }
 
-// sizeOne decides on one position.
+// sizeOne decides on one position. The caller holds mu.
 func (s *Sizer) sizeOne(b *Book, h Holder, p *wire.EscrowPosition, now time.Time) (sumachead.Tokens, *wire.EscrowAnswer) {
 	w := sumachead.WorkspaceID(p.GetWorkspace())
 	a := &wire.EscrowAnswer{Workspace: p.GetWorkspace(), Keep: NoWish}
-	x := b.Holdings(w)[h]
-	x.Spent = max(x.Spent, sumachead.Tokens(p.GetSpent()))
-	x.Returned = max(x.Returned, sumachead.Tokens(p.GetReturned()))
+	x := b.Holdings(w)[h].reported(p)
 	atHand := x.Out() - x.Spent - sumachead.Tokens(p.GetReserved())
 	hold := s.hold(b, w, h)
 	free := b.Free(w)
@@ -145,7 +146,8 @@
 	return max(grant, 0), a
 }
 
-// noteWant remembers what a holder lacks, until it can be granted.
+// noteWant remembers what a holder lacks, until it can be granted. The caller
+// holds mu.
 func (s *Sizer) noteWant(w sumachead.WorkspaceID, n want, free sumachead.Tokens) {
 	if free >= n.amount {
 		delete(s.wants, w)
@@ -182,7 +184,7 @@
 }
 
 // keep returns down to how much at hand a holder should give back; NoWish for not
-// at all.
+// at all. The caller holds mu.
 func (s *Sizer) keep(b *Book, w sumachead.WorkspaceID, h Holder, hold sumachead.Tokens, now time.Time) sumachead.Tokens {
 	n, ok := s.wants[w]
 	switch {
@@ -197,7 +199,7 @@
 }
 
 // hold returns what a holder should have at hand beyond what its requests under
-// way need.
+// way need. The caller holds mu.
 func (s *Sizer) hold(b *Book, w sumachead.WorkspaceID, h Holder) sumachead.Tokens {
 	d := s.holders[h]
 	if d == nil || d.rates[w] == 0 {
@@ -211,7 +213,8 @@
 }
 
 // remaining returns the most that may still become available: the total without
-// what was spent, what is under way, and what holders out of contact have.
+// what holders in contact have reported as spent, what closed lives count as
+// spent, and all that holders out of contact have. The caller holds mu.
 func (s *Sizer) remaining(b *Book, w sumachead.WorkspaceID) sumachead.Tokens {
 	total, _ := b.Total(w)
 	return total - b.Spent(w, s.live)
--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -1,9 +1,6 @@
 package escrow
 
 import (
-	"context"
-	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -11,63 +8,6 @@
 	"sumachead/api/wire"
 )
 
-// rateMemory is the time constant by which a wallet forgets demand: long enough
-// to smooth over single large requests.
-const rateMemory = 4 * time.Second
-
-// exhaustedFor is how long a ledger's word that a budget is used up is believed.
-const exhaustedFor = time.Second
-
-// purse is a holder's money of one workspace.
-type purse struct {
-	granted  sumachead.Tokens
-	returned sumachead.Tokens
-	spent    sumachead.Tokens
-	reserved sumachead.Tokens
-	// waiting are the bounds of requests that wait for money.
-	waiting []sumachead.Tokens
-	// left are those of requests that gave up waiting since the last report: they
-	// come back.
-	left []sumachead.Tokens
-	// asked is the smallest of them as of the last report.
-	asked sumachead.Tokens
-	// rate is demand in tokens a second as of rateAt.
-	rate   float64
-	rateAt time.Time
-	// low is the amount at hand below which a report is due at once.
-	low sumachead.Tokens
-	// dirty: something changed since the last report.
-	dirty bool
-	// exhaustedAt is when the ledger said that a request did not fit, and
-	// exhaustedBy the smallest such request.
-	exhaustedAt time.Time
-	exhaustedBy sumachead.Tokens
-}
-
-func (p *purse) atHand() sumachead.Tokens { return p.granted - p.returned - p.spent - p.reserved }
-
-// lacks returns what the smallest waiting request and all together lack.
-func (p *purse) lacks() (needed, wanted sumachead.Tokens) {
-	all := slices.Concat(p.waiting, p.left)
-	if len(all) == 0 {
-		return 0, 0
-	}
-	for _, b := range all {
-		wanted += b
-	}
-	hand := p.atHand()
-	return max(slices.Min(all)-hand, 0), max(wanted-hand, 0)
-}
-
-// decay brings the rate up to now and adds an amount to it.
-func (p *purse) decay(now time.Time, amount sumachead.Tokens) {
-	if !p.rateAt.IsZero() {
-		p.rate *= math.Exp(-now.Sub(p.rateAt).Seconds() / rateMemory.Seconds())
-	}
-	p.rateAt = now
-	p.rate += float64(amount) / rateMemory.Seconds()
-}
-
 // Wallet holds one node's escrow and admits requests from it without a call. It
 // is safe for concurrent use. Set the exported fields before the first call.
 type Wallet struct {
@@ -75,10 +15,12 @@
 	// Kick asks for a report soon; it must not block.
 	Kick func()
 
-	mu     sync.Mutex // guards the fields below
+	mu sync.Mutex // guards the fields below, and what purses hold
+	// boot is the holder's life; the ledger may close it.
 	boot   sumachead.BootID
 	purses map[sumachead.WorkspaceID]*purse
-	// changed is closed when a grant arrives.
+	// changed is closed, and replaced, when a request that waits should look
+	// again: an answer came, a bill freed something, or the life has ended.
 	changed chan struct{}
 }
 
@@ -89,12 +31,14 @@
 	w.reset(boot)
 }
 
+// reset empties the wallet for a life of the holder. The caller holds mu.
 func (w *Wallet) reset(boot sumachead.BootID) {
 	w.boot = boot
 	w.purses = make(map[sumachead.WorkspaceID]*purse)
 	w.notify()
 }
 
+// notify wakes up all requests that wait. The caller holds mu.
 func (w *Wallet) notify() {
 	if w.changed != nil {
 		close(w.changed)
@@ -102,6 +46,8 @@
 	w.changed = make(chan struct{})
 }
 
+// purse returns a workspace's purse, making it if need be. A new one is dirty, so
+// that the next report tells of it. The caller holds mu.
 func (w *Wallet) purse(id sumachead.WorkspaceID) *purse {
 	p := w.purses[id]
 	if p == nil {
@@ -120,125 +66,6 @@
 	}
 }
 
-// Reservation is the upper bound of one request's cost, held until its bill is
-// known.
-type Reservation struct {
-	wallet    *Wallet
-	boot      sumachead.BootID
-	workspace sumachead.WorkspaceID
-	bound     sumachead.Tokens
-}
-
-// outcome of one look at a purse.
-type admission int
-
-const (
-	admitted admission = iota
-	short
-	exhausted
-)
-
-// Reserve holds bound of a workspace's money. When there is too little at hand it
-// asks the ledger and waits until the deadline, the end of ctx, or the ledger's
-// word that the budget is used up. The error is a [*sumachead.Refusal].
-func (w *Wallet) Reserve(ctx context.Context, id sumachead.WorkspaceID, bound sumachead.Tokens, deadline time.Time) (*Reservation, error) {
-	r, a, changed := w.try(id, bound, time.Now(), true)
-	if a == short {
-		defer func() { w.leave(id, bound, a == admitted) }()
-	}
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	for {
-		switch a {
-		case admitted:
-			return r, nil
-		case exhausted:
-			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonBudgetExhausted, "the workspace's budget does not hold the request", time.Time{})
-		}
-		w.Kick()
-		select {
-		case <-changed:
-		case <-timer.C:
-			const comeBack = 250 * time.Millisecond // some reports
-			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonLedgerUnreached, "too little escrow at hand", time.Now().Add(comeBack))
-		case <-ctx.Done():
-			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonDeadlinePassed, "the caller has gone", time.Time{})
-		}
-		r, a, changed = w.try(id, bound, time.Now(), false)
-	}
-}
-
-// try looks at a purse once; the first look of a request counts as demand and
-// lets it wait if it is short.
-func (w *Wallet) try(id sumachead.WorkspaceID, bound sumachead.Tokens, now time.Time, first bool) (*Reservation, admission, <-chan struct{}) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	p := w.purse(id)
-	if first {
-		p.decay(now, bound)
-	}
-	if p.atHand() >= bound {
-		return w.reserve(p, id, bound), admitted, nil
-	}
-	if now.Sub(p.exhaustedAt) < exhaustedFor && bound >= p.exhaustedBy {
-		return nil, exhausted, nil
-	}
-	if first {
-		p.waiting = append(p.waiting, bound)
-	}
-	p.dirty = true
-	return nil, short, w.changed
-}
-
-// reserve holds a bound. The caller holds mu.
-func (w *Wallet) reserve(p *purse, id sumachead.WorkspaceID, bound sumachead.Tokens) *Reservation {
-	p.reserved += bound
-	p.dirty = true
-	if p.atHand() < p.low {
-		p.low = 0 // once a report
-		w.Kick()
-	}
-	return &Reservation{w, w.boot, id, bound}
-}
-
-// leave ends a request's waiting.
-func (w *Wallet) leave(id sumachead.WorkspaceID, bound sumachead.Tokens, served bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	p := w.purse(id)
-	i := slices.Index(p.waiting, bound)
-	if i < 0 {
-		return // the ledger has closed the life that it waited in
-	}
-	p.waiting = slices.Delete(p.waiting, i, i+1)
-	if !served {
-		p.left = append(p.left, bound)
-		p.dirty = true
-	}
-}
-
-// Settle puts the bill in the place of the reservation. The bill is cut to the
-// bound; a second call does nothing.
-func (r *Reservation) Settle(bill sumachead.Tokens) {
-	if r == nil || r.wallet == nil {
-		return
-	}
-	w := r.wallet
-	r.wallet = nil
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.boot != r.boot {
-		return // the ledger has closed that life and counts all of it as spent
-	}
-	p := w.purse(r.workspace)
-	p.reserved -= r.bound
-	p.spent += min(max(bill, 0), r.bound)
-	p.dirty = true
-	if len(p.waiting) > 0 {
-		w.notify()
-	}
-}
-
 // Report returns what is to be told to the ledger; nil when there is nothing new.
 func (w *Wallet) Report(now time.Time, closing bool) *wire.EscrowReport {
 	w.mu.Lock()
@@ -248,20 +75,7 @@
 		if !p.dirty && !closing {
 			continue
 		}
-		p.decay(now, 0)
-		p.dirty = false
-		needed, wanted := p.lacks()
-		p.asked = needed + p.atHand()
-		p.left = p.left[:0]
-		spent := p.spent
-		if closing {
-			spent += p.reserved // nobody will tell the bill of what still runs
-		}
-		r.Positions = append(r.Positions, &wire.EscrowPosition{
-			Workspace: string(id), Spent: int64(spent), Returned: int64(p.returned),
-			Reserved: int64(p.reserved), Rate: int64(p.rate), Granted: int64(p.granted),
-			Needed: int64(needed), Wanted: int64(wanted),
-		})
+		r.Positions = append(r.Positions, p.position(id, now, closing))
 	}
 	if len(r.Positions) == 0 && !closing {
 		return nil
@@ -312,11 +126,12 @@
 	return false
 }
 
+// takeOne puts the answer on one workspace in force. The caller holds mu.
 func (w *Wallet) takeOne(a *wire.EscrowAnswer, now time.Time) {
 	p := w.purse(sumachead.WorkspaceID(a.GetWorkspace()))
 	p.granted = max(p.granted, sumachead.Tokens(a.GetGranted()))
-	const lowPart = 2
-	p.low = p.atHand() / lowPart
+	const lowShare = 2 // a report is due once half of this is gone
+	p.low = p.atHand() / lowShare
 	p.exhaustedAt = time.Time{}
 	if a.GetExhausted() {
 		p.exhaustedAt, p.exhaustedBy = now, p.asked
