A stream that can't go on breaks off; no other answer follows its events

Ruled out: the server's own framing (its answer is a plain 500 with a length).

Change: once a stream has begun, any status but 200 is a failed attempt; the caller's connection breaks unless another server goes on. TestStreamThatCannotGoOnIsNotWhole fails without it (ended as whole, body with 'bad').

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"sumachead"
@@ -164,6 +165,10 @@
 		}
 		drain(a)
 		return &upstream.Failure{Verdict: sumachead.NotRun, Reason: reason, Err: errors.New("the backend server did not run the request")}
+	case !d.stream.fresh() && a.Status != http.StatusOK:
+		// The caller has the beginning of a stream: nothing but its events may follow.
+		drain(a)
+		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonServerFailed, Err: errors.New("the backend server did not go on with the stream")}
 	case a.Head.Failed && d.x.repeatable() && d.stream.fresh() && d.mayTryElsewhere():
 		drain(a)
 		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonServerFailed, Err: errors.New("the backend server failed")}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -247,6 +247,39 @@
 	}
 }
 
+func TestStreamThatCannotGoOnIsNotWhole(t *testing.T) {
+	// The server that the stream is to go on at answers otherwise than with events.
+	tests := []struct {
+		name  string
+		serve func(net.Conn, *http.Request)
+	}{
+		{"fails", answerWith(500, "", "bad")},
+		{"does not know it", answerWith(404, "", "none")},
+		{"did not run it", answerWith(503, "X-Not-Run: 1\r\n", "")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, b := &backend{id: "a"}, &backend{id: "b"}
+			first := atomic.Bool{}
+			serve := func(c net.Conn, r *http.Request) {
+				if first.CompareAndSwap(false, true) {
+					events(1, 3, false)(c, r)
+					return
+				}
+				tt.serve(c, r)
+			}
+			g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, true, map[string]string{"a": a.listen(t, serve), "b": b.listen(t, serve)})
+			w, started, err := ask(g, "1", nil)
+			if err == nil || !started {
+				t.Fatalf("ended as whole: started %t, error %v, body %q", started, err, w.body.String())
+			}
+			if got := strings.Count(w.body.String(), "id: "); got != 3 || strings.Contains(w.body.String(), "bad") {
+				t.Fatalf("body %q", w.body.String())
+			}
+		})
+	}
+}
+
 func TestBrokenStreamIsNotWhole(t *testing.T) {
 	a := &backend{id: "a"}
 	g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, false, map[string]string{"a": a.listen(t, events(1, 3, false))})
