raft: changes of members are made in one place for both kinds of keeper

Cause: who is a member, how a learner comes in and how a member goes stood three, two and two times, in raft, keeper and fleet.

Ruled out: one promotion. keeper's starts a change even for a member that has gone, fleet's does not. One transport: fleet's queues come and go with addresses and drop what waits on a failure, keeper's do neither. One identity: fleet's founders need no agreement.

Conclusion: behaviour unchanged.

--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -9,6 +9,7 @@
 
 	"sumachead/api/wire"
 	"sumachead/internal/loop"
+	"sumachead/internal/raft"
 	"sumachead/internal/rpc"
 )
 
@@ -29,19 +30,13 @@
 	return &wire.Member{Id: k.Address, Address: k.Address, Incarnation: k.identity.GetIncarnation()}
 }
 
-func isMember(ms []*wire.Member, m *wire.Member) bool {
-	return slices.ContainsFunc(ms, func(x *wire.Member) bool {
-		return x.GetId() == m.GetId() && x.GetIncarnation() == m.GetIncarnation()
-	})
-}
-
 // joinLoop asks the others to take this keeper in while it is not a member, and
 // when it has heard no leader for long: it may have been removed meanwhile.
 func (k *Keeper) joinLoop(ctx context.Context) error {
 	heard := time.Now()
 	return loop.Every(ctx, joinEvery, func() {
 		s := k.node.Status()
-		member := isMember(s.GetMembers(), k.self())
+		member := raft.IsMember(s.GetMembers(), k.self())
 		if member && s.GetLeader() != "" {
 			heard = time.Now()
 			return
@@ -76,25 +71,6 @@
 	}
 }
 
-// join takes a member in as a learner; a new incarnation takes the place of its
-// lost self, which loses its vote in the same step.
-func join(ms *wire.Members, m *wire.Member) *wire.Members {
-	if isMember(ms.GetMembers(), m) {
-		return nil
-	}
-	next := without(ms, m.GetId())
-	next.Members = append(next.Members, &wire.Member{
-		Id: m.GetId(), Incarnation: m.GetIncarnation(), Address: m.GetAddress(), Learner: true,
-	})
-	return next
-}
-
-func without(ms *wire.Members, id string) *wire.Members {
-	next := proto.CloneOf(ms)
-	next.Members = slices.DeleteFunc(next.Members, func(m *wire.Member) bool { return m.GetId() == id })
-	return next
-}
-
 // promote gives a learner its vote.
 func promote(ms *wire.Members, id string) *wire.Members {
 	next := proto.CloneOf(ms)
@@ -173,7 +149,7 @@
 		return false
 	}
 	started, err := k.node.ChangeMembers(ctx, func(ms *wire.Members) *wire.Members {
-		if !isMember(ms.GetMembers(), m) {
+		if !raft.IsMember(ms.GetMembers(), m) {
 			return nil
 		}
 		return promote(ms, m.GetId())
@@ -186,6 +162,6 @@
 }
 
 func (k *Keeper) remove(ctx context.Context, id string) {
-	started, err := k.node.ChangeMembers(ctx, func(ms *wire.Members) *wire.Members { return without(ms, id) })
+	started, err := k.node.ChangeMembers(ctx, func(ms *wire.Members) *wire.Members { return raft.Without(ms, id) })
 	k.Log.Info("A silent keeper gives up its place.", "keeper", id, "started", started, "error", err)
 }
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -11,6 +11,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/raft"
 )
 
 const (
@@ -35,7 +36,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	_, err := s.keeper.node.ChangeMembers(ctx, func(ms *wire.Members) *wire.Members { return join(ms, r.GetMember()) })
+	_, err := s.keeper.node.ChangeMembers(ctx, func(ms *wire.Members) *wire.Members { return raft.WithLearner(ms, r.GetMember()) })
 	return err
 }
 
--- a/internal/keeper/founding.go
+++ b/internal/keeper/founding.go
@@ -12,6 +12,7 @@
 
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/raft"
 	"sumachead/internal/rpc"
 	"sumachead/internal/wal"
 )
@@ -160,7 +161,7 @@
 	for {
 		missing := false
 		for _, g := range k.groups() {
-			if hasIncarnation(g.node.Status().GetMembers(), self) {
+			if raft.IsMember(g.node.Status().GetMembers(), self) {
 				continue
 			}
 			missing = true
@@ -182,12 +183,3 @@
 		}
 	}
 }
-
-func hasIncarnation(ms []*wire.Member, self *wire.Member) bool {
-	for _, m := range ms {
-		if m.GetId() == self.GetId() {
-			return m.GetIncarnation() == self.GetIncarnation()
-		}
-	}
-	return false
-}
--- a/internal/keeper/statusservice.go
+++ b/internal/keeper/statusservice.go
@@ -34,17 +34,7 @@
 	if g == nil || r.GetMember().GetId() == "" || r.GetMember().GetIncarnation() == "" {
 		return trace.BadParameter("no group %q, or a member without id and incarnation", r.GetGroup())
 	}
-	return s.change(g, func(ms *wire.Members) *wire.Members {
-		if hasIncarnation(ms.GetMembers(), r.GetMember()) {
-			return nil
-		}
-		next := withoutMember(ms, r.GetMember().GetId())
-		next.Members = append(next.Members, &wire.Member{
-			Id: r.GetMember().GetId(), Incarnation: r.GetMember().GetIncarnation(),
-			Address: r.GetMember().GetAddress(), Learner: true,
-		})
-		return next
-	})
+	return s.change(g, func(ms *wire.Members) *wire.Members { return raft.WithLearner(ms, r.GetMember()) })
 }
 
 // Remove takes a keeper out of a group for good.
@@ -54,7 +44,7 @@
 		return trace.NotFound("no group %q", r.GetGroup())
 	}
 	return s.change(g, func(ms *wire.Members) *wire.Members {
-		next := withoutMember(ms, r.GetKeeper())
+		next := raft.Without(ms, r.GetKeeper())
 		if len(next.GetMembers()) == len(ms.GetMembers()) || len(next.GetMembers()) == 0 {
 			return nil
 		}
@@ -71,13 +61,3 @@
 	_, err := g.node.ChangeMembers(ctx, f)
 	return err
 }
-
-func withoutMember(ms *wire.Members, id string) *wire.Members {
-	next := &wire.Members{}
-	for _, m := range ms.GetMembers() {
-		if m.GetId() != id {
-			next.Members = append(next.Members, proto.CloneOf(m))
-		}
-	}
-	return next
-}
--- a/internal/raft/members.go
+++ b/internal/raft/members.go
@@ -79,7 +79,7 @@
 	old := c.members
 	index = c.append(wire.EntryKind_ENTRY_KIND_MEMBERS, data)
 	for _, n := range m.GetMembers() {
-		if !sameIncarnation(old, n) && c.peers[n.GetId()] != nil {
+		if !IsMember(old.GetMembers(), n) && c.peers[n.GetId()] != nil {
 			c.peers[n.GetId()] = &progress{next: c.lastIndex() + 1, probing: true}
 		}
 	}
@@ -87,15 +87,6 @@
 	return index, true
 }
 
-func sameIncarnation(ms *wire.Members, n *wire.Member) bool {
-	for _, m := range ms.GetMembers() {
-		if m.GetId() == n.GetId() {
-			return m.GetIncarnation() == n.GetIncarnation()
-		}
-	}
-	return false
-}
-
 // MembersAt returns the configuration in force at an index of the log.
 func (c *Core) MembersAt(index uint64) *wire.Members {
 	ms := c.snapMembers
