gateway: what fields hold is said; two that nothing read are gone

Cause: the comment on refill was that of note; attempts counts less than its comment said; exchange.money and eventStream.status were written and not read; -1 stood for a size that is not known.

Change: comments, sizeUnknown, and the two fields are gone. The reservation is still settled by the filter that made it.

Conclusion: behaviour unchanged.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,26 +8,29 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/catalog"
-	"sumachead/internal/escrow"
 )
 
 // exchange is one request on its way through the filters. Each filter fills in
 // its part.
 type exchange struct {
-	ctx      context.Context
-	request  *sumachead.CallerRequest
-	answer   sumachead.CallerAnswer
-	arrived  time.Time
-	view     *catalog.View
-	route    *wire.Route
-	access   *wire.WorkspaceAccess
-	service  *wire.Service
+	ctx     context.Context
+	request *sumachead.CallerRequest
+	answer  sumachead.CallerAnswer
+	arrived time.Time
+	// view is the declaration that the request is dealt with under.
+	view  *catalog.View
+	route *wire.Route
+	// access is the workspace's; nil where none is needed.
+	access *wire.WorkspaceAccess
+	// service is drawn by dispatch, one for all attempts.
+	service *wire.Service
+	// deadline is until when the request is worked on.
 	deadline time.Time
-	money    *escrow.Reservation
 
 	// started: the head of the answer has been sent to the caller.
 	started bool
-	// attempts counts the servers that the request was sent to.
+	// attempts counts the servers that the request was sent to and that may have
+	// run it, or said that they did not.
 	attempts int
 	// firstAt is when the first byte was handed out; zero before.
 	firstAt time.Time
@@ -55,9 +58,10 @@
 	x.answer.Start(status, header, size)
 }
 
-// handler deals with an exchange; a filter wraps one handler in another.
+// handler deals with an exchange.
 type handler func(*exchange) error
 
+// filter wraps a handler in another.
 type filter func(next handler) handler
 
 // chain wraps h in filters; the first is the outermost.
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -81,7 +81,6 @@
 		if err != nil {
 			return err
 		}
-		x.money = money
 		defer func() { money.Settle(x.bill()) }()
 		return next(x)
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -39,6 +39,8 @@
 	}
 }
 
+// exchangeLoads tells the leading keeper this router's loads, and takes in those
+// of the others.
 func (g *Gateway) exchangeLoads(ctx context.Context, loads []*wire.ServerLoad) {
 	ctx, cancel := context.WithTimeout(ctx, loadsTimeout)
 	defer cancel()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,16 +12,19 @@
 
 // Metrics are a gateway's figures.
 type Metrics struct {
+	// Registry holds them all; what belongs to the process may be added.
 	Registry *prometheus.Registry
 
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	served   prometheus.Counter
 	dials    prometheus.Counter
-	first    prometheus.Histogram
-	whole    prometheus.Histogram
-	pause    prometheus.Histogram
-	ledger   prometheus.Histogram
+	// first, whole and pause are of requests with a whole answer.
+	first prometheus.Histogram
+	whole prometheus.Histogram
+	pause prometheus.Histogram
+	// ledger is of reports of escrow.
+	ledger prometheus.Histogram
 }
 
 // seconds are the buckets of all histograms: from a call within a data hall to
@@ -98,6 +101,7 @@
 	}
 }
 
+// noteServed takes in a request with a whole answer.
 func (m *Metrics) noteServed(x *exchange) {
 	m.served.Inc()
 	m.first.Observe(x.firstAt.Sub(x.arrived).Seconds())
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -19,6 +19,10 @@
 // connection can be used again.
 const drainBytes = 64 << 10
 
+// sizeUnknown is the size of an answer whose end is not known when it starts.
+const sizeUnknown = -1
+
+// drain reads an answer that nobody wants.
 func drain(a *upstream.Answer) {
 	// Whether it was read to its end shows when the answer is closed.
 	_, _ = io.CopyN(io.Discard, a, drainBytes)
@@ -38,6 +42,7 @@
 	return d.write(body)
 }
 
+// write passes a part of the answer on to the caller.
 func (d *dispatch) write(part []byte) error {
 	if err := d.x.answer.Write(part); err != nil {
 		return sumachead.Refuse(sumachead.Ran, sumachead.ReasonInterrupted, "the caller has gone", d.x.deadline)
@@ -51,12 +56,13 @@
 	// lastID is the id of the last event that the caller has; what the caller
 	// asked to go on after at first.
 	lastID string
-	// head of the first server's answer; empty until the first event.
-	status int
+	// header is that of the first server's answer; nil until the first event.
 	header http.Header
+	// buffer holds what was read and not passed on: part of an event.
 	buffer []byte
 }
 
+// newEventStream returns the state before the first event.
 func newEventStream(x *exchange) *eventStream {
 	return &eventStream{lastID: x.request.LastEvent}
 }
@@ -104,8 +110,8 @@
 	part := s.buffer[:end]
 	l.first()
 	if s.header == nil {
-		s.status, s.header = a.Status, a.Header
-		d.x.start(s.status, s.header, -1)
+		s.header = a.Header
+		d.x.start(a.Status, a.Header, sizeUnknown)
 	}
 	d.x.noteEvent(time.Now())
 	for event := range bytes.SplitAfterSeq(part, eventEnd) {
@@ -135,7 +141,7 @@
 func (d *dispatch) endStream(a *upstream.Answer) error {
 	s := d.stream
 	if s.header == nil {
-		d.x.start(a.Status, a.Header, -1)
+		d.x.start(a.Status, a.Header, sizeUnknown)
 	}
 	if len(s.buffer) == 0 {
 		return nil
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -5,19 +5,23 @@
 	"time"
 )
 
-// retryShare is the part of the fleet's allowance that routers use, for what they
-// can't know of each other.
+// retryShare is the part of the fleet's allowance that routers use. The rest is for
+// what they can't know of each other.
 const retryShare = 0.6
 
 // retryAllowance bounds what this router sends again, so that all routers
 // together stay within the fleet's bound in any window: a bucket that earns with
 // each request, and holds this router's part of the fixed number.
 type retryAllowance struct {
+	// ratio and extra are the fleet's bound: so many repeats for each request, and
+	// so many more in any window.
 	ratio  float64
 	extra  float64
 	window time.Duration
 
-	mu     sync.Mutex // guards the fields below
+	mu sync.Mutex // guards the fields below
+	// tokens is how many repeats may be sent now, filled when that was last
+	// brought up to date.
 	tokens float64
 	filled time.Time
 }
@@ -27,13 +31,14 @@
 	return max(a.extra*retryShare/float64(routers), 1)
 }
 
-// note earns a part of a repeat with a request. The caller holds mu.
+// refill earns what the time since the last call is worth. The caller holds mu.
 func (a *retryAllowance) refill(now time.Time, routers int) {
 	most := a.most(routers)
 	if a.filled.IsZero() {
 		a.tokens = most
 	} else {
-		// The fixed number may be used once a window.
+		// Half of what the bucket holds comes back in a window: with a full one
+		// at its start, one and a half times retryShare of the fixed number.
 		a.tokens += most * now.Sub(a.filled).Seconds() / a.window.Seconds() / 2
 	}
 	a.filled = now
