upstream: results and a field that nothing read are gone

Cause: connect told whether a connection was used before and finishBody an error that was always nil; nothing read them, nor Answer.Size.

Change: those three are gone; doc comments.

Conclusion: behaviour unchanged.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -29,6 +29,7 @@
 	// restMargin is how long before the server's stated time a connection is no
 	// longer used.
 	restMargin = 700 * time.Millisecond
+	// bufferSize holds the head of an answer and some events.
 	bufferSize = 4 << 10
 )
 
@@ -36,10 +37,11 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
-	// usable is until when it may rest.
+	// usable is until when it may rest; set each time it is put to rest.
 	usable time.Time
 }
 
+// dial opens a connection to an address.
 func dial(ctx context.Context, address string) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
 	c, err := d.DialContext(ctx, "tcp", address)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,8 +22,11 @@
 
 // serverConns are the connections to one life of a backend server.
 type serverConns struct {
-	idle   []*conn
-	open   int
+	// idle are those that rest, the last one used last.
+	idle []*conn
+	// open counts all, those that rest and those that are to be opened included.
+	open int
+	// usedAt is when one was last asked for.
 	usedAt time.Time
 }
 
@@ -31,7 +34,7 @@
 // the exported fields before the first call.
 type Pool struct {
 	Dialect sumachead.Dialect
-	// OnDial is told of each new connection.
+	// OnDial is told of each new connection; nil for nobody.
 	OnDial func()
 
 	mu      sync.Mutex // guards servers
@@ -44,7 +47,8 @@
 	Address string
 }
 
-// take returns a connection that rests, or makes room for a new one.
+// take returns a connection that rests; nil when there is none, and then room is
+// made for a new one.
 func (p *Pool) take(s Server, most int, now time.Time) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -73,21 +77,21 @@
 	return nil, nil
 }
 
-// connect returns a connection to a server; reused says that it was open before.
-func (p *Pool) connect(ctx context.Context, s Server, most int) (c *conn, reused bool, err error) {
-	c, err = p.take(s, most, time.Now())
+// connect returns a connection to a server, one that rests or a new one.
+func (p *Pool) connect(ctx context.Context, s Server, most int) (*conn, error) {
+	c, err := p.take(s, most, time.Now())
 	if err != nil || c != nil {
-		return c, c != nil, err
+		return c, err
 	}
 	c, err = dial(ctx, s.Address)
 	if err != nil {
 		p.drop(s)
-		return nil, false, err
+		return nil, err
 	}
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	return c, false, nil
+	return c, nil
 }
 
 // drop takes one connection off the count.
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -44,17 +44,19 @@
 	Status int
 	Header http.Header
 	Head   sumachead.AnswerHead
-	// Size is the body's length; below 0 when it is not known.
-	Size int64
 
 	body   io.ReadCloser
 	pool   *Pool
 	server Server
 	conn   *conn
-	stop   func() bool
+	// stop ends the closing of the connection by the end of the context; it
+	// reports whether it came first.
+	stop func() bool
 	// whole: the body has been read to its end, and the connection is in step.
 	whole bool
-	keep  bool
+	// keep: the server lets the connection be used again, and has taken in all of
+	// the request.
+	keep bool
 }
 
 // Read reads the body. An io.EOF says that it came whole.
@@ -87,7 +89,7 @@
 // returns the head of its answer. The error is a [*Failure]. When ctx ends, the
 // connection is closed.
 func (p *Pool) Send(ctx context.Context, s Server, most int, r *sumachead.CallerRequest, t *sumachead.Attempt) (*Answer, error) {
-	c, _, err := p.connect(ctx, s, most)
+	c, err := p.connect(ctx, s, most)
 	if err != nil {
 		reason := sumachead.ReasonServerUnreached
 		if errors.Is(err, ErrNoConnection) {
@@ -154,19 +156,19 @@
 	if err := a.readHead(r); err != nil {
 		return err
 	}
-	return a.finishBody(written)
+	a.finishBody(written)
+	return nil
 }
 
 // finishBody waits for the rest of a request that was answered before it was all
 // sent. A connection that does not take it in is not used again.
-func (a *Answer) finishBody(written <-chan error) error {
+func (a *Answer) finishBody(written <-chan error) {
 	select {
 	case err := <-written:
 		a.keep = a.keep && err == nil
 	case <-time.After(restOfBody):
 		a.keep = false
 	}
-	return nil
 }
 
 // readHead reads heads until that of this request's answer. Answers to earlier
@@ -183,7 +185,7 @@
 		}
 		a.Head = a.pool.Dialect.Decode(resp.StatusCode, resp.Header, time.Now())
 		if a.Head.ID == r.ID || (a.Head.ID == "" && (a.Head.NotRun || a.Head.Stale)) {
-			a.Status, a.Header, a.Size = resp.StatusCode, resp.Header, resp.ContentLength
+			a.Status, a.Header = resp.StatusCode, resp.Header
 			a.body = resp.Body
 			a.keep = !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
 			return nil
