tcp: one dialer for all; package docs list rpc's relay and telemetry's queue

Cause: the same dialer with the same options stood in three places; SentBytes was exported for one use in its own file; the package docs of rpc and telemetry did not name what they hold now.

Ruled out: the agent's dialer. It has no such options, and has its reasons to be asked for first.

Change: tcp.Dialer; the options are no longer exported; traffic is collected straight from its map; doc comments.

Conclusion: behaviour unchanged.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -21,8 +21,9 @@
 // maxLine bounds one line of a log.
 const maxLine = 1 << 20
 
-// beliefs are the messages that change what a process believes, with the field
-// that tells them apart where one message speaks of several things.
+// beliefs are the messages that change what a process believes, as it logs them,
+// with the field that tells them apart where one message speaks of several
+// things.
 var beliefs = map[string]string{
 	messageStarting:                                      "",
 	"A declaration is in force.":                         "",
@@ -39,10 +40,12 @@
 
 // Line is one line of a log.
 type Line struct {
-	At      time.Time
+	At time.Time
+	// Module is the name of the process and its parts, with dots between.
 	Module  string
 	Message string
-	Fields  map[string]any
+	// Fields are the others.
+	Fields map[string]any
 }
 
 // process returns the name of the process that wrote the line.
@@ -73,8 +76,10 @@
 	return lines, trace.Wrap(s.Err())
 }
 
-func newLine(fields map[string]any) (Line, bool) {
-	l := Line{Fields: fields}
+// newLine takes the time, module and message out of the fields of a line; ok is
+// false for one that lacks its time or message.
+func newLine(fields map[string]any) (l Line, ok bool) {
+	l.Fields = fields
 	l.Module, _ = fields["@module"].(string)
 	l.Message, _ = fields["@message"].(string)
 	at, _ := fields["@timestamp"].(string)
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -173,7 +173,7 @@
 
 // openPlain connects to the address, or to the relay that passes on to it.
 func (c *Client) openPlain() (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
+	d := tcp.Dialer(dialTimeout)
 	if c.From != nil {
 		d.LocalAddr = &net.TCPAddr{IP: c.From}
 	}
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -3,7 +3,9 @@
 //
 // [Server] accepts connections and serves registered receivers. [Client] keeps
 // one connection to an address, dials again after a failure, and ends a call
-// when its context does. A [Pool] shares clients by address.
+// when its context does. A [Pool] shares clients by address. A [Relay] passes
+// connections on between processes that can't reach each other. [Traffic] counts
+// what is sent, by method.
 package rpc
 
 import (
--- a/internal/rpc/relay.go
+++ b/internal/rpc/relay.go
@@ -41,6 +41,7 @@
 	// MaxConns bounds the connections passed on at a time.
 	MaxConns int
 
+	// slots has room for as many connections as may be passed on.
 	slots chan struct{}
 }
 
@@ -70,7 +71,8 @@
 	}
 }
 
-// pass serves one connection.
+// pass reads where a connection is to go, and copies bytes both ways until it
+// ends.
 func (r *Relay) pass(ctx context.Context, conn net.Conn) {
 	defer func() { <-r.slots }()
 	defer func() { _ = conn.Close() }()
@@ -84,8 +86,7 @@
 	if !r.Allowed(target) {
 		return
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
-	out, err := d.DialContext(ctx, "tcp", target)
+	out, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", target)
 	if err != nil {
 		return
 	}
--- a/internal/rpc/traffic.go
+++ b/internal/rpc/traffic.go
@@ -11,6 +11,7 @@
 // together.
 var sent sync.Map // method -> *atomic.Int64
 
+// noteSent counts n bytes that were sent for a method.
 func noteSent(method string, n int) {
 	c, ok := sent.Load(method)
 	if !ok {
@@ -19,16 +20,6 @@
 	c.(*atomic.Int64).Add(int64(n))
 }
 
-// SentBytes returns what this process has sent, by method.
-func SentBytes() map[string]int64 {
-	out := make(map[string]int64)
-	sent.Range(func(method, n any) bool {
-		out[method.(string)] = n.(*atomic.Int64).Load()
-		return true
-	})
-	return out
-}
-
 // Traffic tells the bytes sent, by method, to Prometheus.
 type Traffic struct{}
 
@@ -40,7 +31,8 @@
 
 // Collect implements prometheus.Collector.
 func (Traffic) Collect(ch chan<- prometheus.Metric) {
-	for method, n := range SentBytes() {
-		ch <- prometheus.MustNewConstMetric(sentDesc, prometheus.CounterValue, float64(n), method)
-	}
+	sent.Range(func(method, n any) bool {
+		ch <- prometheus.MustNewConstMetric(sentDesc, prometheus.CounterValue, float64(n.(*atomic.Int64).Load()), method.(string))
+		return true
+	})
 }
--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -1,5 +1,6 @@
 // Package tcp holds how all connections of a process find out that their other
 // end has gone silent: a peer that lost power or is cut off resets nothing.
+// [Dialer] and [ListenConfig] make both ends of connections that do.
 package tcp
 
 import (
@@ -20,14 +21,14 @@
 	optUserTimeout = 18
 )
 
-// KeepAlive returns probes that end a silent connection within some seconds.
-func KeepAlive() net.KeepAliveConfig {
+// keepAlive returns probes that end a silent connection within some seconds.
+func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
 }
 
-// Control sets the user time-out on a socket, as the Control of a net.Dialer or
+// control sets the user time-out on a socket, as the Control of a net.Dialer or
 // net.ListenConfig.
-func Control(_, _ string, c syscall.RawConn) error {
+func control(_, _ string, c syscall.RawConn) error {
 	var inner error
 	err := c.Control(func(fd uintptr) {
 		inner = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, optUserTimeout, int(userTimeout/time.Millisecond))
@@ -40,5 +41,10 @@
 
 // ListenConfig returns a listener's settings with these options.
 func ListenConfig() *net.ListenConfig {
-	return &net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: Control}
+	return &net.ListenConfig{KeepAliveConfig: keepAlive(), Control: control}
+}
+
+// Dialer returns a dialer with these options that gives up after a timeout.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive(), Control: control}
 }
--- a/internal/telemetry/lines.go
+++ b/internal/telemetry/lines.go
@@ -22,10 +22,13 @@
 	kinds map[string]*lineCount
 }
 
+// lineCount counts lines of one kind.
 type lineCount struct {
+	// second is the Unix second that written is about.
 	second  int64
 	written int
-	left    int
+	// left is how many were left out since the last that was written.
+	left int
 }
 
 // take reports whether a line of a kind may be written now, and how many were
--- a/internal/telemetry/queue.go
+++ b/internal/telemetry/queue.go
@@ -23,7 +23,7 @@
 // reader does not take in is dropped and counted. It implements io.Writer.
 type QueuedWriter struct {
 	lines chan []byte
-	// dropped counts since the last line that told of it, total for good.
+	// dropped counts lines since the last one that told of it, total all.
 	dropped atomic.Int64
 	total   atomic.Int64
 	// stop is closed by Close, done when the last line has been passed on.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -1,5 +1,6 @@
 // Package telemetry serves health and metrics, and makes the logs of all
-// roles alike.
+// roles alike. A [QueuedWriter] keeps a slow reader of the log from holding up
+// the process; [Lines] bounds how many lines of one kind there are.
 package telemetry
 
 import (
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -43,8 +43,7 @@
 
 // dial opens a connection to an address.
 func dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcp.KeepAlive(), Control: tcp.Control}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
