--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -4,6 +4,10 @@
 // A [Machine] is the replicated state: the declaration in force, the escrow of
 // budgets, and the lives of backend servers that are leaving. A [Keeper] runs one
 // member of the group that replicates it, keeps the soft state beside it (server
-// records, demand, who follows), and serves nodes and operators. Every keeper
-// takes every call; one that does not lead passes it to the one that does.
+// records, demand, who follows), and serves nodes and operators. A [Host] keeps a
+// keeper running on a disk that may fail for a while.
+//
+// Every keeper takes the calls of operators and backend servers, and passes on to
+// the leading one what only that can answer. Nodes call the leading keeper; another
+// one refuses and names it.
 package fleet
--- a/internal/fleet/followers.go
+++ b/internal/fleet/followers.go
@@ -29,11 +29,14 @@
 	relaysEach = 4
 )
 
+// follower is one node that follows.
 type follower struct {
-	role  string
-	hall  sumachead.HallID
+	role string
+	hall sumachead.HallID
+	// relay is where it relays connections; empty for none.
 	relay string
-	seen  time.Time
+	// seen is when its last question came.
+	seen time.Time
 }
 
 // followers is who follows this leader; soft state.
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -58,6 +58,7 @@
 	}
 }
 
+// runOne runs one keeper until it fails or ctx ends.
 func (h *Host) runOne(ctx context.Context) error {
 	life, end := context.WithCancel(context.Background())
 	defer end()
--- a/internal/fleet/loads.go
+++ b/internal/fleet/loads.go
@@ -15,6 +15,7 @@
 // within some milliseconds.
 const tellFrom = 500
 
+// routerLoads is what one router last told, and when.
 type routerLoads struct {
 	loads []*wire.ServerLoad
 	at    time.Time
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -24,13 +24,17 @@
 	// the machine.
 	OnLeaving func(id string)
 
-	mu          sync.Mutex // guards the fields below
+	mu sync.Mutex // guards the fields below
+	// declaration is in force, packed the same as it is stored.
 	declaration *wire.Declaration
 	packed      *wire.PackedDeclaration
 	book        *escrow.Book
-	leaving     []string
-	isLeaving   map[string]bool
-	changed     chan struct{}
+	// leaving are the newest lives that leave, oldest first; isLeaving holds the
+	// same.
+	leaving   []string
+	isLeaving map[string]bool
+	// changed is closed when another declaration is put in force.
+	changed chan struct{}
 }
 
 // NewMachine returns the state before the first command.
@@ -65,7 +69,8 @@
 	return nil
 }
 
-// declare puts a declaration in force if its number is the highest.
+// declare puts a declaration in force if its number is the highest. The caller
+// holds mu.
 func (m *Machine) declare(p *wire.PackedDeclaration) *wire.DeclareReply {
 	if p.GetNumber() > m.declaration.GetNumber() {
 		d, err := catalog.Unpack(p)
@@ -77,6 +82,7 @@
 	return &wire.DeclareReply{Number: m.declaration.GetNumber()}
 }
 
+// put puts a declaration in force. The caller holds mu.
 func (m *Machine) put(d *wire.Declaration, p *wire.PackedDeclaration) {
 	m.declaration, m.packed = d, p
 	m.book.SetTotals(catalog.Totals(d.GetCatalog()))
@@ -84,6 +90,8 @@
 	m.changed = make(chan struct{})
 }
 
+// leave notes a server's life that leaves, and forgets the oldest when there are
+// too many. The caller holds mu.
 func (m *Machine) leave(id string) {
 	if m.isLeaving[id] {
 		return
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -14,9 +14,14 @@
 )
 
 const (
-	joinEvery    = 400 * time.Millisecond
+	// joinEvery is how often a keeper looks whether it is still a member, and asks
+	// to be taken in if not.
+	joinEvery = 400 * time.Millisecond
+	// membersEvery is how often the leader looks at the members.
 	membersEvery = 250 * time.Millisecond
-	callTimeout  = 700 * time.Millisecond
+	// callTimeout bounds a call to another keeper beyond the time that it may be
+	// held.
+	callTimeout = 700 * time.Millisecond
 	// leaderlessBeforeJoin is how long a member hears no leader before it asks
 	// whether it has been removed: some elections.
 	leaderlessBeforeJoin = 4 * election
@@ -114,6 +119,7 @@
 // minVoters is the smallest number of voters that a silent one is removed from.
 const minVoters = 2
 
+// voters counts the members that vote.
 func voters(ms []*wire.Member) int {
 	n := 0
 	for _, m := range ms {
@@ -144,6 +150,8 @@
 	return longest
 }
 
+// tryPromote gives a learner its vote if it has caught up; it reports whether that
+// was started.
 func (k *Keeper) tryPromote(ctx context.Context, m *wire.Member) bool {
 	if ok, err := k.node.CaughtUp(ctx, m.GetId()); err != nil || !ok {
 		return false
@@ -161,6 +169,7 @@
 	return true
 }
 
+// remove takes a member out of the group.
 func (k *Keeper) remove(ctx context.Context, id string) {
 	started, err := k.node.ChangeMembers(ctx, func(ms *wire.Members) *wire.Members { return raft.Without(ms, id) })
 	k.Log.Info("A silent keeper gives up its place.", "keeper", id, "started", started, "error", err)
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -8,12 +8,16 @@
 
 // metrics are a keeper's figures.
 type metrics struct {
+	// Registry holds them all.
 	Registry *prometheus.Registry
 
+	// syncs is of synced writes to the log, commits of commands that the group
+	// took.
 	syncs   prometheus.Histogram
 	commits prometheus.Histogram
 }
 
+// newMetrics registers the figures of a keeper.
 func newMetrics(k *Keeper) *metrics {
 	histogram := func(name, help string) prometheus.Histogram {
 		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14)})
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -27,6 +27,7 @@
 	done   chan reportOutcome
 }
 
+// reportOutcome is the answer to a report, or why there is none.
 type reportOutcome struct {
 	reply *wire.EscrowReply
 	err   error
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -25,10 +25,12 @@
 // transport passes messages of the group to the other members, in order and one
 // call at a time for each. A member's id is its address.
 type transport struct {
+	// ctx ends the queues' goroutines.
 	ctx  context.Context
 	pool *rpc.Pool
 
-	mu     sync.Mutex // guards queues
+	mu sync.Mutex // guards queues
+	// queues are by the address of the member.
 	queues map[string]chan *wire.RaftMessage
 }
 
@@ -70,6 +72,8 @@
 	}
 }
 
+// forget drops the queue of an address unless something has come meanwhile; it
+// reports whether it did.
 func (t *transport) forget(address string, q chan *wire.RaftMessage) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
