--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,8 @@
 // Package catalog turns a declared catalogue of routes, services and workspaces
 // into an immutable [View] that answers the questions a router asks of it:
 // which route a host and path have, whose key this is, what a service allows.
+// [Check] refuses a catalogue that can't be used; [Pack] and [Unpack] turn a
+// declaration into what is stored and sent, and back.
 package catalog
 
 import (
@@ -17,12 +19,15 @@
 
 // View is a declaration, prepared for look-ups. It is immutable.
 type View struct {
+	// Number is the declaration's.
 	Number  uint64
 	Catalog *wire.Catalog
 
-	// routes of each host, longest prefix first.
-	routes     map[string][]*wire.Route
-	keys       map[string]*wire.WorkspaceAccess
+	// routes of each host in lower case, longest prefix first.
+	routes map[string][]*wire.Route
+	// keys are the workspaces by each of their keys.
+	keys map[string]*wire.WorkspaceAccess
+	// services are by name.
 	services   map[string]*wire.Service
 	workspaces []sumachead.WorkspaceID
 }
@@ -50,6 +55,7 @@
 	return checkWorkspaces(c.GetWorkspaces())
 }
 
+// checkRoute checks one route against the names of services.
 func checkRoute(r *wire.Route, services map[string]bool) error {
 	if r.GetHost() == "" {
 		return trace.BadParameter("route %q: the host is missing", r.GetName())
@@ -73,6 +79,7 @@
 	return nil
 }
 
+// checkWorkspaces checks names, budgets and keys; no two workspaces share one.
 func checkWorkspaces(ws []*wire.WorkspaceAccess) error {
 	names := make(map[string]bool)
 	owners := make(map[string]string)
--- a/internal/catalog/pack.go
+++ b/internal/catalog/pack.go
@@ -42,6 +42,7 @@
 // Source returns the document of a declaration as the operator sent it.
 func Source(p *wire.PackedDeclaration) ([]byte, error) { return inflate(p.GetSource()) }
 
+// deflate compresses data.
 func deflate(data []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, packLevel)
@@ -57,6 +58,7 @@
 	return b.Bytes(), nil
 }
 
+// inflate returns what was deflated; nothing for nothing.
 func inflate(data []byte) ([]byte, error) {
 	if len(data) == 0 {
 		return nil, nil
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -26,9 +26,11 @@
 	forgetAfter = 2 * time.Minute
 )
 
+// entry is one life of a server.
 type entry struct {
 	record *wire.ServerRecord // replaced, never changed
-	seen   time.Time
+	// seen is when the last heartbeat came, or at a follower the record.
+	seen time.Time
 }
 
 // Table is a set of server records. It is safe for concurrent use. Set the
@@ -37,10 +39,14 @@
 	// Heartbeat is the interval at which servers register.
 	Heartbeat time.Duration
 
-	mu      sync.Mutex // guards the fields below
+	mu sync.Mutex // guards the fields below
+	// entries are by the server's id.
 	entries map[string]*entry
+	// version is the newest that a record got here, or that the leader told of;
+	// history names the leader whose numbering it is.
 	version uint64
 	history string
+	// changed is closed when a record gets a new version.
 	changed chan struct{}
 	// changes are the newest changes, oldest first; those up to trimmed are not
 	// kept any more.
@@ -129,6 +135,7 @@
 	return news
 }
 
+// sameForFollowers reports whether two records tell followers the same.
 func sameForFollowers(a, b *wire.ServerRecord) bool {
 	return a.GetState() == b.GetState() && a.GetAddress() == b.GetAddress() &&
 		a.GetService() == b.GetService() && a.GetSlots() == b.GetSlots() && a.GetHall() == b.GetHall()
@@ -200,6 +207,7 @@
 	t.setState(e, wire.ServerState_SERVER_STATE_LEAVING)
 }
 
+// setState replaces a record by one in another state. The caller holds mu.
 func (t *Table) setState(e *entry, s wire.ServerState) {
 	next := proto.CloneOf(e.record)
 	next.State = s
@@ -261,6 +269,7 @@
 	t.history, t.version = r.GetHistory(), r.GetVersion()
 }
 
+// takeOne takes in one record. The caller holds mu.
 func (t *Table) takeOne(s *wire.ServerRecord, now time.Time) {
 	e := t.entries[s.GetId()]
 	if e != nil && e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING && s.GetState() != wire.ServerState_SERVER_STATE_LEAVING {
