gateway: noting a retry and the bound of connections are functions of their own

Cause: dispatch mixed the loop of attempts with their metrics and log lines, and send computed how many connections a router may have.

Change: noteRetry beside noteServed and noteRefusal in what it does; connBound.

Conclusion: behaviour unchanged.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -19,8 +19,10 @@
 // dispatch is one request's way from its first attempt to its answer.
 type dispatch struct {
 	*Gateway
-	x     *exchange
-	ctx   context.Context
+	x *exchange
+	// ctx ends with the caller's, or with the request's deadline.
+	ctx context.Context
+	// tried are the servers of the attempts so far.
 	tried []sumachead.ServerID
 	// mayHaveRun: an attempt before this one may have run.
 	mayHaveRun bool
@@ -56,12 +58,17 @@
 		if stop := d.mayRetry(); stop != nil {
 			return stop
 		}
-		g.metrics.retries.WithLabelValues(string(f.Reason)).Inc()
-		g.failures.Info(g.Log, "A request is sent again.", append(x.fields(),
-			"reason", f.Reason, "verdict", f.Verdict, "cause", f.Err.Error())...)
+		g.noteRetry(x, f)
 	}
 }
 
+// noteRetry counts and logs that a request is sent again after a failure.
+func (g *Gateway) noteRetry(x *exchange, f *upstream.Failure) {
+	g.metrics.retries.WithLabelValues(string(f.Reason)).Inc()
+	g.failures.Info(g.Log, "A request is sent again.", append(x.fields(),
+		"reason", f.Reason, "verdict", f.Verdict, "cause", f.Err.Error())...)
+}
+
 // mayRetry returns nil if the request may be sent to another server, and
 // otherwise how it ends.
 func (d *dispatch) mayRetry() error {
@@ -134,9 +141,8 @@
 	if d.stream != nil {
 		t.LastEvent = d.stream.lastID
 	}
-	most := max(int(x.service.GetMaxConns())*connPart/100/d.client.Routers(), 1)
 	x.attempts++
-	a, err := d.upstream.Send(d.ctx, upstream.Server{ID: id, Address: l.record.GetAddress()}, most, x.request, t)
+	a, err := d.upstream.Send(d.ctx, upstream.Server{ID: id, Address: l.record.GetAddress()}, d.connBound(), x.request, t)
 	var f *upstream.Failure
 	if errors.As(err, &f) && f.Verdict == sumachead.NotRun {
 		x.attempts-- // it reached nobody
@@ -144,6 +150,11 @@
 	return a, err
 }
 
+// connBound returns how many connections this router may have to one server.
+func (d *dispatch) connBound() int {
+	return max(int(d.x.service.GetMaxConns())*connPart/100/d.client.Routers(), 1)
+}
+
 // failed ends a placement by what the failure says of the server.
 func (d *dispatch) failed(l *placement, err error) error {
 	var f *upstream.Failure
