A used budget is said to be used; elections after 900 ms; scripts' callers come back as told

Cause: three scripts failed beside a busy disk. (1) budget: with 998 tokens left, all at hand at one router, a request of 1,000 was told 503 for good: what it lacks (2) was compared with what is left, which counts what is at hand. (2) router_stopped, leaving: leaders lost their place, or grants came late, while a sync hung; on this disk 150 syncs of 400 bytes took 0.22 ms in the median and 631 ms at the most.

Ruled out: lost reports (the lines show grants on time but for the syncs); the copies of records and heartbeats in batches (the same lines before them).

Change: the bound, not the lack, is compared with what is left (TestWhatIsAtHandCountsOnce fails without it); elections after 900 ms again, which holders bear with what they have at hand since that is four seconds; callers of scripts come back when they are told, within their time. That a first try is never refused was never promised: a refusal comes at once and says when to come back. What scripts ask for is as strict otherwise: every caller has its whole answer in its time.

--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -175,6 +175,24 @@
 	}
 }
 
+func TestWhatIsAtHandCountsOnce(t *testing.T) {
+	l := newLedger(10_000)
+	now := time.Now()
+	h := newHolder("router-1", "a")
+	h.spend(9_002, 0)
+	h.report(l, now)
+	h.spend(9_002, 9_002)
+	h.spend(998, 0) // makes it hold all that is left
+	h.report(l, now)
+	h.spend(1_000, 0)
+	h.report(l, now)
+	_, err := h.Reserve(context.Background(), clerks, 1_000, time.Now())
+	var f *sumachead.Refusal
+	if !errors.As(err, &f) || f.Reason != sumachead.ReasonBudgetExhausted {
+		t.Fatalf("998 are left and at hand, 1,000 were asked for: %v", err)
+	}
+}
+
 func TestNewLifeClosesTheOldOne(t *testing.T) {
 	l := newLedger(100_000)
 	now := time.Now()
--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -137,7 +137,7 @@
 	}
 	if need := sumachead.Tokens(p.GetNeeded()); need > 0 {
 		grant = max(grant, min(max(need, sumachead.Tokens(p.GetWanted())), free))
-		a.Exhausted = free < need && s.remaining(b, w) < need
+		a.Exhausted = free < need && s.remaining(b, w) < need+max(atHand, 0)
 		s.noteWant(w, want{by: h, amount: need, at: now}, free)
 	}
 	if keep := s.keep(b, w, h, hold, now); keep >= 0 && atHand > keep && grant <= 0 {
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -29,9 +29,11 @@
 	// Group names the one group of a fleet.
 	Group sumachead.GroupID = "fleet"
 	// heartbeat and election are longer than the defaults: keepers of a fleet
-	// have a fraction of a core, and an idle group should cost little.
-	heartbeat = 90 * time.Millisecond
-	election  = 550 * time.Millisecond
+	// have a fraction of a core, an idle group should cost little, and a sync that
+	// hangs for half a second (seen: 631 ms on a busy disk) should cost no leader.
+	// Holders of escrow bear an election with what they have at hand.
+	heartbeat = 120 * time.Millisecond
+	election  = 900 * time.Millisecond
 	// snapshotEvery keeps the log far below a disk of some 100 MB when each
 	// entry is a large declaration.
 	snapshotEvery = 400
--- a/internal/scenario/fleetcall_test.go
+++ b/internal/scenario/fleetcall_test.go
@@ -42,6 +42,23 @@
 // String is what scripts match.
 func (c *caller) String() string { return fmt.Sprintf("status=%d whole=%t", c.status, c.whole) }
 
+// comeBack sends a request, and again each time it is told when to come back, as
+// long as its caller waits. Each try has an id of its own.
+func (f *fleet) comeBack(q fleetRequest) *caller {
+	if q.wait == 0 {
+		q.wait = 5 * time.Second
+	}
+	until := time.Now().Add(q.wait)
+	for {
+		c := f.ask(q)
+		q.wait = time.Until(until) - time.Duration(c.retry*float64(time.Second))
+		if c.status != http.StatusServiceUnavailable || c.retry == 0 || q.wait <= 0 {
+			return c
+		}
+		time.Sleep(time.Duration(c.retry * float64(time.Second)))
+	}
+}
+
 // ask sends one request and reads all of its answer.
 func (f *fleet) ask(q fleetRequest) *caller {
 	if q.key == "" {
--- a/internal/scenario/fleetcmds_test.go
+++ b/internal/scenario/fleetcmds_test.go
@@ -147,7 +147,8 @@
 }
 
 // ask KIND [n=1] [at=4] [router=any] [events=5] [prompt=10] [key=k] [path=P] [leave=D]
-// [want=STATUS] [whole=LEAST] [within=D] sends requests, at a time as at says.
+// [want=STATUS] [whole=LEAST] [within=D] sends requests, at a time as at says. Who is
+// told when to come back does so, until its time is up.
 func cmdAsk(ts *testscript.TestScript, _ bool, args []string) {
 	f := fleetOf(ts)
 	q := fleetRequest{kind: args[0], events: 5, prompt: 10}
@@ -170,7 +171,7 @@
 			if one.router == "" {
 				one.router = fmt.Sprintf("router-%d", i%f.shape.routers+1)
 			}
-			c := f.ask(one)
+			c := f.comeBack(one)
 			mu.Lock()
 			defer mu.Unlock()
 			outcomes[c.String()]++
