--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -3,16 +3,12 @@
 import (
 	"context"
 	"path/filepath"
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
 	"sumachead"
 	"sumachead/api/wire"
@@ -22,7 +18,6 @@
 	"sumachead/internal/registry"
 	"sumachead/internal/rpc"
 	"sumachead/internal/telemetry"
-	"sumachead/internal/wal"
 )
 
 const (
@@ -37,11 +32,6 @@
 	// snapshotEvery keeps the log far below a disk of some 100 MB when each
 	// entry is a large declaration.
 	snapshotEvery = 400
-
-	identityFile = "identity"
-	// foundingIncarnation is that of members that start with the system, which
-	// need not ask each other for one.
-	foundingIncarnation = "founding"
 	// stopTimeout bounds the hand-over of leadership on a planned stop.
 	stopTimeout = 1500 * time.Millisecond
 )
@@ -75,13 +65,16 @@
 	followers *followers
 	loads     *loads
 	metrics   *metrics
-	lines     *telemetry.Lines
-	alive     aliveBatch
+	// lines bounds what is logged of grants.
+	lines *telemetry.Lines
+	alive aliveBatch
 	// copiedAt is when the leader last answered with its records, in Unix
 	// nanoseconds.
 	copiedAt atomic.Int64
-	reports  chan *pendingReport
-	stopped  chan struct{}
+	// reports are taken in by reportsLoop.
+	reports chan *pendingReport
+	// stopped is closed when Run ends; calls that wait then end.
+	stopped chan struct{}
 }
 
 // Prepare opens the folder and the group. Call it before Run; other methods may
@@ -156,45 +149,3 @@
 		loop.Until(ctx, pollEvery, func() bool { return !k.node.Leading() })
 	}
 }
-
-// openIdentity reads the identity or writes a new one to an empty folder. A
-// folder that is empty although the system exists has lost what it held: it gets
-// a new incarnation and joins, and its old self's vote is not used again.
-func (k *Keeper) openIdentity() error {
-	path := filepath.Join(k.Data, identityFile)
-	id := &wire.Identity{}
-	data, err := wal.ReadFile(path)
-	switch {
-	case err == nil:
-		err = proto.Unmarshal(data, id)
-	case trace.IsNotFound(err):
-		k.fillIdentity(id)
-		if data, err = proto.Marshal(id); err == nil {
-			err = wal.WriteFile(path, data)
-		}
-	}
-	if err != nil {
-		return trace.Wrap(err, "identity of the keeper")
-	}
-	if id.GetKeeper() != k.Address {
-		return trace.BadParameter("%s belongs to keeper %q, not to %q", path, id.GetKeeper(), k.Address)
-	}
-	k.identity = id
-	return nil
-}
-
-func (k *Keeper) fillIdentity(id *wire.Identity) {
-	id.Keeper = k.Address
-	if !slices.Contains(k.Founders, k.Address) {
-		id.Incarnation, id.Joined = uuid.NewString(), true
-		return
-	}
-	id.Incarnation = foundingIncarnation
-	id.Founders = &wire.Members{}
-	for _, a := range k.Founders {
-		id.Founders.Members = append(id.Founders.Members, &wire.Member{Id: a, Address: a, Incarnation: foundingIncarnation})
-	}
-}
-
-// Ready reports whether the group has a leader that this keeper knows.
-func (k *Keeper) Ready() bool { return k.node.Status().GetLeader() != "" }
