--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -13,6 +13,10 @@
 	"time"
 )
 
+// replicaSlots is how many requests a replica says that it works on at a time; it
+// takes more.
+const replicaSlots = 8
+
 // ReplicaFaults are switches of a [Replica]; all are off at the start.
 type ReplicaFaults struct {
 	// LoseAnswer: requests run, and the connection ends without an answer.
@@ -54,12 +58,14 @@
 	EventEvery time.Duration
 	Work       time.Duration
 
-	mu       sync.Mutex // guards the fields below
-	faults   ReplicaFaults
-	runs     []*ReplicaRun
+	mu     sync.Mutex // guards the fields below, and what runs point to
+	faults ReplicaFaults
+	runs   []*ReplicaRun
+	// sequence counts the heartbeats of this life.
 	sequence int
 	draining bool
-	acked    time.Time
+	// acked is when leaving was acknowledged.
+	acked time.Time
 }
 
 // Run serves and sends heartbeats until ctx ends.
@@ -78,6 +84,7 @@
 	return nil
 }
 
+// beats sends heartbeats until ctx ends.
 func (r *Replica) beats(ctx context.Context) {
 	for {
 		r.Beat(ctx)
@@ -93,19 +100,19 @@
 func (r *Replica) Beat(ctx context.Context) bool {
 	r.mu.Lock()
 	r.sequence++
-	state := "ready"
-	if r.draining {
+	state, draining := "ready", r.draining
+	if draining {
 		state = "draining"
 	}
 	body, err := json.Marshal(map[string]any{
-		"backend": r.Service, "address": r.Address, "zone": r.Hall, "slots": 8, "state": state, "call_seq": r.sequence,
+		"backend": r.Service, "address": r.Address, "zone": r.Hall, "slots": replicaSlots, "state": state, "call_seq": r.sequence,
 	})
 	r.mu.Unlock()
 	if err != nil {
 		return false
 	}
 	ok := r.post(ctx, "/v1/Replicas.Heartbeat/"+r.ID, body)
-	if ok && state == "draining" {
+	if ok && draining {
 		r.mu.Lock()
 		r.acked = time.Now()
 		r.mu.Unlock()
@@ -113,11 +120,13 @@
 	return ok
 }
 
-// Leave tells that the replica is about to end.
+// Leave tells that the replica is about to end; it reports whether some node
+// acknowledged it.
 func (r *Replica) Leave(ctx context.Context) bool {
 	return r.post(ctx, "/v1/Replicas.Leave/"+r.ID, nil)
 }
 
+// post calls the control addresses in turn until one acknowledges.
 func (r *Replica) post(ctx context.Context, path string, body []byte) bool {
 	for _, a := range r.Control() {
 		if r.postTo(ctx, "http://"+a+path, body) {
@@ -127,6 +136,7 @@
 	return false
 }
 
+// postTo makes one call; it reports whether it was acknowledged.
 func (r *Replica) postTo(ctx context.Context, url string, body []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
@@ -176,6 +186,7 @@
 	return out
 }
 
+// serve takes a request if it is meant for this life, and records its run.
 func (r *Replica) serve(w http.ResponseWriter, q *http.Request) {
 	if expected := q.Header.Get("Expect-Replica"); expected != r.ID {
 		w.Header().Set("Served-By", r.ID)
@@ -202,6 +213,7 @@
 	r.answer(w, q, f)
 }
 
+// answer answers a request as the faults say.
 func (r *Replica) answer(w http.ResponseWriter, q *http.Request, f ReplicaFaults) {
 	if f.Hang {
 		<-q.Context().Done()
@@ -229,6 +241,7 @@
 	_, _ = fmt.Fprint(w, body) // a caller that has gone shows in the context
 }
 
+// pause waits; it reports whether the caller is still there.
 func (r *Replica) pause(q *http.Request, d time.Duration) bool {
 	select {
 	case <-time.After(d):
