--- a/internal/gateway/score.go
+++ b/internal/gateway/score.go
@@ -15,7 +15,8 @@
 	// servers that are alike.
 	hallPenalty = 5 * time.Millisecond
 	// latePart is the part of the objective, in percent, up to which an expected
-	// first event counts as in time; the rest is for what this router can't see.
+	// first event does not drive a prompt from its home: the estimate is rough, and
+	// leaving means that shared parts are read again.
 	latePart = 150
 	// latePenalty is what an expected late first event weighs, in objectives:
 	// more than reading any prompt again.
