--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -238,8 +238,27 @@
 	defer s.free(p)
 	end(p)
 	time.Sleep(after)
+	s.startAgain(p)
+}
+
+// startAgain starts a process and waits until it runs its program: a signal that
+// comes before ends it by the kernel's default, which is no planned stop.
+func (s *fleetSoak) startAgain(p *process) {
+	log := s.f.path(p.name + ".log")
+	var before int
+	if data, err := os.ReadFile(log); err == nil {
+		before = len(data)
+	}
 	if err := s.f.start(p); err != nil {
 		s.breaks("%s did not start: %v", p.name, err)
+		return
+	}
+	err := eventually(startTimeout, p.name+" has written its first line", func() bool {
+		data, err := os.ReadFile(log)
+		return err == nil && strings.Contains(string(data[min(before, len(data)):]), "Starting.")
+	})
+	if err != nil {
+		s.breaks("%v", err)
 	}
 }
 
