--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -72,20 +72,30 @@
 	// TLS is nil for plain HTTP.
 	TLS     *tls.Config
 	Handler http.Handler
+	// Listen makes the listener; nil for one with Go's own settings.
+	Listen *net.ListenConfig
+	// Idle is how long a connection may rest; 0 for no bound.
+	Idle time.Duration
 	// Drain bounds how long requests in flight may take to finish.
 	Drain time.Duration
+	// BreakOff: requests that take longer are broken off, which is no error.
+	BreakOff bool
 }
 
 // Run serves until ctx ends.
 func (s *HTTPServer) Run(ctx context.Context) error {
-	lis, err := net.Listen("tcp", s.Address)
+	listen := s.Listen
+	if listen == nil {
+		listen = &net.ListenConfig{}
+	}
+	lis, err := listen.Listen(ctx, "tcp", s.Address)
 	if err != nil {
 		return trace.Wrap(err, "listening for HTTP on %s", s.Address)
 	}
 	if s.TLS != nil {
 		lis = tls.NewListener(lis, s.TLS)
 	}
-	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: s.Idle}
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(lis) }()
 	select {
@@ -95,9 +105,13 @@
 	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), s.Drain)
 	defer cancel()
-	if err := server.Shutdown(stopCtx); err != nil {
+	err = server.Shutdown(stopCtx)
+	if err != nil && !s.BreakOff {
 		return trace.Wrap(err, "finishing requests in flight")
 	}
+	if err != nil {
+		_ = server.Close() // what is left is broken off
+	}
 	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
 		return trace.Wrap(err)
 	}
