Hand-over of leadership is raft.Node's

Both kinds of keeper had the same loop around Transfer; it moved behind the node, with the same interval (10 ms). Their bounds in time differ and stay with them.

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -13,7 +13,6 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/escrow"
-	"sumachead/internal/loop"
 	"sumachead/internal/raft"
 	"sumachead/internal/registry"
 	"sumachead/internal/rpc"
@@ -141,11 +140,5 @@
 func (k *Keeper) handOver() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	for k.node.Leading() && ctx.Err() == nil {
-		if ok, err := k.node.Transfer(ctx); err != nil || !ok {
-			return
-		}
-		const pollEvery = 10 * time.Millisecond
-		loop.Until(ctx, pollEvery, func() bool { return !k.node.Leading() })
-	}
+	k.node.HandOver(ctx)
 }
--- a/internal/keeper/group.go
+++ b/internal/keeper/group.go
@@ -10,7 +10,6 @@
 
 	"sumachead"
 	"sumachead/internal/keeperclient"
-	"sumachead/internal/loop"
 	"sumachead/internal/raft"
 )
 
@@ -78,11 +77,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	for _, g := range k.groups() {
-		for g.node.Leading() && ctx.Err() == nil {
-			if ok, err := g.node.Transfer(ctx); err != nil || !ok {
-				break
-			}
-			loop.Until(ctx, pollEvery, func() bool { return !g.node.Leading() })
-		}
+		g.node.HandOver(ctx)
 	}
 }
--- a/internal/raft/calls.go
+++ b/internal/raft/calls.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"sumachead/api/wire"
+	"sumachead/internal/loop"
 )
 
 // Status returns the newest published state; it must not be changed.
@@ -122,3 +124,15 @@
 func (n *Node) Transfer(ctx context.Context) (bool, error) {
 	return call(ctx, n, n.core.Transfer)
 }
+
+// HandOver passes leadership on, so that a planned stop costs no election. It
+// returns when this member does not lead, nobody can take over, or ctx ends.
+func (n *Node) HandOver(ctx context.Context) {
+	const pollEvery = 10 * time.Millisecond // a few round trips within a data hall
+	for n.Leading() && ctx.Err() == nil {
+		if ok, err := n.Transfer(ctx); err != nil || !ok {
+			return
+		}
+		loop.Until(ctx, pollEvery, func() bool { return !n.Leading() })
+	}
+}
