--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -164,6 +164,11 @@
 	}
 }
 
+// Unmet reports whether a position lacks more than was granted in its answer.
+func Unmet(p *wire.EscrowPosition, a *wire.EscrowAnswer) bool {
+	return p.GetNeeded() > a.GetGranted()-p.GetGranted()
+}
+
 // Lacking lists the workspaces of which some holder lacks escrow, and returns a
 // channel that is closed when there is another.
 func (s *Sizer) Lacking(now time.Time) (ws []string, changed <-chan struct{}) {
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -8,6 +8,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/escrow"
 )
 
 const (
@@ -127,8 +128,7 @@
 // noteGrant logs what was decided on a position that lacks something or is to
 // give back.
 func (k *Keeper) noteGrant(node string, p *wire.EscrowPosition, grant int64, a *wire.EscrowAnswer) {
-	short := p.GetNeeded() > a.GetGranted()-p.GetGranted()
-	if !short && a.GetKeep() < 0 {
+	if !escrow.Unmet(p, a) && a.GetKeep() < 0 {
 		return
 	}
 	k.lines.Info(k.Log, "Escrow of a holder is short or in excess.", "node", node, "workspace", p.GetWorkspace(),
--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -123,7 +123,7 @@
 // unmet reports whether a position lacks more than the ledger granted on it.
 func unmet(report *wire.EscrowReport, reply *wire.EscrowReply) bool {
 	for i, a := range reply.GetAnswers() {
-		if p := report.GetPositions()[i]; p.GetNeeded() > a.GetGranted()-p.GetGranted() {
+		if escrow.Unmet(report.GetPositions()[i], a) {
 			return true
 		}
 	}
