One filter chain for both routers, made once

gateway and router each had the same handler, filter and chain types; internal/chain has them now. The gateway made its chain anew for each request; it is made in Prepare, as the router makes its.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/catalog"
+	"sumachead/internal/chain"
 )
 
 // exchange is one request on its way through the filters. Each filter fills in
@@ -59,18 +60,7 @@
 }
 
 // handler deals with an exchange.
-type handler func(*exchange) error
-
-// filter wraps a handler in another.
-type filter func(next handler) handler
-
-// chain wraps h in filters; the first is the outermost.
-func chain(h handler, filters ...filter) handler {
-	for i := len(filters) - 1; i >= 0; i-- {
-		h = filters[i](h)
-	}
-	return h
-}
+type handler = chain.Handler[*exchange]
 
 // Serve answers one request. The error is a [*sumachead.Refusal] when there is no
 // whole answer; started then says whether a part of one has been sent, after
@@ -79,8 +69,7 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	x := &exchange{ctx: ctx, request: r, answer: a, arrived: time.Now()}
-	err = chain(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.escrowFilter)(x)
-	if err != nil {
+	if err := g.handle(x); err != nil {
 		f := sumachead.AsRefusal(err)
 		g.noteRefusal(x, f)
 		return x.started, f
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sumachead"
+	"sumachead/internal/chain"
 	"sumachead/internal/escrow"
 	"sumachead/internal/fleet"
 	"sumachead/internal/fleetclient"
@@ -53,6 +54,8 @@
 	placer   *placer
 	retries  *retryAllowance
 	metrics  *Metrics
+	// handle is the filters around dispatch.
+	handle handler
 	// lines bounds what is logged of requests that are served, failures of those
 	// that are not, of which more is kept.
 	lines    *telemetry.Lines
@@ -77,6 +80,7 @@
 	g.reporter.Prepare()
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, OnDial: g.metrics.dials.Inc}
 	g.placer = newPlacer(g.Hall)
+	g.handle = chain.Wrap(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.escrowFilter)
 	g.retries = &retryAllowance{ratio: g.RetryRatio, extra: g.RetryExtra, window: g.RetryWindow}
 }
 
--- a/internal/router/exchange.go
+++ b/internal/router/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sumachead"
+	"sumachead/internal/chain"
 	"sumachead/internal/settings"
 )
 
@@ -60,18 +61,8 @@
 	prefix uint64
 }
 
-// handler deals with an exchange; a filter wraps one handler in another.
-type handler func(*exchange) error
-
-type filter func(next handler) handler
-
-// chain wraps h in filters; the first is the outermost.
-func chain(h handler, filters ...filter) handler {
-	for i := len(filters) - 1; i >= 0; i-- {
-		h = filters[i](h)
-	}
-	return h
-}
+// handler deals with an exchange.
+type handler = chain.Handler[*exchange]
 
 // notRun is a refusal before anything was dispatched.
 func notRun(reason sumachead.Reason, detail string, retryAt time.Time) error {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sumachead"
+	"sumachead/internal/chain"
 	"sumachead/internal/config"
 	"sumachead/internal/follower"
 	"sumachead/internal/keeperclient"
@@ -118,7 +119,7 @@
 // serve returns the filter chain that ends in a dispatch of what prepare made
 // of the request.
 func (r *Router) serve(prepare func(*Router, *exchange) error) http.HandlerFunc {
-	h := chain(r.dispatch,
+	h := chain.Wrap(r.dispatch,
 		r.errorFilter,
 		r.requestIDFilter,
 		r.settingsFilter,
