Whole answers of server records: no copy, no search of a list for each record

Follow copied every record into its reply although records are replaced, never changed; it passes them on now. A follower that takes a whole answer looked through all of it for each record it has, under the table's lock; it uses a set.

--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -124,7 +124,8 @@
 	}
 	k.servers.Lead(k.history(), time.Now())
 	answer, _ := k.servers.Since(r.GetHistory(), r.GetVersion())
-	proto.Merge(reply, answer)
+	// The records are shared with the table, which never changes them.
+	reply.History, reply.Version, reply.Whole, reply.Servers = answer.GetHistory(), answer.GetVersion(), answer.GetWhole(), answer.GetServers()
 	if p := k.machine.Packed(); p.GetNumber() > r.GetNumber() {
 		reply.Declaration = &wire.PackedDeclaration{Number: p.GetNumber(), Catalog: p.GetCatalog()}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -233,7 +233,7 @@
 }
 
 // Since returns what a follower lacks that has a version of a history, and a
-// channel that is closed at the next change.
+// channel that is closed at the next change. The records must not be changed.
 func (t *Table) Since(history string, version uint64) (r *wire.FollowReply, changed <-chan struct{}) {
 	t.lock()
 	defer t.mu.Unlock()
@@ -279,11 +279,14 @@
 }
 
 // dropMissing forgets what a whole answer does not hold, but for lives that are
-// known to leave.
+// known to leave. The caller holds mu.
 func (t *Table) dropMissing(servers []*wire.ServerRecord) {
+	listed := make(map[string]bool, len(servers))
+	for _, s := range servers {
+		listed[s.GetId()] = true
+	}
 	for id, e := range t.entries {
-		listed := slices.ContainsFunc(servers, func(s *wire.ServerRecord) bool { return s.GetId() == id })
-		if !listed && e.record.GetState() != wire.ServerState_SERVER_STATE_LEAVING {
+		if !listed[id] && e.record.GetState() != wire.ServerState_SERVER_STATE_LEAVING {
 			delete(t.entries, id)
 		}
 	}
