A declaration in force never goes back, also when answers come side by side

Cause: Adopt compared a number with the one in force, prepared the view and stored it, with no lock over the steps. The follow loop, a search and a try of the direct way may each bring an answer at the same time; the older one could be stored last, and held until the next answer. Change: the comparison and the store are one step under the client's lock, the view is prepared before.

--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -143,7 +143,7 @@
 	}
 }
 
-// AtHand returns what could be reserved now, for status and metrics.
+// AtHand returns what could be reserved now.
 func (w *Wallet) AtHand(id sumachead.WorkspaceID) sumachead.Tokens {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -19,13 +19,13 @@
 	proposeTimeout = 900 * time.Millisecond
 	// maxFollowWait bounds how long a question of a follower is held.
 	maxFollowWait = time.Second
+	// maxRelayWait is the same for relays, to which little is ever new.
+	maxRelayWait = 4 * time.Second
 	// gatherServer is for how long, for each backend server that is known, changes of
 	// records are gathered for a follower, and gatherServers bounds that: far below
 	// the seconds within which a leaving server gets nothing new.
 	gatherServer  = 100 * time.Microsecond
 	gatherServers = 200 * time.Millisecond
-	// maxRelayWait is the same for relays, to which little is ever new.
-	maxRelayWait = 4 * time.Second
 )
 
 // service takes the calls of other processes that only the leader can answer.
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -29,13 +29,13 @@
 	// holdFor is how long the leader may hold a question when nothing is new.
 	// It bounds how late a dead leader or a cut is noticed.
 	holdFor = 600 * time.Millisecond
+	// relayHoldFor is the same for a relay, which only learns of keepers.
+	relayHoldFor = 3 * time.Second
 	// adoptGap is the least time between declarations that a node puts in force:
 	// preparing one takes a small host some ten milliseconds, and a series of
 	// changes must not starve callers. It is far below the seconds in which an
 	// accepted declaration has to be in force.
 	adoptGap = 400 * time.Millisecond
-	// relayHoldFor is the same for a relay, which only learns of keepers.
-	relayHoldFor = 3 * time.Second
 	// answerWithin bounds an answer beyond its hold.
 	answerWithin = 600 * time.Millisecond
 	// searchPause separates searches in which nobody led.
@@ -69,6 +69,7 @@
 	// for a node that holds none.
 	OnLacking func([]sumachead.WorkspaceID)
 
+	// view is replaced under mu, and never by one with a lower number.
 	view atomic.Pointer[catalog.View]
 	// routers is how many routers the leader last counted.
 	routers atomic.Uint32
@@ -241,9 +242,15 @@
 	}
 }
 
+// isNew reports whether a declaration's number is above that of the one in force.
+func (c *Client) isNew(number uint64) bool {
+	v := c.View()
+	return v == nil || number > v.Number
+}
+
 // unpack puts a declaration in force that is new to this node.
 func (c *Client) unpack(p *wire.PackedDeclaration) {
-	if v := c.View(); v != nil && v.Number >= p.GetNumber() {
+	if !c.isNew(p.GetNumber()) {
 		return
 	}
 	d, err := catalog.Unpack(p)
@@ -256,12 +263,13 @@
 
 // Adopt puts a declaration in force unless one with a higher number is.
 func (c *Client) Adopt(d *wire.Declaration) {
-	if v := c.View(); v != nil && v.Number >= d.GetNumber() {
-		return
-	}
-	c.view.Store(catalog.NewView(d))
+	v := catalog.NewView(d)
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isNew(v.Number) {
+		return // one that came beside it is newer
+	}
+	c.view.Store(v)
 	c.adoptedAt = time.Now()
-	c.mu.Unlock()
 	c.Log.Info("A declaration is in force.", "number", d.GetNumber(), "routes", len(d.GetCatalog().GetRoutes()))
 }
--- a/internal/fleetclient/client_test.go
+++ b/internal/fleetclient/client_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -131,6 +133,37 @@
 	}
 }
 
+// Answers of the follow loop, a search and a try of the direct way come side by
+// side.
+func TestDeclarationsThatComeSideBySideNeverGoBack(t *testing.T) {
+	c := &Client{Log: hclog.NewNullLogger()}
+	const rounds = 2000
+	for n := uint64(1); n <= rounds; n += 2 {
+		var both sync.WaitGroup
+		start := make(chan struct{})
+		for _, d := range []*wire.Declaration{{Number: n, Catalog: manyServices()}, {Number: n + 1}} {
+			both.Go(func() {
+				<-start
+				c.Adopt(d)
+			})
+		}
+		close(start)
+		both.Wait()
+		if got := c.View().Number; got != n+1 {
+			t.Fatalf("number %d is in force after %d was", got, n+1)
+		}
+	}
+}
+
+// manyServices is a catalogue that takes some time to prepare.
+func manyServices() *wire.Catalog {
+	c := &wire.Catalog{}
+	for i := range 50 {
+		c.Services = append(c.Services, &wire.Service{Name: strconv.Itoa(i)})
+	}
+	return c
+}
+
 func TestSeriesOfDeclarationsIsTakenInPieces(t *testing.T) {
 	leader := &fakeKeeper{address: freeAddress(t)}
 	leader.leader = leader.address
