--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,10 +108,7 @@
 	return errors.Join(err, <-followed)
 }
 
-// Stop makes the gateway not ready. Requests that still come are served.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
-
-// Stopping reports whether Stop was called.
+// Stopping reports whether a planned stop has begun.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
 // Ready reports whether callers should be sent here.
