One question whether an attempt is left

mayRetry and mayTryElsewhere counted by themselves; they differed only in a route that allows 0 attempts, where both said no after the first.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -77,7 +77,7 @@
 		return d.ended()
 	case d.mayHaveRun && !d.x.repeatable():
 		return d.giveUp(d.last.Reason, "the backend server did not answer, and the request may not be repeated")
-	case d.x.attempts >= int(max(d.x.route.GetMaxAttempts(), 1)):
+	case !d.attemptLeft():
 		return d.giveUp(d.last.Reason, "no attempt is left: "+d.last.Err.Error())
 	case d.x.attempts > 0 && !d.retries.take(time.Now(), d.client.Routers()):
 		return d.giveUp(sumachead.ReasonRetryBudget, "too much is sent again already")
@@ -85,6 +85,11 @@
 	return nil
 }
 
+// attemptLeft reports whether the route allows another attempt.
+func (d *dispatch) attemptLeft() bool {
+	return d.x.attempts < int(max(d.x.route.GetMaxAttempts(), 1))
+}
+
 // giveUp is the end of a request that is not tried again.
 func (d *dispatch) giveUp(reason sumachead.Reason, detail string) error {
 	if !d.mayHaveRun {
@@ -191,5 +196,5 @@
 
 // mayTryElsewhere reports whether there is another server and an attempt left.
 func (d *dispatch) mayTryElsewhere() bool {
-	return d.x.attempts < int(d.x.route.GetMaxAttempts()) && len(d.servers.Servers(d.x.service.GetName())) > len(d.tried)
+	return d.attemptLeft() && len(d.servers.Servers(d.x.service.GetName())) > len(d.tried)
 }
