Prompts of answers that broke are billed by the share that was handed out

Ruled out: escrow that is lost or held back (the sums leave no room for it), bills of whole answers, closed lives of routers that were stopped. The default stays as it was. The request's and the ledger's lines tell the bill and the budget's total.

--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -175,9 +175,10 @@
 	return s.Size(m.book, r, now)
 }
 
-// Free returns what a workspace's budget has that is not granted.
-func (m *Machine) Free(w sumachead.WorkspaceID) sumachead.Tokens {
+// Budget returns a workspace's total, and what of it is not granted.
+func (m *Machine) Budget(w sumachead.WorkspaceID) (free, total sumachead.Tokens) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.book.Free(w)
+	total, _ = m.book.Total(w)
+	return m.book.Free(w), total
 }
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -131,8 +131,9 @@
 	if !escrow.Unmet(p, a) && a.GetKeep() < 0 {
 		return
 	}
+	free, total := k.machine.Budget(sumachead.WorkspaceID(p.GetWorkspace()))
 	k.lines.Info(k.Log, "Escrow of a holder is short or in excess.", "node", node, "workspace", p.GetWorkspace(),
 		"needed", p.GetNeeded(), "spent", p.GetSpent(), "reserved", p.GetReserved(), "rate", p.GetRate(), "grant", grant,
 		"granted", a.GetGranted(), "returned", p.GetReturned(), "keep", a.GetKeep(), "exhausted", a.GetExhausted(),
-		"free", k.machine.Free(sumachead.WorkspaceID(p.GetWorkspace())))
+		"free", free, "total", total)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,6 +39,8 @@
 	placement *placement
 	// events counts the events handed out to the caller.
 	events int64
+	// billed is what the request has cost its workspace, once that is known.
+	billed sumachead.Tokens
 	// eventAt is when the last of them was, and pause the longest time between
 	// two.
 	eventAt time.Time
@@ -136,7 +138,7 @@
 // declaration it was dealt with, where it was placed and what was known there.
 func (x *exchange) fields() []any {
 	fields := []any{
-		"request", x.request.ID, "workspace", x.workspace(), "attempts", x.attempts, "events", x.events,
+		"request", x.request.ID, "workspace", x.workspace(), "attempts", x.attempts, "events", x.events, "billed", x.billed,
 		"after", time.Since(x.arrived),
 	}
 	if x.route != nil {
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -81,17 +81,13 @@
 		if err != nil {
 			return err
 		}
-		defer func() { money.Settle(x.bill()) }()
-		return next(x)
-	}
-}
-
-// bill returns what the request cost: its prompt and the tokens of the events
-// handed out. A request of which nothing was handed out costs nothing: its
-// workspace has received nothing.
-func (x *exchange) bill() sumachead.Tokens {
-	if x.events == 0 {
-		return 0
+		whole := false
+		defer func() {
+			x.billed = x.bill(g.PromptBilling, whole)
+			money.Settle(x.billed)
+		}()
+		err = next(x)
+		whole = err == nil
+		return err
 	}
-	return x.request.PromptTokens + sumachead.Tokens(x.events*max(x.service.GetEngine().GetEventTokens(), 1))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,9 +42,11 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	Dialect     sumachead.Dialect
-	Pool        *rpc.Pool
-	Log         hclog.Logger
+	// PromptBilling is for answers that callers did not get whole.
+	PromptBilling PromptBilling
+	Dialect       sumachead.Dialect
+	Pool          *rpc.Pool
+	Log           hclog.Logger
 
 	client   *fleetclient.Client
 	wallet   *escrow.Wallet
