Failed try reverted: prompts billed by the share that was handed out

Ruled out: a leak of escrow. A router sees a caller who gives up and one whose connection was reset the same way.

--- a/internal/gateway/bill_test.go
+++ b/internal/gateway/bill_test.go
@@ -13,26 +13,19 @@
 
 func TestBill(t *testing.T) {
 	tests := []struct {
-		name    string
-		billing PromptBilling
-		serve   func(net.Conn, *http.Request)
-		want    sumachead.Tokens
+		name  string
+		serve func(net.Conn, *http.Request)
+		want  sumachead.Tokens
 	}{
-		{"whole", PromptAtFirstEvent, events(1, 4, true), 100 + 4*3},
-		{"broken off", PromptAtFirstEvent, events(1, 2, false), 100 + 2*3},
-		{"nothing handed out", PromptAtFirstEvent, closes, 0},
-		{"not run", PromptAtFirstEvent, answerWith(503, "X-Not-Run: 1\r\n", ""), 0},
-		{"whole, by share", PromptByShare, events(1, 4, true), 100 + 4*3},
-		{"broken off, by share", PromptByShare, events(1, 2, false), 100*2*3/50 + 2*3},
-		{"broken off after the most, by share", PromptByShare, events(1, 17, false), 100 + 50},
-		{"nothing handed out, by share", PromptByShare, closes, 0},
-		{"not run, by share", PromptByShare, answerWith(503, "X-Not-Run: 1\r\n", ""), 0},
+		{"whole", events(1, 4, true), 100 + 4*3},
+		{"broken off", events(1, 2, false), 100 + 2*3},
+		{"nothing handed out", closes, 0},
+		{"not run", answerWith(503, "X-Not-Run: 1\r\n", ""), 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			a := &backend{id: "a"}
 			g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, false, map[string]string{"a": a.listen(t, tt.serve)})
-			g.PromptBilling = tt.billing
 			g.wallet.Watch([]sumachead.WorkspaceID{"nurses"})
 			boot := g.wallet.Report(time.Now(), false).GetBoot()
 			g.wallet.Take(&wire.EscrowReply{Answers: []*wire.EscrowAnswer{{Workspace: "nurses", Granted: 1000, Keep: escrow.NoWish}}}, sumachead.BootID(boot), "", time.Now())
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -81,13 +81,10 @@
 		if err != nil {
 			return err
 		}
-		whole := false
 		defer func() {
-			x.billed = x.bill(g.PromptBilling, whole)
+			x.billed = x.bill()
 			money.Settle(x.billed)
 		}()
-		err = next(x)
-		whole = err == nil
-		return err
+		return next(x)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,11 +42,9 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	// PromptBilling is for answers that callers did not get whole.
-	PromptBilling PromptBilling
-	Dialect       sumachead.Dialect
-	Pool          *rpc.Pool
-	Log           hclog.Logger
+	Dialect     sumachead.Dialect
+	Pool        *rpc.Pool
+	Log         hclog.Logger
 
 	client   *fleetclient.Client
 	wallet   *escrow.Wallet
