A group whose members were all killed together elects a leader at once

Ruled out: start of the processes (15 ms), the search for the leader and the declaration (40 ms), reading the log. Change: restarted members poll each other. When all other voters answer, in one round and term, that they neither lead nor follow, no lease can exist, and the one with the most advanced log campaigns at once. A voter whose process has ended (its port refuses) or whose disk is empty does not lead either. A follower whose leader's port refuses polls as well, instead of waiting for silence.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -19,8 +19,10 @@
 	sweepEvery = time.Second
 	// copyWait is how long the leader may hold a keeper's question.
 	copyWait = 800 * time.Millisecond
-	// copyPause separates questions that failed.
+	// copyPause separates questions that failed. The first is put again after
+	// copyAgain, to tell a lost connection from a leader whose process has ended.
 	copyPause = 200 * time.Millisecond
+	copyAgain = 10 * time.Millisecond
 )
 
 // Declare checks a declaration and commits it; the highest number holds, and one
@@ -111,12 +113,19 @@
 // copyLoop keeps a copy of the leader's server records, so that this keeper can
 // take over with them.
 func (k *Keeper) copyLoop(ctx context.Context) error {
+	failures := 0
 	for ctx.Err() == nil {
 		if k.copyOnce(ctx) {
+			failures = 0
 			continue
 		}
+		pause := copyPause
+		if failures == 0 {
+			pause = copyAgain
+		}
+		failures++
 		select {
-		case <-time.After(copyPause):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
@@ -137,6 +146,9 @@
 	ctx, cancel := context.WithTimeout(ctx, copyWait+callTimeout)
 	defer cancel()
 	reply, err := rpc.Call[wire.FollowReply](ctx, k.Pool.Get(leader), "Fleet.Follow", r)
+	if rpc.IsRefused(err) {
+		k.node.PeerEnded(leader)
+	}
 	if err != nil || k.node.Leading() {
 		return false
 	}
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -28,14 +28,16 @@
 	// ctx ends the queues' goroutines.
 	ctx  context.Context
 	pool *rpc.Pool
+	// ended is told of an address at which no process listens any more.
+	ended func(address string)
 
 	mu sync.Mutex // guards queues
 	// queues are by the address of the member.
 	queues map[string]chan *wire.RaftMessage
 }
 
-func newTransport(ctx context.Context, pool *rpc.Pool) *transport {
-	return &transport{ctx: ctx, pool: pool, queues: make(map[string]chan *wire.RaftMessage)}
+func newTransport(ctx context.Context, pool *rpc.Pool, ended func(string)) *transport {
+	return &transport{ctx: ctx, pool: pool, ended: ended, queues: make(map[string]chan *wire.RaftMessage)}
 }
 
 // send queues messages; it never blocks.
@@ -94,6 +96,9 @@
 	ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
 	defer cancel()
 	if _, err := rpc.Call[wire.Empty](ctx, t.pool.Get(address), "Raft.Step", batch); err != nil {
+		if rpc.IsRefused(err) {
+			t.ended(address)
+		}
 		for len(q) > 0 {
 			<-q
 		}
--- a/internal/raft/calls.go
+++ b/internal/raft/calls.go
@@ -23,6 +23,14 @@
 	}
 }
 
+// PeerEnded takes in that the process of a member has ended. It does not block.
+func (n *Node) PeerEnded(id string) {
+	select {
+	case n.calls <- func() { n.core.PeerEnded(n.now(), id) }:
+	default: // the peer's silence tells the same later
+	}
+}
+
 // Propose replicates a command and returns what the state machine answered.
 // A [*NotLeaderError] means that nothing was done; [ErrUncertain] or the error
 // of ctx that it may be.
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -99,6 +99,8 @@
 	heardAt    time.Duration
 	electionAt time.Duration
 	votes      map[string]bool
+	// poll is what is known of the other voters while there is no leader.
+	poll poll
 
 	peers       map[string]*progress
 	round       uint64
@@ -136,6 +138,7 @@
 	c.unsaved = c.lastIndex() + 1
 	c.refreshMembers()
 	c.resetElection()
+	c.startPolling()
 	return c
 }
 
@@ -175,6 +178,7 @@
 	if now >= c.electionAt {
 		c.campaign(false)
 	}
+	c.tickPoll()
 }
 
 func (c *Core) tickLeader() {
--- a/internal/raft/core_test.go
+++ b/internal/raft/core_test.go
@@ -206,7 +206,26 @@
 		c.round, c.round, c.round, c.round, c.elect, c.exchange, c.propose, c.propose, c.propose,
 		c.isolate, c.heal, c.heal, c.heal, c.cutOne, c.double, c.drop, c.tick, c.deliverSome,
 		func() { c.restart(c.pick()) }, func() { c.restart(c.pick()) }, func() { c.crash(c.pick()) },
-		func() { c.compact(c.pick()) }, c.transfer,
+		func() { c.compact(c.pick()) }, c.transfer, c.restartAll, c.tellEnded,
+	}
+}
+
+// restartAll crashes all hosts at once, and starts them again.
+func (c *cluster) restartAll() {
+	for _, h := range c.hosts {
+		c.crash(h)
+	}
+	for _, h := range c.hosts {
+		c.restart(h)
+	}
+}
+
+// tellEnded tells one host that another, which is down, has ended.
+func (c *cluster) tellEnded() {
+	h, ended := c.pick(), c.pick()
+	if h.up && !ended.up {
+		h.core.PeerEnded(c.now, ended.id)
+		c.process(h, c.crashPoint())
 	}
 }
 
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -15,6 +15,7 @@
 
 func (c *Core) setTerm(term uint64, vote string) {
 	c.term, c.vote, c.stateOut = term, vote, true
+	c.poll.idle = nil // what a round has shown holds for one term
 }
 
 func (c *Core) becomeFollower(term uint64, leader string) {
@@ -83,6 +84,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role, c.leader, c.votes = Leader, c.cfg.ID, nil
+	c.stopPolling()
 	c.peers = make(map[string]*progress)
 	c.rounds = nil
 	c.quorumAt = c.now
--- /dev/null
+++ b/internal/raft/poll.go
@@ -0,0 +1,153 @@
+package raft
+
+import (
+	"time"
+
+	"sumachead/api/wire"
+)
+
+// A member that has just started must not vote, nor campaign, for an election
+// timeout: it may have promised a leader that it has forgotten not to. Where all
+// members were killed together that wait is all that keeps the group from having
+// a leader. A poll makes it needless: if every other voter answers, in one round
+// and in this member's term, that it neither leads nor follows anybody, then no
+// leader has a lease, and none can get one without a vote in a later term. The one
+// among them whose log is the most advanced campaigns at once.
+//
+// A voter whose process has ended, or whose place is taken by a life with an empty
+// disk, does not lead either; it just has no vote to give.
+
+// pollPart is the part of the election timeout that separates polls: some of them
+// fit into the wait that they save.
+const pollPart = 10
+
+// poll is what a member without a leader knows of the other voters.
+type poll struct {
+	// until is when polling ends; the election timeout decides from then on.
+	until time.Duration
+	// at is when the next round is due.
+	at    time.Duration
+	round uint64
+	// idle are the voters that neither lead nor follow, as of this round.
+	idle map[string]bool
+	// beaten: another voter is to campaign.
+	beaten bool
+}
+
+// startPolling makes polls due for an election timeout.
+func (c *Core) startPolling() {
+	c.poll = poll{until: c.now + c.cfg.Election, at: c.now + c.pollPause(), round: c.poll.round}
+}
+
+func (c *Core) pollPause() time.Duration {
+	return time.Duration(c.cfg.Rand(int64(c.cfg.Election / pollPart)))
+}
+
+// stopPolling leaves elections to the timeout.
+func (c *Core) stopPolling() { c.poll = poll{round: c.poll.round} }
+
+// tickPoll begins a round when one is due.
+func (c *Core) tickPoll() {
+	if c.now >= c.poll.until || c.now < c.poll.at || !c.isVoter(c.cfg.ID) {
+		return
+	}
+	c.poll.at = c.now + c.cfg.Election/pollPart + c.pollPause()
+	c.poll.round++
+	c.poll.idle, c.poll.beaten = make(map[string]bool), false
+	for _, m := range c.voters() {
+		if m.GetId() != c.cfg.ID {
+			c.sendLate(m, &wire.RaftMessage{Kind: wire.RaftKind_RAFT_KIND_POLL, Term: c.term, Round: c.poll.round})
+		}
+	}
+}
+
+// stepPoll deals with polls and their replies, which change no term; false means
+// that the message is another one.
+func (c *Core) stepPoll(m *wire.RaftMessage) bool {
+	switch m.GetKind() {
+	case wire.RaftKind_RAFT_KIND_POLL:
+		if m.GetGroup() == c.cfg.Group && m.GetTo() == c.cfg.ID {
+			c.onPoll(m)
+		}
+	case wire.RaftKind_RAFT_KIND_POLL_REPLY:
+		if m.GetGroup() == c.cfg.Group && m.GetTo() == c.cfg.ID && m.GetToIncarnation() == c.cfg.Incarnation {
+			c.onPollReply(m)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+func (c *Core) onPoll(m *wire.RaftMessage) {
+	c.sendLate(sender(m), &wire.RaftMessage{
+		Kind: wire.RaftKind_RAFT_KIND_POLL_REPLY, Term: c.term, Round: m.GetRound(),
+		Reject: c.role == Leader || c.leader != "", LogIndex: c.lastIndex(), LogTerm: c.lastTerm(),
+	})
+}
+
+func (c *Core) onPollReply(m *wire.RaftMessage) {
+	if c.poll.idle == nil || m.GetRound() != c.poll.round {
+		return
+	}
+	voter := c.member(m.GetFrom())
+	switch {
+	case m.GetReject():
+		c.poll.idle = nil // no result in this round
+		return
+	case voter.GetIncarnation() != m.GetFromIncarnation():
+		// Its old self is gone for good, and its vote with it.
+	case m.GetTerm() > c.term:
+		c.becomeFollower(m.GetTerm(), "")
+		return
+	case !c.upToDateFor(m):
+		c.poll.beaten = true
+	}
+	c.noteIdle(m.GetFrom())
+}
+
+// upToDateFor reports whether this member rather than the one that has replied is
+// to campaign: by the log, then by id.
+func (c *Core) upToDateFor(m *wire.RaftMessage) bool {
+	if m.GetLogTerm() != c.lastTerm() {
+		return m.GetLogTerm() < c.lastTerm()
+	}
+	if m.GetLogIndex() != c.lastIndex() {
+		return m.GetLogIndex() < c.lastIndex()
+	}
+	return c.cfg.ID < m.GetFrom()
+}
+
+// noteIdle takes in that a voter neither leads nor follows, and campaigns if that
+// holds for all of them.
+func (c *Core) noteIdle(id string) {
+	if c.poll.idle == nil {
+		return
+	}
+	c.poll.idle[id] = true
+	for _, m := range c.voters() {
+		if m.GetId() != c.cfg.ID && !c.poll.idle[m.GetId()] {
+			return
+		}
+	}
+	if !c.poll.beaten {
+		c.poll.idle = nil
+		c.leader = ""
+		c.startElection(true)
+	}
+}
+
+// PeerEnded takes in that a member's process has ended: it leads no more. A member
+// that followed it need not wait until its silence shows.
+func (c *Core) PeerEnded(now time.Duration, id string) {
+	c.now = now
+	if c.role == Leader || c.member(id) == nil {
+		return
+	}
+	if c.leader == id {
+		c.leader = ""
+		c.startPolling()
+		return
+	}
+	c.noteIdle(id)
+}
--- /dev/null
+++ b/internal/raft/poll_test.go
@@ -0,0 +1,202 @@
+package raft
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sumachead/api/wire"
+)
+
+// quietNet is a group whose messages arrive at once, but for members that are
+// silent.
+type quietNet struct {
+	cores  map[string]*Core
+	silent map[string]bool
+	now    time.Duration
+}
+
+// newQuietNet returns restarted members k0 to kN. Each has the entries that lengths
+// says, all of one term; the group was founded by all of them.
+func newQuietNet(lengths ...int) *quietNet {
+	members := &wire.Members{}
+	for i := range lengths {
+		members.Members = append(members.Members, &wire.Member{Id: fmt.Sprintf("k%d", i), Incarnation: "0"})
+	}
+	n := &quietNet{cores: make(map[string]*Core), silent: make(map[string]bool)}
+	for i, length := range lengths {
+		var entries []*wire.LogEntry
+		for j := range length {
+			entries = append(entries, &wire.LogEntry{Index: uint64(j + 1), Term: 3})
+		}
+		id := fmt.Sprintf("k%d", i)
+		n.cores[id] = n.core(id, "0", &wire.HardState{Term: 3, Vote: "k0"}, members, entries)
+	}
+	return n
+}
+
+func (n *quietNet) core(id, incarnation string, state *wire.HardState, members *wire.Members, entries []*wire.LogEntry) *Core {
+	cfg := Config{
+		Group: "g", ID: id, Incarnation: incarnation, Heartbeat: testHeartbeat, Election: testElection, Rand: rand.Int64N,
+		Snapshot: func() *wire.Snapshot { return &wire.Snapshot{Members: members} },
+	}
+	return NewCore(cfg, state, &wire.Snapshot{Members: members}, entries, n.now)
+}
+
+// run lets time pass and returns the leader, if there is one before the end.
+func (n *quietNet) run(until time.Duration) (leader string) {
+	for ; n.now < until; n.now += time.Millisecond {
+		for id, c := range n.cores {
+			if !n.silent[id] {
+				c.Tick(n.now)
+			}
+		}
+		for n.deliver() {
+		}
+		for id, c := range n.cores {
+			if c.role == Leader && !n.silent[id] {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
+// deliver hands over what the members want sent; false when that was nothing.
+func (n *quietNet) deliver() bool {
+	found := false
+	for id, c := range n.cores {
+		r := c.Ready()
+		c.Persisted(c.lastIndex())
+		for _, m := range append(r.Early, r.Late...) {
+			found = true
+			if to := n.cores[m.GetTo()]; to != nil && !n.silent[id] && !n.silent[m.GetTo()] {
+				to.Step(n.now, m)
+			}
+		}
+	}
+	return found
+}
+
+func TestAllRestartedElectAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		// lengths are of the members' logs.
+		lengths []int
+		// change is made to the group before it runs.
+		change func(*quietNet)
+		// soon: there is a leader before the election timeout.
+		soon   bool
+		leader string
+	}{
+		{"same logs, the lowest id", []int{2, 2, 2}, nil, true, "k0"},
+		{"the longest log", []int{2, 2, 3, 3, 2}, nil, true, "k2"},
+		{"one silent may lead", []int{2, 2, 2, 2, 2}, func(n *quietNet) { n.silent["k4"] = true }, false, ""},
+		{"one with an empty disk", []int{2, 2, 2}, func(n *quietNet) {
+			n.cores["k0"] = n.core("k0", "1", &wire.HardState{}, nil, nil)
+		}, true, "k1"},
+		{"an empty disk has no vote", []int{2, 2, 2}, func(n *quietNet) {
+			n.cores["k0"] = n.core("k0", "1", &wire.HardState{}, nil, nil)
+			n.cores["k1"] = n.core("k1", "1", &wire.HardState{}, nil, nil)
+		}, false, ""},
+		{"one whose process has ended", []int{2, 2, 2}, func(n *quietNet) {
+			n.silent["k0"] = true
+			n.run(testElection / 4) // a round has begun
+			for _, id := range []string{"k1", "k2"} {
+				n.cores[id].PeerEnded(n.now, "k0")
+			}
+		}, true, "k1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newQuietNet(tt.lengths...)
+			if tt.change != nil {
+				tt.change(n)
+			}
+			leader := n.run(testElection * 9 / 10)
+			if diff := cmp.Diff(tt.soon, leader != ""); diff != "" {
+				t.Fatalf("a leader before the timeout (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.leader, leader); diff != "" {
+				t.Fatalf("leader (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A member that restarts beside a live leader changes nothing.
+func TestPollLeavesALiveLeaderAlone(t *testing.T) {
+	n := newQuietNet(2, 2, 2)
+	if leader := n.run(testElection); leader != "k0" {
+		t.Fatalf("leader %q", leader)
+	}
+	term := n.cores["k0"].term
+	old := n.cores["k1"]
+	n.cores["k1"] = n.core("k1", "0", old.HardState(), old.members, old.entries)
+	end := n.now + 3*testElection
+	for n.now < end {
+		n.now += time.Millisecond
+		for _, c := range n.cores {
+			c.Tick(n.now)
+		}
+		for n.deliver() {
+		}
+	}
+	if got := n.cores["k0"]; got.role != Leader || got.term != term {
+		t.Fatalf("role %v, term %d; before: leader in term %d", got.role, got.term, term)
+	}
+}
+
+// Members that hear that their leader's process has ended elect another without
+// waiting for its silence.
+func TestEndedLeaderIsReplacedAtOnce(t *testing.T) {
+	n := newQuietNet(2, 2, 2, 2, 2)
+	if leader := n.run(testElection); leader != "k0" {
+		t.Fatalf("leader %q", leader)
+	}
+	n.now += testHeartbeat
+	n.cores["k0"].Tick(n.now)
+	for n.deliver() {
+	}
+	n.silent["k0"] = true
+	begun := n.now
+	for _, id := range []string{"k1", "k2", "k3", "k4"} {
+		n.cores[id].PeerEnded(n.now, "k0")
+	}
+	n.run(n.now + testElection/4) // the first round
+	for _, id := range []string{"k1", "k2", "k3", "k4"} {
+		n.cores[id].PeerEnded(n.now, "k0")
+	}
+	leader := n.run(begun + testElection)
+	if leader == "" || n.now-begun >= testElection {
+		t.Fatalf("leader %q after %v", leader, n.now-begun)
+	}
+}
+
+// What a round has shown does not outlive the term that it was shown in: a leader
+// may have been elected since.
+func TestPollEndsWithItsTerm(t *testing.T) {
+	n := newQuietNet(2, 2, 2)
+	k0 := n.cores["k0"]
+	for n.now = 0; k0.poll.idle == nil; n.now += time.Millisecond {
+		k0.Tick(n.now)
+	}
+	answer := func(from string) {
+		k0.Step(n.now, &wire.RaftMessage{
+			Group: "g", Kind: wire.RaftKind_RAFT_KIND_POLL_REPLY, From: from, FromIncarnation: "0", To: "k0", ToIncarnation: "0",
+			Term: 3, Round: k0.poll.round, LogIndex: 2, LogTerm: 3,
+		})
+	}
+	answer("k1")
+	k0.Step(n.now, &wire.RaftMessage{
+		Group: "g", Kind: wire.RaftKind_RAFT_KIND_VOTE, From: "k1", FromIncarnation: "0", To: "k0", ToIncarnation: "0",
+		Term: 4, LogIndex: 2, LogTerm: 3, Transfer: true,
+	})
+	answer("k2")
+	if k0.role != Follower || k0.term != 4 {
+		t.Fatalf("role %v in term %d, want a follower in term 4", k0.role, k0.term)
+	}
+}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -9,7 +9,7 @@
 // Step takes in one message.
 func (c *Core) Step(now time.Duration, m *wire.RaftMessage) {
 	c.now = now
-	if !c.acceptable(m) {
+	if c.stepPoll(m) || !c.acceptable(m) {
 		return
 	}
 	if m.GetTerm() > c.term && !c.seeHigherTerm(m) {
@@ -38,7 +38,7 @@
 		if c.role == Follower {
 			c.campaign(true)
 		}
-	case wire.RaftKind_RAFT_KIND_UNKNOWN:
+	case wire.RaftKind_RAFT_KIND_UNKNOWN, wire.RaftKind_RAFT_KIND_POLL, wire.RaftKind_RAFT_KIND_POLL_REPLY:
 	}
 }
 
@@ -152,6 +152,7 @@
 func (c *Core) follow(m *wire.RaftMessage) {
 	c.role, c.leader, c.votes = Follower, m.GetFrom(), nil
 	c.heardAt = c.now
+	c.stopPolling()
 	c.resetElection()
 }
 
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -8,6 +8,7 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -28,6 +29,9 @@
 // ErrNotSent marks a call that never left this process: it had no effect.
 var ErrNotSent = errors.New("call was not sent")
 
+// IsRefused reports whether a call ended since no process listens at the address.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Client calls one address.
 type Client struct {
 	Address string
