Searches ask who leads, few keepers at a time; heartbeats of ready servers go in batches

Each of 230 nodes that had lost the leader asked all keepers, directly and through relays, for everything; every keeper that did not lead named the one that did, which so got up to 23 questions from each node for whole copies of the server records; and each heartbeat that told something new was a call to the leader. Change: a search asks only who leads, at most six keepers, three at once, and the leader once; pauses between searches grow with the number of routers; a keeper acknowledges heartbeats of ready servers while it was in contact lately and passes them on in batches; eight relays in a hall follow, others come back later.

--- a/internal/fleet/alive.go
+++ b/internal/fleet/alive.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"sumachead/api/wire"
-	"sumachead/internal/loop"
 	"sumachead/internal/rpc"
 )
 
@@ -14,31 +13,57 @@
 	// aliveEvery is how often a keeper passes on the heartbeats that told nothing
 	// new: some times in the interval of heartbeats.
 	aliveEvery = 300 * time.Millisecond
-	// copyFreshFor is how long after the leader's last answer a keeper takes
-	// heartbeats by its own copy of the records.
-	copyFreshFor = copyWait + callTimeout
+	// recordsAfter is for how long heartbeats that told something new are gathered:
+	// servers come in series, and callers have not missed them so far.
+	recordsAfter = 40 * time.Millisecond
+	// contactFor is how long after the leader's last answer, or its own start, a
+	// keeper takes heartbeats of ready servers for it: some elections. It is less
+	// than the silence after which a server is not used.
+	contactFor = 4 * election
 )
 
-// aliveBatch gathers heartbeats that told nothing new.
+// aliveBatch gathers heartbeats of servers that are ready.
 type aliveBatch struct {
-	mu        sync.Mutex // guards sequences
+	// kick is told when there is a record.
+	kick chan struct{}
+
+	mu        sync.Mutex // guards the fields below
 	sequences map[string]uint64
+	records   map[string]*wire.ServerRecord
 }
 
+func newAliveBatch() *aliveBatch {
+	return &aliveBatch{
+		kick:      make(chan struct{}, 1),
+		sequences: make(map[string]uint64), records: make(map[string]*wire.ServerRecord),
+	}
+}
+
+// add notes a heartbeat that told nothing new.
 func (b *aliveBatch) add(r *wire.ServerRecord) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.sequences == nil {
-		b.sequences = make(map[string]uint64)
-	}
 	b.sequences[r.GetId()] = max(b.sequences[r.GetId()], r.GetSequence())
 }
 
+// addRecord notes a heartbeat that did; the newest of a server counts.
+func (b *aliveBatch) addRecord(r *wire.ServerRecord) {
+	b.mu.Lock()
+	if old := b.records[r.GetId()]; old == nil || old.GetSequence() < r.GetSequence() {
+		b.records[r.GetId()] = r
+	}
+	b.mu.Unlock()
+	select {
+	case b.kick <- struct{}{}:
+	default:
+	}
+}
+
 // take empties the batch; nil when there is nothing.
 func (b *aliveBatch) take() *wire.AliveReport {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.sequences) == 0 {
+	if len(b.sequences)+len(b.records) == 0 {
 		return nil
 	}
 	r := &wire.AliveReport{}
@@ -46,29 +71,90 @@
 		r.Ids = append(r.Ids, id)
 		r.Sequences = append(r.Sequences, n)
 	}
-	b.sequences = nil
+	for _, x := range b.records {
+		r.Records = append(r.Records, x)
+	}
+	clear(b.sequences)
+	clear(b.records)
 	return r
 }
 
-// aliveLoop passes heartbeats on. One batch that is lost costs nothing: a server
-// counts as silent only after several heartbeats.
-func (k *Keeper) aliveLoop(ctx context.Context) error {
-	return loop.Every(ctx, aliveEvery, func() {
-		report := k.alive.take()
-		leader := k.node.Status().GetLeader()
-		if report == nil || leader == "" {
-			return
+// Beat takes in a backend server's heartbeat or notice. One of a ready server need
+// not wait for the leader, which hears of it with others.
+func (k *Keeper) Beat(ctx context.Context, r *wire.ServerRecord) error {
+	if r.GetState() == wire.ServerState_SERVER_STATE_READY && !k.node.Leading() && k.inContact() {
+		if k.copyFresh() && k.servers.Refresh(r, time.Now()) {
+			k.alive.add(r)
+		} else {
+			k.alive.addRecord(r)
 		}
-		if leader == k.Address {
-			k.servers.Alive(report, time.Now())
-			return
-		}
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		if _, err := rpc.Call[wire.Empty](ctx, k.Pool.Get(leader), "Fleet.Alive", report); err != nil {
-			k.Log.Debug("Heartbeats were not passed on.", "servers", len(report.GetIds()), "error", err)
+		return nil
+	}
+	_, err := ask[wire.Empty](ctx, k, "Fleet.Beat", r, (&service{k}).Beat)
+	return err
+}
+
+// aliveLoop passes heartbeats on. One that told nothing new may be lost: a server
+// counts as silent only after several. One that told something is sent again.
+func (k *Keeper) aliveLoop(ctx context.Context) error {
+	t := time.NewTicker(aliveEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		case <-k.alive.kick:
+			time.Sleep(recordsAfter)
 		}
-	})
+		k.passAlive(ctx)
+	}
+}
+
+// passAlive passes on what is gathered.
+func (k *Keeper) passAlive(ctx context.Context) {
+	leader := k.node.Status().GetLeader()
+	if leader == "" {
+		return
+	}
+	report := k.alive.take()
+	if report == nil {
+		return
+	}
+	if leader == k.Address {
+		k.takeAlive(report)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := rpc.Call[wire.Empty](ctx, k.Pool.Get(leader), "Fleet.Alive", report); err != nil {
+		k.Log.Debug("Heartbeats were not passed on.", "servers", len(report.GetIds()), "records", len(report.GetRecords()), "error", err)
+		k.again(report.GetRecords())
+	}
+}
+
+// again puts records back that were not passed on, for the next time.
+func (k *Keeper) again(records []*wire.ServerRecord) {
+	for _, r := range records {
+		k.alive.addRecord(r)
+	}
+}
+
+// takeAlive takes in a report at the leader.
+func (k *Keeper) takeAlive(report *wire.AliveReport) {
+	now := time.Now()
+	k.servers.Alive(report, now)
+	for _, r := range report.GetRecords() {
+		k.noteBeat(r, now)
+	}
+}
+
+// noteBeat takes in a record at the leader, and logs what is new in it.
+func (k *Keeper) noteBeat(r *wire.ServerRecord, now time.Time) {
+	if k.servers.Beat(r, now) {
+		k.lines.Info(k.Log, "A backend server's record has changed.", "server", r.GetId(), "service", r.GetService(),
+			"address", r.GetAddress(), "state", r.GetState().String(), "sequence", r.GetSequence())
+	}
 }
 
 // Alive takes in heartbeats that another keeper has passed on.
@@ -76,12 +162,19 @@
 	if !s.keeper.node.Leading() {
 		return s.keeper.leading()
 	}
-	s.keeper.servers.Alive(r, time.Now())
+	s.keeper.takeAlive(r)
 	return nil
 }
 
 // copyFresh reports whether this keeper's copy of the records is the leader's as
 // of a moment ago.
 func (k *Keeper) copyFresh() bool {
-	return time.Since(time.Unix(0, k.copiedAt.Load())) < copyFreshFor
+	return time.Since(time.Unix(0, k.copiedAt.Load())) < copyWait+callTimeout
+}
+
+// inContact reports whether the leader has answered lately, or may not have had the
+// time to since this keeper's start.
+func (k *Keeper) inContact() bool {
+	last := time.Unix(0, max(k.copiedAt.Load(), k.startedAt.UnixNano()))
+	return time.Since(last) < contactFor
 }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -57,17 +57,6 @@
 	return reply.GetNumber(), source, err
 }
 
-// Beat takes in a backend server's heartbeat or notice. One that tells nothing new
-// need not wait for the leader, which hears of it with others.
-func (k *Keeper) Beat(ctx context.Context, r *wire.ServerRecord) error {
-	if !k.node.Leading() && k.copyFresh() && k.servers.Refresh(r, time.Now()) {
-		k.alive.add(r)
-		return nil
-	}
-	_, err := ask[wire.Empty](ctx, k, "Fleet.Beat", r, (&service{k}).Beat)
-	return err
-}
-
 // ask runs a call at the leader: here, or by a call to it. It tries again while
 // ctx allows and nothing was done.
 func ask[R any, A proto.Message](ctx context.Context, k *Keeper, method string, args A, local func(A, *R) error) (*R, error) {
--- a/internal/fleet/followers.go
+++ b/internal/fleet/followers.go
@@ -27,6 +27,11 @@
 	// relaysEach is how many relays a router is told of: enough that some are
 	// in halls that a cut has not reached.
 	relaysEach = 4
+	// relaysInHall is how many relays of a hall are told to routers: enough that
+	// the loss of some leaves a way. Others ask again after spareRelayPause, in
+	// case that one of these has gone.
+	relaysInHall    = 8
+	spareRelayPause = 15 * time.Second
 )
 
 // follower is one node that follows.
@@ -47,13 +52,37 @@
 
 func newFollowers() *followers { return &followers{nodes: make(map[sumachead.NodeID]follower)} }
 
-// saw notes a question.
-func (f *followers) saw(r *wire.FollowRequest, now time.Time) {
+// saw notes a question. A relay that is not needed is told for how long.
+func (f *followers) saw(r *wire.FollowRequest, now time.Time) (pause time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.expire(now)
+	if r.GetRole() == RoleRelay && f.relaysBeside(r) >= relaysInHall {
+		return spareRelayPause
+	}
 	f.nodes[sumachead.NodeID(r.GetNode())] = follower{
 		role: r.GetRole(), hall: sumachead.HallID(r.GetHall()), relay: r.GetRelayAddress(), seen: now,
 	}
+	return 0
+}
+
+// relaysBeside counts the other relays of a relay's hall; 0 for one that is counted
+// already. The caller holds mu.
+func (f *followers) relaysBeside(r *wire.FollowRequest) int {
+	if _, ok := f.nodes[sumachead.NodeID(r.GetNode())]; ok {
+		return 0
+	}
+	n := 0
+	for _, x := range f.nodes {
+		if x.role == RoleRelay && x.hall == sumachead.HallID(r.GetHall()) {
+			n++
+		}
+	}
+	return n
+}
+
+// expire forgets who has not asked for long. The caller holds mu.
+func (f *followers) expire(now time.Time) {
 	for n, x := range f.nodes {
 		lives := followerLives
 		if x.role == RoleRelay {
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -66,7 +66,9 @@
 	metrics   *metrics
 	// lines bounds what is logged of grants.
 	lines *telemetry.Lines
-	alive aliveBatch
+	alive *aliveBatch
+	// startedAt is when Prepare was called.
+	startedAt time.Time
 	// copiedAt is when the leader last answered with its records, in Unix
 	// nanoseconds.
 	copiedAt atomic.Int64
@@ -87,6 +89,7 @@
 	k.followers = newFollowers()
 	k.loads = newLoads()
 	k.lines = &telemetry.Lines{}
+	k.alive, k.startedAt = newAliveBatch(), time.Now()
 	k.reports = make(chan *pendingReport)
 	k.stopped = make(chan struct{})
 	k.machine = NewMachine()
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -86,10 +86,7 @@
 	if r.GetAddress() == "" {
 		return nil // a bare notice of leaving
 	}
-	if k.servers.Beat(r, time.Now()) {
-		k.lines.Info(k.Log, "A backend server's record has changed.", "server", r.GetId(), "service", r.GetService(),
-			"address", r.GetAddress(), "state", r.GetState().String(), "sequence", r.GetSequence())
-	}
+	k.noteBeat(r, time.Now())
 	return nil
 }
 
@@ -108,8 +105,13 @@
 	if err := k.leading(); err != nil {
 		return err
 	}
-	k.followers.saw(r, time.Now())
-	if r.GetRole() == RoleRelay {
+	if r.GetLocate() {
+		k.describe(r, reply)
+		return nil
+	}
+	if pause := k.followers.saw(r, time.Now()); pause > 0 {
+		reply.PauseMillis = pause.Milliseconds()
+	} else if r.GetRole() == RoleRelay {
 		time.Sleep(min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxRelayWait))
 	} else {
 		s.hold(r)
@@ -117,8 +119,7 @@
 	if err := k.leading(); err != nil {
 		return err
 	}
-	reply.Keepers = k.node.Status().GetMembers()
-	reply.Leader = k.Address
+	k.describe(r, reply)
 	if r.GetRole() == RoleRelay {
 		return nil
 	}
@@ -130,11 +131,18 @@
 		reply.Declaration = &wire.PackedDeclaration{Number: p.GetNumber(), Catalog: p.GetCatalog()}
 	}
 	reply.Lacking, _ = k.sizer.Lacking(time.Now())
+	return nil
+}
+
+// describe tells a node of the fleet's control: who leads, who else there is, and
+// how many routers share what is shared.
+func (k *Keeper) describe(r *wire.FollowRequest, reply *wire.FollowReply) {
+	reply.Keepers = k.node.Status().GetMembers()
+	reply.Leader = k.Address
 	reply.Routers = uint32(k.followers.count(RoleRouter))
 	if r.GetRole() == RoleRouter {
 		reply.Relays = k.followers.relaysFor(r.GetNode())
 	}
-	return nil
 }
 
 // hold waits while there is nothing new for the node, as long as it allows.
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -40,6 +40,9 @@
 	answerWithin = 600 * time.Millisecond
 	// searchPause separates searches in which nobody led.
 	searchPause = 150 * time.Millisecond
+	// searchEach is added to that for each router, so that the searches of a large
+	// fleet do not keep its keepers from electing a leader.
+	searchEach = 2 * time.Millisecond
 )
 
 // Way is how the leading keeper is reached.
@@ -133,14 +136,19 @@
 		if c.search(ctx) {
 			continue
 		}
-		select {
-		case <-time.After(searchPause):
-		case <-ctx.Done():
-		}
+		wait(ctx, searchPause+searchEach*time.Duration(c.Routers()))
 	}
 	return nil
 }
 
+// wait waits, or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // request is the question that tells what this node has.
 func (c *Client) request(wait time.Duration) *wire.FollowRequest {
 	history, version := c.Servers.Position()
@@ -180,6 +188,7 @@
 	reply, err := c.ask(callCtx, w, c.request(hold))
 	if err == nil {
 		c.take(reply, w)
+		wait(ctx, time.Duration(reply.GetPauseMillis())*time.Millisecond)
 		return true
 	}
 	if ctx.Err() != nil {
--- a/internal/fleetclient/client_test.go
+++ b/internal/fleetclient/client_test.go
@@ -26,6 +26,9 @@
 	number  atomic.Uint64
 	frozen  atomic.Bool
 	reports atomic.Int64
+	// searches counts questions that ask only who leads, contents the others.
+	searches atomic.Int64
+	contents atomic.Int64
 }
 
 func (k *fakeKeeper) hold() {
@@ -37,11 +40,16 @@
 // Follow answers a question.
 func (k *fakeKeeper) Follow(q *wire.FollowRequest, reply *wire.FollowReply) error {
 	k.hold()
+	if q.GetLocate() {
+		k.searches.Add(1)
+	} else {
+		k.contents.Add(1)
+	}
 	if k.leader != k.address {
 		return errors.New("not_leader:" + k.leader)
 	}
 	reply.Leader = k.address
-	if n := k.number.Load(); n > q.GetNumber() {
+	if n := k.number.Load(); n > q.GetNumber() && !q.GetLocate() {
 		reply.Declaration = &wire.PackedDeclaration{Number: n}
 	}
 	time.Sleep(5 * time.Millisecond)
@@ -78,12 +86,21 @@
 	t.Cleanup(s.Close)
 }
 
-func newClient(t *testing.T, seeds ...string) *Client {
+// newIdleClient returns a client that does not run.
+func newIdleClient(t *testing.T, seeds ...string) *Client {
 	t.Helper()
 	c := &Client{
 		Node: "router-1", Role: fleet.RoleRouter, Seeds: func() []string { return seeds }, Pool: &rpc.Pool{},
 		Servers: &registry.Table{}, Log: hclog.NewNullLogger(),
 	}
+	t.Cleanup(c.Pool.Close)
+	return c
+}
+
+// newClient returns one that follows.
+func newClient(t *testing.T, seeds ...string) *Client {
+	t.Helper()
+	c := newIdleClient(t, seeds...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -93,7 +110,6 @@
 	t.Cleanup(func() {
 		cancel()
 		<-done
-		c.Pool.Close()
 	})
 	return c
 }
--- a/internal/fleetclient/search.go
+++ b/internal/fleetclient/search.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"sync"
 	"time"
 
 	"sumachead/api/wire"
@@ -14,6 +16,13 @@
 	// relayDelay is the head start that direct ways have in a search: some round
 	// trips between data halls.
 	relayDelay = 20 * time.Millisecond
+	// searchMost is how many keepers a search asks directly: with a few more it would
+	// still find one that knows the leader, and a large fleet that has lost its
+	// leader would keep all keepers busy. searchAtOnce of them are asked at once,
+	// as many again after each searchStage, some round trips between data halls.
+	searchMost   = 6
+	searchAtOnce = 3
+	searchStage  = 25 * time.Millisecond
 	// throughEach is how many keepers a search asks through each relay.
 	throughEach = 2
 	// directAgain is how often a node that goes through a relay tries the direct
@@ -38,18 +47,21 @@
 	}
 }
 
-// searchOnce asks over all ways and puts the first answer of a leader in force.
+// searchOnce asks over all ways who leads, and keeps the way of the first answer of
+// a leader.
 func (c *Client) searchOnce(ctx context.Context) bool {
 	ws := c.ways()
 	answers := make(chan *found, len(ws))
-	request := c.request(0)
+	s := &searching{client: c, request: c.request(0), asked: make(map[Way]bool)}
+	s.request.Locate = true
 	for _, w := range ws {
-		go func() { answers <- c.askOne(ctx, w, request) }()
+		go func() { answers <- s.ask(ctx, w) }()
 	}
 	for range ws {
 		f := <-answers
 		if f != nil {
-			c.take(f.reply, f.way)
+			c.routers.Store(f.reply.GetRouters())
+			c.noteWay(f.way, f.reply)
 			return true
 		}
 	}
@@ -62,41 +74,82 @@
 	way   Way
 }
 
-// ways lists the ways that a search asks: all keepers directly, and a few through
+// delayedWay is a way that a search asks after some time.
+type delayedWay struct {
+	Way
+	after time.Duration
+}
+
+// ways lists the ways that a search asks: some keepers directly, and a few through
 // each relay, others for each search. A keeper that does not lead names the one
 // that does, so that asking all of them through all relays would tell no more.
-func (c *Client) ways() []Way {
+func (c *Client) ways() []delayedWay {
 	keepers := c.Keepers()
-	var ws []Way
-	for _, k := range keepers {
-		ws = append(ws, Way{"", k})
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	first := c.searches + int(c.spread())
+	var ws []delayedWay
+	for i := range min(searchMost, len(keepers)) {
+		after := time.Duration(i/searchAtOnce) * searchStage
+		ws = append(ws, delayedWay{Way{"", keepers[(first+i)%len(keepers)]}, after})
+	}
 	for i, r := range c.relays {
 		for j := range min(throughEach, len(keepers)) {
-			ws = append(ws, Way{r, keepers[(c.searches+i+j)%len(keepers)]})
+			ws = append(ws, delayedWay{Way{r, keepers[(first+i+j)%len(keepers)]}, relayDelay})
 		}
 	}
 	c.searches++
 	return ws
 }
 
-// askOne asks a keeper, and the one that it names if it does not lead; nil when
-// neither answered as the leader.
-func (c *Client) askOne(ctx context.Context, w Way, request *wire.FollowRequest) *found {
-	if w.Relay != "" {
-		select {
-		case <-time.After(relayDelay):
-		case <-ctx.Done():
-			return nil
-		}
+// spread makes nodes begin their searches at different keepers.
+func (c *Client) spread() uint16 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(c.Node))
+	return uint16(h.Sum32())
+}
+
+// searching is one search.
+type searching struct {
+	client  *Client
+	request *wire.FollowRequest
+
+	mu sync.Mutex // guards asked
+	// asked are the ways that were asked or are about to be.
+	asked map[Way]bool
+}
+
+// claim reports whether a way has not been asked in this search.
+func (s *searching) claim(w Way) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asked[w] {
+		return false
 	}
-	reply, err := c.ask(ctx, w, request)
+	s.asked[w] = true
+	return true
+}
+
+// ask asks a keeper, and the one that it names if it does not lead; nil when
+// neither answered as the leader, or that one has been asked already.
+func (s *searching) ask(ctx context.Context, d delayedWay) *found {
+	select {
+	case <-time.After(d.after):
+	case <-ctx.Done():
+		return nil
+	}
+	w := d.Way
+	if !s.claim(w) {
+		return nil
+	}
+	reply, err := s.client.ask(ctx, w, s.request)
 	if leader := keeperclient.Leader(err); leader != "" && leader != w.Address {
 		// The seeds need not hold the leader.
 		w.Address = leader
-		reply, err = c.ask(ctx, w, request)
+		if !s.claim(w) {
+			return nil
+		}
+		reply, err = s.client.ask(ctx, w, s.request)
 	}
 	if err != nil {
 		return nil
@@ -120,8 +173,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 		defer cancel()
-		if f := c.askOne(ctx, Way{"", w.Address}, c.request(0)); f != nil {
-			c.take(f.reply, f.way)
+		direct := Way{"", w.Address}
+		if reply, err := c.ask(ctx, direct, c.request(0)); err == nil {
+			c.take(reply, direct)
 		}
 	}()
 }
