Callers are bounded as the declaration says: headers, bodies, time; connections and memory in all

Cause: limits of the declaration on callers were stored and not applied (a fixed 8 MiB bounded bodies, 75 s rest), and nothing bounded callers' connections, or what bodies take together, by the process's own limits: many large bodies could have had it killed. Ruled out: new net/http servers for each change of limits, which would leave open connections under the old ones. Change: internal/intake. Connections are followed by their state, so that limits that change are in force for open ones; above the bound the one that has rested longest goes. Bodies are counted while they are held; above the bound a caller is told when to come back (router_full, not run).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,10 +10,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"sumachead"
+	"sumachead/api/wire"
 	"sumachead/internal/chain"
 	"sumachead/internal/escrow"
 	"sumachead/internal/fleet"
 	"sumachead/internal/fleetclient"
+	"sumachead/internal/intake"
 	"sumachead/internal/loop"
 	"sumachead/internal/registry"
 	"sumachead/internal/rpc"
@@ -114,6 +116,18 @@
 // Ready reports whether callers should be sent here.
 func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.client.View() != nil }
 
+// Limits returns what the declaration in force says of callers.
+func (g *Gateway) Limits() intake.Limits {
+	var l *wire.CallerLimits
+	if v := g.client.View(); v != nil {
+		l = v.Catalog.GetLimits()
+	}
+	return intake.Limits{
+		HeaderBytes: l.GetHeaderBytes(), BodyBytes: l.GetBodyBytes(),
+		Header: time.Duration(l.GetHeaderMillis()) * time.Millisecond, Idle: time.Duration(l.GetIdleMillis()) * time.Millisecond,
+	}.OrDefault()
+}
+
 // Open returns how many requests are under way.
 func (g *Gateway) Open() int { return int(g.open.Load()) }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -76,6 +76,8 @@
 	Listen *net.ListenConfig
 	// Idle is how long a connection may rest; 0 for no bound.
 	Idle time.Duration
+	// ConnState is told of each connection's state; nil for nobody.
+	ConnState func(net.Conn, http.ConnState)
 	// Drain bounds how long requests in flight may take to finish.
 	Drain time.Duration
 	// BreakOff: requests that take longer are broken off, which is no error.
@@ -95,7 +97,7 @@
 	if s.TLS != nil {
 		lis = tls.NewListener(lis, s.TLS)
 	}
-	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: s.Idle}
+	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: s.Idle, ConnState: s.ConnState}
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(lis) }()
 	select {
--- a/verdict.go
+++ b/verdict.go
@@ -29,6 +29,7 @@
 	ReasonBadRequest       Reason = "bad_request"
 	ReasonUnauthorized     Reason = "unauthorized"
 	ReasonTooLarge         Reason = "too_large"
+	ReasonHeadersTooLarge  Reason = "headers_too_large"
 	ReasonDeadlinePassed   Reason = "deadline_passed"
 	ReasonUnknownPool      Reason = "unknown_pool"
 	ReasonUnknownRoute     Reason = "unknown_route"
@@ -40,6 +41,7 @@
 	ReasonClaimUnavailable Reason = "claim_unavailable"
 	ReasonSettingsStale    Reason = "settings_stale"
 	ReasonNoServer         Reason = "no_server"
+	ReasonRouterFull       Reason = "router_full"
 	ReasonBusy             Reason = "busy"
 	ReasonShed             Reason = "shed"
 	ReasonLeaving          Reason = "leaving"
@@ -59,10 +61,10 @@
 // Reasons lists each reason once, in the order of the documentation.
 func Reasons() []Reason {
 	return []Reason{
-		ReasonBadRequest, ReasonUnauthorized, ReasonTooLarge, ReasonDeadlinePassed,
+		ReasonBadRequest, ReasonUnauthorized, ReasonTooLarge, ReasonHeadersTooLarge, ReasonDeadlinePassed,
 		ReasonUnknownPool, ReasonUnknownRoute, ReasonPoolForbidden, ReasonKeyConflict, ReasonBudgetExhausted,
 		ReasonNoBudget, ReasonLedgerUnreached, ReasonClaimUnavailable, ReasonSettingsStale,
-		ReasonNoServer, ReasonBusy, ReasonShed, ReasonLeaving, ReasonFenced,
+		ReasonNoServer, ReasonRouterFull, ReasonBusy, ReasonShed, ReasonLeaving, ReasonFenced,
 		ReasonServerUnreached, ReasonServerFailed, ReasonBadAnswer, ReasonStuck,
 		ReasonInterrupted, ReasonAnswerGone, ReasonRunning, ReasonRetryBudget,
 		ReasonStopping, ReasonInternal,
@@ -78,6 +80,8 @@
 		return http.StatusUnauthorized
 	case ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case ReasonHeadersTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case ReasonUnknownPool, ReasonUnknownRoute:
 		return http.StatusNotFound
 	case ReasonPoolForbidden:
