Falling demand gives escrow back in a few pieces

Ruled out: reports by the clock (one in 700 ms). Change: above twice, what is above once is given back.

--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -86,6 +86,37 @@
 	}
 }
 
+// A holder whose demand falls away gives back in a few pieces: each is a commit.
+func TestFallingDemandTakesFewReports(t *testing.T) {
+	l := newLedger(10_000_000)
+	h := newHolder("router-1", "a")
+	now := time.Now()
+	for range 40 {
+		h.spend(20_000, 5_000)
+		h.report(l, now)
+		now = now.Add(50 * time.Millisecond)
+	}
+	before := h.AtHand(clerks)
+	reports := 0
+	for range 300 {
+		now = now.Add(30 * time.Millisecond)
+		if r := h.Report(now, false); r != nil {
+			reports++
+			h.Take(l.take(r, now), h.boot, "", now)
+		}
+		if now.Nanosecond()%int(time.Second) < int(40*time.Millisecond) {
+			h.Touch([]sumachead.WorkspaceID{clerks}) // a report is due now and then
+		}
+	}
+	const most = 25
+	if reports > most {
+		t.Errorf("%d reports, at most %d expected", reports, most)
+	}
+	if after := h.AtHand(clerks); after > before/4 {
+		t.Errorf("%d of %d is still at hand", after, before)
+	}
+}
+
 func TestIdleHolderGivesBackWhatAnotherLacks(t *testing.T) {
 	l := newLedger(100_000)
 	idle, busy := newHolder("router-1", "a"), newHolder("router-2", "b")
--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -29,7 +29,8 @@
 	// a holder is filled up.
 	lowPart = 70
 	// slack is how much, in percent of what it should have at hand, a holder may
-	// have before it is asked to give back.
+	// have before it is asked to give back what is above that: a holder whose demand
+	// falls away then reports a few times, not with each commit.
 	slack = 200
 )
 
@@ -140,7 +141,7 @@
 		a.Exhausted = free < need && s.remaining(b, w) < need+max(atHand, 0)
 		s.noteWant(w, want{by: h, amount: need, at: now}, free)
 	}
-	if keep := s.keep(b, w, h, hold, now); keep >= 0 && atHand > keep && grant <= 0 {
+	if keep, above := s.keep(b, w, h, hold, now); keep >= 0 && atHand > above && grant <= 0 {
 		a.Keep = int64(keep)
 	}
 	return max(grant, 0), a
@@ -188,19 +189,19 @@
 	return ws, s.lacking
 }
 
-// keep returns down to how much at hand a holder should give back; NoWish for not
-// at all. The caller holds mu.
-func (s *Sizer) keep(b *Book, w sumachead.WorkspaceID, h Holder, hold sumachead.Tokens, now time.Time) sumachead.Tokens {
+// keep returns down to how much at hand a holder should give back when it has more
+// than above; NoWish for not at all. The caller holds mu.
+func (s *Sizer) keep(b *Book, w sumachead.WorkspaceID, h Holder, hold sumachead.Tokens, now time.Time) (keep, above sumachead.Tokens) {
 	n, ok := s.wants[w]
 	switch {
 	case ok && n.by == h && now.Sub(n.at) <= wantFor:
-		return NoWish
+		return NoWish, 0
 	case !ok || now.Sub(n.at) > wantFor:
-		return hold * slack / 100
+		return hold, hold * slack / 100
 	case s.remaining(b, w) < gatherBelow*n.amount:
-		return 0
+		return 0, 0
 	}
-	return hold
+	return hold, hold
 }
 
 // hold returns what a holder should have at hand beyond what its requests under
