Servers are known after a kill of all keepers; a life that is over is asked once

Found on the way, by reading: a follower that learned of a leaving server by itself gave that a number of its own, and so passed over the leader's next change. Change: each keeper keeps the servers that it knows in a file, written every two seconds if there is something new; from there they count as silent, so that they are used where there is no other. A server that answers for another life ends that life here. Only a leader numbers changes. Polls come twice as often.

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -104,7 +104,11 @@
 	k.metrics = newMetrics(k)
 	k.metrics.Registry.MustRegister(k.Collectors...)
 	k.node.Synced = func(d time.Duration) { k.metrics.syncs.Observe(d.Seconds()) }
-	return k.node.Open()
+	if err := k.node.Open(); err != nil {
+		return err
+	}
+	k.loadRecords()
+	return nil
 }
 
 // Run serves until ctx ends, then hands leadership over and stops. The context
@@ -124,7 +128,7 @@
 	tasks, work := errgroup.WithContext(work)
 	tasks.Go(k.RPC.Run)
 	tasks.Go(func() error { return k.node.Run(work) })
-	for _, f := range []func(context.Context) error{k.joinLoop, k.membersLoop, k.sweepLoop, k.copyLoop, k.reportsLoop, k.aliveLoop} {
+	for _, f := range []func(context.Context) error{k.joinLoop, k.membersLoop, k.sweepLoop, k.copyLoop, k.reportsLoop, k.aliveLoop, k.recordsLoop} {
 		tasks.Go(func() error { return f(work) })
 	}
 	k.Log.Info("Serving.", "address", k.Address, "incarnation", k.identity.GetIncarnation(), "founder", k.identity.GetFounders() != nil)
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -177,7 +177,9 @@
 	case a.Head.NotRun || a.Head.Stale:
 		reason := sumachead.ReasonBusy
 		if a.Head.Stale {
+			// Another life answers at the address: this one is over.
 			reason = sumachead.ReasonFenced
+			d.servers.Leave(l.record.GetId(), time.Now())
 		}
 		drain(a)
 		return &upstream.Failure{Verdict: sumachead.NotRun, Reason: reason, Err: errors.New("the backend server did not run the request")}
--- a/internal/raft/poll.go
+++ b/internal/raft/poll.go
@@ -20,7 +20,7 @@
 // pollPart is the part of the election timeout that separates polls: some of them
 // fit into the wait that they save. Polling goes on while there is no leader, so
 // that the voter that comes back last ends the wait.
-const pollPart = 10
+const pollPart = 20
 
 // poll is what a member without a leader knows of the other voters.
 type poll struct {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -46,6 +46,9 @@
 	// history names the leader whose numbering it is.
 	version uint64
 	history string
+	// leads: the numbering is this table's own. A follower that learns something by
+	// itself must not number it: it would pass over a change of the leader's.
+	leads bool
 	// changed is closed when a record gets a new version.
 	changed chan struct{}
 	// changes are the newest changes, oldest first; those up to trimmed are not
@@ -99,7 +102,7 @@
 	if t.history == history {
 		return
 	}
-	t.history = history
+	t.history, t.leads = history, true
 	t.changes, t.trimmed = nil, t.version
 	for _, e := range t.entries {
 		e.seen = now
@@ -212,7 +215,9 @@
 	next := proto.CloneOf(e.record)
 	next.State = s
 	e.record = next
-	t.bump(next)
+	if t.leads {
+		t.bump(next)
+	}
 }
 
 // Sweep marks servers that have gone silent and forgets lives that ended long
@@ -266,7 +271,7 @@
 	for _, s := range r.GetServers() {
 		t.takeOne(s, now)
 	}
-	t.history, t.version = r.GetHistory(), r.GetVersion()
+	t.history, t.version, t.leads = r.GetHistory(), r.GetVersion(), false
 }
 
 // takeOne takes in one record. The caller holds mu.
@@ -312,6 +317,37 @@
 	return out
 }
 
+// Ready lists the servers that are ready, in no order; the records must not be
+// changed.
+func (t *Table) Ready() []*wire.ServerRecord {
+	t.lock()
+	defer t.mu.Unlock()
+	var out []*wire.ServerRecord
+	for _, e := range t.entries {
+		if e.record.GetState() == wire.ServerState_SERVER_STATE_READY {
+			out = append(out, e.record)
+		}
+	}
+	return out
+}
+
+// Load takes in records of an earlier life of this table. Until they are heard of
+// again the servers count as silent: they are used where there is no other. Call it
+// before the first use; a server that is known already, as one that leaves is, stays
+// as it is.
+func (t *Table) Load(records []*wire.ServerRecord, now time.Time) {
+	t.lock()
+	defer t.mu.Unlock()
+	for _, r := range records {
+		if t.entries[r.GetId()] == nil {
+			next := proto.CloneOf(r)
+			next.Version = 0 // of another numbering
+			next.State = wire.ServerState_SERVER_STATE_SILENT
+			t.entries[r.GetId()] = &entry{record: next, seen: now}
+		}
+	}
+}
+
 // Count returns the number of servers that are not leaving.
 func (t *Table) Count() int {
 	t.lock()
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -197,3 +197,49 @@
 		t.Fatalf("one far behind gets whole %t, %d records", r.GetWhole(), len(r.GetServers()))
 	}
 }
+
+// What a follower learns by itself must not make it pass over a change of the
+// leader's.
+func TestFollowersOwnKnowledgeSkipsNothing(t *testing.T) {
+	now := time.Now()
+	leader, follower := &Table{Heartbeat: time.Second}, &Table{Heartbeat: time.Second}
+	leader.Lead("h", now)
+	for _, id := range []string{"a", "b"} {
+		leader.Beat(&wire.ServerRecord{Id: id, Service: "chat", Sequence: 1}, now)
+	}
+	follow := func() {
+		history, version := follower.Position()
+		r, _ := leader.Since(history, version)
+		follower.Take(r, now)
+	}
+	follow()
+	follower.Leave("a", now)
+	leader.Beat(&wire.ServerRecord{Id: "c", Service: "chat", Sequence: 1}, now)
+	follow()
+	var got []string
+	for _, r := range follower.Servers("chat") {
+		got = append(got, r.GetId())
+	}
+	slices.Sort(got)
+	if diff := cmp.Diff([]string{"b", "c"}, got); diff != "" {
+		t.Fatalf("servers (-want +got):\n%s", diff)
+	}
+}
+
+// Servers that are loaded count as silent until they are heard of.
+func TestLoadedServersAreSilent(t *testing.T) {
+	now := time.Now()
+	table := &Table{Heartbeat: time.Second}
+	table.Leave("gone", now)
+	table.Load([]*wire.ServerRecord{{Id: "gone", Service: "chat"}, {Id: "a", Service: "chat", Sequence: 3}, {Id: "b", Service: "chat", Sequence: 3}}, now)
+	table.Lead("h", now)
+	table.Beat(&wire.ServerRecord{Id: "a", Service: "chat", Sequence: 4}, now)
+	got := make(map[string]wire.ServerState)
+	for _, r := range table.Servers("chat") {
+		got[r.GetId()] = r.GetState()
+	}
+	want := map[string]wire.ServerState{"a": wire.ServerState_SERVER_STATE_READY, "b": wire.ServerState_SERVER_STATE_SILENT}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatalf("states (-want +got):\n%s", diff)
+	}
+}
