Soak: one-way cuts, delays, resets, torn files, kept connections, larger fleets

Cause: the soak cut ways in both directions only, and no connection was reset or late; files of a killed keeper were always whole, callers opened a connection for each request, and its size was fixed.

--- a/internal/scenario/fleetcall_test.go
+++ b/internal/scenario/fleetcall_test.go
@@ -23,6 +23,8 @@
 	wait   time.Duration
 	// leave is when the caller leaves; 0 for not at all.
 	leave time.Duration
+	// client keeps connections; nil for a new connection each time.
+	client *http.Client
 }
 
 // caller is what one caller saw, for checks at the end.
@@ -103,7 +105,11 @@
 	if q.kind == "stream" {
 		r.Header.Set("Token-Usage", fmt.Sprintf("%d,%d", q.prompt, q.events))
 	}
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	client := q.client
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	}
+	resp, err := client.Do(r)
 	if err != nil {
 		c.err = err
 		return
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -1,11 +1,14 @@
 package scenario
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -47,7 +50,8 @@
 )
 
 // TestFleetSoak runs for a short time with a fixed seed; SOAK=5m and SEED=N run it
-// for longer, SEED=0 with a seed of its own.
+// for longer, SEED=0 with a seed of its own. TIMES=10 has ten times as many routers
+// and relays, for runs near the limits of the machine.
 func TestFleetSoak(t *testing.T) {
 	lasts, seed := soakShort, uint64(soakSeed)
 	if d, err := time.ParseDuration(os.Getenv("SOAK")); err == nil {
@@ -62,6 +66,9 @@
 		t.Fatal(err)
 	}
 	sh := fleetShape{keepers: 5, routers: 4, relays: 4, engines: 4, desks: 3, prepaid: 400_000}
+	if times, err := strconv.Atoi(os.Getenv("TIMES")); err == nil && times > 0 {
+		sh.routers, sh.relays = sh.routers*times, sh.relays*times
+	}
 	s := &fleetSoak{
 		t: t, f: newFleet(t.TempDir(), node, sh), rand: rand.New(rand.NewPCG(seed, 2)),
 		acked: 1, sent: 1, prepaid: sh.prepaid, faults: make(map[string]int), outcomes: make(map[string]int),
@@ -119,10 +126,16 @@
 	s.broken = append(s.broken, fmt.Sprintf(format, args...))
 }
 
-// call sends requests of all kinds to all routers.
+// call sends requests of all kinds to all routers. Half of the callers keep their
+// connections, also while a router stops.
 func (s *fleetSoak) call(r *rand.Rand, until time.Time) {
+	var client *http.Client
+	if r.IntN(2) == 0 {
+		client = &http.Client{Transport: &http.Transport{}}
+		defer client.CloseIdleConnections()
+	}
 	for time.Now().Before(until) {
-		q := fleetRequest{router: fmt.Sprintf("router-%d", r.IntN(s.f.shape.routers)+1), prompt: 20 + r.IntN(100), events: 1 + r.IntN(30)}
+		q := fleetRequest{router: fmt.Sprintf("router-%d", r.IntN(s.f.shape.routers)+1), prompt: 20 + r.IntN(100), events: 1 + r.IntN(30), client: client}
 		q.kind = []string{"stream", "stream", "hold", "check"}[r.IntN(4)]
 		if r.IntN(10) == 0 {
 			q.leave = time.Duration(r.IntN(80)) * time.Millisecond
@@ -221,6 +234,14 @@
 		{"cut a router from keepers", func() { s.cut(pick("router", s.f.shape.routers).name, "keeper", lasts) }},
 		{"cut a keeper", func() { s.cut(pick("keeper", s.f.shape.keepers).name, "keeper", lasts) }},
 		{"cut a hall", func() { s.cut("hall-1", "hall-2", lasts) }},
+		{"cut routers from keepers one way", func() { s.cutOneWay("router", "keeper", lasts) }},
+		{"cut keepers from routers one way", func() { s.cutOneWay("keeper", "router", lasts) }},
+		{"cut keepers from a keeper one way", func() { s.cutOneWay("keeper", pick("keeper", s.f.shape.keepers).name, lasts) }},
+		{"delay keepers", func() { s.delay("keeper", "keeper", r, lasts) }},
+		{"delay routers and keepers", func() { s.delay("router", "keeper", r, lasts) }},
+		{"reset connections of keepers", func() { s.f.net.reset("keeper", "keeper") }},
+		{"reset connections of routers", func() { s.f.net.reset("router", "keeper") }},
+		{"tear a keeper's files", func() { s.tear(r, pick("keeper", s.f.shape.keepers)) }},
 		{"kill all keepers", func() { s.killAll("keeper") }},
 		{"server faults", func() { s.serverFault(r, lasts) }},
 		{"new server for an old one", func() { s.replaceServer(r) }},
@@ -323,6 +344,53 @@
 	s.f.net.set(a, b, false)
 }
 
+func (s *fleetSoak) cutOneWay(from, to string, lasts time.Duration) {
+	s.f.net.setOneWay(from, to, true)
+	time.Sleep(lasts)
+	s.f.net.setOneWay(from, to, false)
+}
+
+// delay makes bytes between two places late, by up to half a second.
+func (s *fleetSoak) delay(a, b string, r *rand.Rand, lasts time.Duration) {
+	s.f.net.setDelay(a, b, time.Duration(10+r.IntN(490))*time.Millisecond)
+	time.Sleep(lasts)
+	s.f.net.setDelay(a, b, 0)
+}
+
+// tear kills a keeper and leaves parts of writes behind the ends of its files, as a
+// loss of power in the middle of a write does.
+func (s *fleetSoak) tear(r *rand.Rand, p *process) {
+	s.bounce(p, func(p *process) {
+		p.kill()
+		logs, err := filepath.Glob(filepath.Join(p.data, "group", "log-*"))
+		if err != nil {
+			s.breaks("%v", err)
+		}
+		slices.Sort(logs)
+		torn := append(logs[max(len(logs)-1, 0):], filepath.Join(p.data, "servers"))
+		for _, name := range torn {
+			s.appendNoise(r, name)
+		}
+	}, 200*time.Millisecond)
+}
+
+// appendNoise adds some bytes to a file.
+func (s *fleetSoak) appendNoise(r *rand.Rand, name string) {
+	f, err := os.OpenFile(name, os.O_APPEND|os.O_WRONLY|os.O_CREATE, 0o600)
+	if err != nil {
+		s.breaks("%v", err)
+		return
+	}
+	noise := make([]byte, 1+r.IntN(60))
+	for i := range noise {
+		noise[i] = byte(r.IntN(256))
+	}
+	_, err = f.Write(noise)
+	if err := errors.Join(err, f.Close()); err != nil {
+		s.breaks("%v", err)
+	}
+}
+
 func (s *fleetSoak) killAll(class string) {
 	var all sync.WaitGroup
 	for _, name := range s.f.order {
