Holders have a thirty-second of what is free at hand

Ruled out: what killed routers had under way (it is counted in all variants), and the escrow of routers that were stopped. Change: a thirty-second of what is free at hand instead of a sixteenth.

--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -20,7 +20,7 @@
 	// holders together should have at hand beyond what requests under way need: it
 	// is lost when they crash. A report takes some milliseconds, so that little is
 	// enough while the ledger is reached.
-	outPart = 16
+	outPart = 32
 	// longestHold bounds for how long, at the rate it reports, a holder should be
 	// able to go on without the ledger: the election of a leader, a keepers' cut
 	// that heals by itself.
