--- a/scripts/days.py
+++ b/scripts/days.py
@@ -1,8 +1,10 @@
 #!/usr/bin/env python3
-"""Writes deploy/days/kinds: a day for each kind of trouble and each of its variants.
+"""Writes days of trouble for the bench; scripts/days.sh plays them.
 
-Each trouble comes twice, at 6 s and at 20 s of a calm day; run with
-scripts/days.sh SITE.
+deploy/days/kinds has a day for each kind of trouble and each of its variants, which
+comes twice, at 6 s and at 20 s of a calm day. deploy/days/pairs has a day for each
+pair of troubles that share a mechanism: both come at the day's start, in its middle
+and at its end, the second a little after the first.
 """
 
 import pathlib
@@ -56,19 +58,63 @@
     ),
     "big_config": ("count = 350", True, [""]),
     "revoke": ("count = 2, gap_s = 1.0", True, ["", "last"]),
+    "ack_lost": ("x = 0.6, for_s = 5.0", False, [""]),
 }
 
 
-def day(kind: str, extra: str, planned: bool, how: str) -> str:
-    """Returns the text of one day."""
+# Pairs that share a mechanism: (kind, how) twice.
+PAIRS = [
+    (("node_cut", ""), ("roll_term", "")),
+    (("node_cut", "all"), ("scale_in", "")),
+    (("node_cut", ""), ("hot_tenant", "")),
+    (("core_cut", "leader race"), ("roll_term", "busy")),
+    (("core_cut", "split"), ("scale_in", "reclaim")),
+    (("core_cut", ""), ("replace_core", "")),
+    (("after_ack_wipe", ""), ("replace_core", "oldest")),
+    (("after_ack_wipe", "oldest"), ("node_kill_core", "power")),
+    (("config_storm", ""), ("config_race", "")),
+    (("config_storm", ""), ("ack_lost", "")),
+    (("config_race", ""), ("ack_lost", "")),
+    (("config_race", ""), ("node_kill_core", "leader race drain")),
+    (("big_config", ""), ("config_storm", "")),
+    (("node_freeze", ""), ("hot_tenant", "")),
+    (("node_freeze_core", "leader"), ("hot_tenant", "")),
+    (("node_kill", ""), ("hot_tenant", "")),
+    (("clock_step", ""), ("after_ack_kill", "")),
+    (("clock_step", "back"), ("herd_kill_core", "")),
+    (("clock_step", "ahead"), ("core_cut", "")),
+    (("disk_full", "leader"), ("config_storm", "")),
+    (("disk_stall", "leader"), ("config_race", "")),
+    (("lossy", ""), ("release", "")),
+    (("herd_kill", "power"), ("revoke", "")),
+    (("reset_conns", ""), ("config_storm", "")),
+    (("reset_conns", ""), ("herd_kill_core", "")),
+    (("srv_crash", "dark"), ("srv_grey", "errors")),
+    (("srv_cut", "fronts"), ("release", "")),
+    (("give_up", ""), ("hot_tenant", "")),
+]
+
+
+def entry(kind: str, how: str, at: float) -> str:
+    """Returns the text of one trouble."""
+    extra = KINDS[kind][0]
     fields = f'kind = "{kind.removesuffix("_core") if kind.endswith(("kill_core", "freeze_core")) else kind}"'
     if extra:
         fields += ", " + extra
     if how:
         fields += f', how = "{how}"'
-    entries = "\n".join(f"  {{ at = {at}, {fields} }}," for at in (6.0, 20.0))
-    name = "-".join([kind.replace("_", "-"), *how.split()]).replace("_", "-")
-    plan, faults = (entries, "") if planned else ("", entries)
+    return f"  {{ at = {at}, {fields} }},"
+
+
+def named(kind: str, how: str) -> str:
+    """Returns the name of a trouble."""
+    return "-".join([kind, *how.split()]).replace("_", "-")
+
+
+def day(name: str, troubles: list[tuple[str, str, float]]) -> str:
+    """Returns the text of a day of troubles (kind, how, second)."""
+    plan = "\n".join(entry(k, h, at) for k, h, at in troubles if KINDS[k][1])
+    faults = "\n".join(entry(k, h, at) for k, h, at in troubles if not KINDS[k][1])
     return f"""[[day]]
 name = "{name}"
 slot = "trouble"
@@ -86,15 +132,21 @@
 """
 
 
+def write(folder: str, name: str, troubles: list[tuple[str, str, float]]) -> None:
+    """Writes one day."""
+    path = pathlib.Path(__file__).parent.parent / "deploy" / "days" / folder
+    path.mkdir(parents=True, exist_ok=True)
+    (path / f"{name}.toml").write_text(day(name, troubles))
+
+
 def main() -> None:
     """Writes all days."""
-    folder = pathlib.Path(__file__).parent.parent / "deploy" / "days" / "kinds"
-    folder.mkdir(parents=True, exist_ok=True)
-    for kind, (extra, planned, variants) in KINDS.items():
+    for kind, (_, _, variants) in KINDS.items():
         for how in variants:
-            text = day(kind, extra, planned, how)
-            name = text.split('name = "')[1].split('"')[0]
-            (folder / f"{name}.toml").write_text(text)
+            write("kinds", named(kind, how), [(kind, how, at) for at in (6.0, 20.0)])
+    for first, second in PAIRS:
+        troubles = [(*t, at + later) for at in (0.5, 12.0, 27.0) for t, later in ((first, 0.0), (second, 0.7))]
+        write("pairs", f"{named(*first)}--{named(*second)}", troubles)
 
 
 if __name__ == "__main__":
