--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -53,6 +53,8 @@
 	RPC       *rpc.Server
 	Pool      *rpc.Pool
 	Log       hclog.Logger
+	// LinesPerSecond bounds the log lines of one kind; 0 for the usual bound.
+	LinesPerSecond int
 	// Collectors are told beside the keeper's own figures.
 	Collectors []prometheus.Collector
 
@@ -88,7 +90,7 @@
 	k.sizer = &escrow.Sizer{}
 	k.followers = newFollowers()
 	k.loads = newLoads()
-	k.lines = &telemetry.Lines{}
+	k.lines = &telemetry.Lines{PerSecond: k.LinesPerSecond}
 	k.alive, k.startedAt = newAliveBatch(), time.Now()
 	k.reports = make(chan *pendingReport)
 	k.stopped = make(chan struct{})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -44,9 +45,13 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	Dialect     sumachead.Dialect
-	Pool        *rpc.Pool
-	Log         hclog.Logger
+	// LinesPerSecond and FailuresPerSecond bound the log lines of one kind, of
+	// requests that are served and of those that are not; 0 for the usual bounds.
+	LinesPerSecond    int
+	FailuresPerSecond int
+	Dialect           sumachead.Dialect
+	Pool              *rpc.Pool
+	Log               hclog.Logger
 
 	client   *fleetclient.Client
 	wallet   *escrow.Wallet
@@ -70,8 +75,8 @@
 func (g *Gateway) Prepare() {
 	g.servers = &registry.Table{Heartbeat: g.Heartbeat}
 	g.metrics = newMetrics(g)
-	g.lines = &telemetry.Lines{}
-	g.failures = &telemetry.Lines{PerSecond: failuresASecond}
+	g.lines = &telemetry.Lines{PerSecond: g.LinesPerSecond}
+	g.failures = &telemetry.Lines{PerSecond: cmp.Or(g.FailuresPerSecond, failuresASecond)}
 	g.client = &fleetclient.Client{
 		Node: g.Node, Role: fleet.RoleRouter, Hall: g.Hall, Seeds: g.Seeds, Pool: g.Pool,
 		Servers: g.servers, Log: g.Log.Named("follow"),
