--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -187,7 +187,8 @@
 	defer cancel()
 	reply, err := c.ask(callCtx, w, c.request(hold))
 	if err == nil {
-		c.take(reply, w)
+		c.take(reply)
+		c.heard(w, reply)
 		wait(ctx, time.Duration(reply.GetPauseMillis())*time.Millisecond)
 		return true
 	}
@@ -195,30 +196,33 @@
 		return false
 	}
 	if leader := keeperclient.Leader(err); leader != "" && leader != w.Address {
-		c.setWay(Way{w.Relay, leader})
+		c.leave(w, Way{w.Relay, leader})
 		return true
 	}
 	c.Log.Info("The way to the leading keeper is lost.", "address", w.Address, "relay", w.Relay, "error", err)
-	c.setWay(Way{})
+	c.leave(w, Way{})
 	return false
 }
 
-func (c *Client) setWay(w Way) {
+// leave gives a way up for another, unless a better one was found while it was
+// asked.
+func (c *Client) leave(w, next Way) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.way = w
+	if c.way == w {
+		c.way = next
+	}
 }
 
 // take puts an answer in force. What is known never goes back: a declaration
 // with a lower number is passed over.
-func (c *Client) take(r *wire.FollowReply, w Way) {
+func (c *Client) take(r *wire.FollowReply) {
 	c.Servers.Take(r, time.Now())
 	c.routers.Store(r.GetRouters())
 	if p := r.GetDeclaration(); p != nil {
 		c.unpack(p)
 	}
 	c.tellLacking(r.GetLacking())
-	c.noteWay(w, r)
 }
 
 // tellLacking passes on of which workspaces another node lacks escrow.
@@ -233,15 +237,26 @@
 	c.OnLacking(ids)
 }
 
-// noteWay keeps the way over which the leader has answered, and the keepers and
-// relays that it named.
-func (c *Client) noteWay(w Way, r *wire.FollowReply) {
+// found keeps a way over which a leader has answered that was looked for.
+func (c *Client) found(w Way, r *wire.FollowReply) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.way != w {
 		c.Log.Info("The leading keeper is found.", "address", w.Address, "relay", w.Relay)
 	}
-	c.way, c.heardAt = w, time.Now()
+	c.way = w
+	c.mu.Unlock()
+	c.heard(w, r)
+}
+
+// heard keeps what the leader has told of the ways to it, unless another way has
+// been taken since it was asked.
+func (c *Client) heard(w Way, r *wire.FollowReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.way != w {
+		return
+	}
+	c.heardAt = time.Now()
 	c.keepers = c.keepers[:0]
 	for _, m := range r.GetKeepers() {
 		c.keepers = append(c.keepers, m.GetAddress())
--- a/internal/fleetclient/search.go
+++ b/internal/fleetclient/search.go
@@ -51,25 +51,25 @@
 // a leader.
 func (c *Client) searchOnce(ctx context.Context) bool {
 	ws := c.ways()
-	answers := make(chan *found, len(ws))
+	answers := make(chan *answer, len(ws))
 	s := &searching{client: c, request: c.request(0), asked: make(map[Way]bool)}
 	s.request.Locate = true
 	for _, w := range ws {
 		go func() { answers <- s.ask(ctx, w) }()
 	}
 	for range ws {
-		f := <-answers
-		if f != nil {
-			c.routers.Store(f.reply.GetRouters())
-			c.noteWay(f.way, f.reply)
+		a := <-answers
+		if a != nil {
+			c.routers.Store(a.reply.GetRouters())
+			c.found(a.way, a.reply)
 			return true
 		}
 	}
 	return false
 }
 
-// found is a search's first answer from a leader.
-type found struct {
+// answer is a leader's answer to a search, and over which way it came.
+type answer struct {
 	reply *wire.FollowReply
 	way   Way
 }
@@ -132,7 +132,7 @@
 
 // ask asks a keeper, and the one that it names if it does not lead; nil when
 // neither answered as the leader, or that one has been asked already.
-func (s *searching) ask(ctx context.Context, d delayedWay) *found {
+func (s *searching) ask(ctx context.Context, d delayedWay) *answer {
 	select {
 	case <-time.After(d.after):
 	case <-ctx.Done():
@@ -154,7 +154,7 @@
 	if err != nil {
 		return nil
 	}
-	return &found{reply, w}
+	return &answer{reply, w}
 }
 
 // searchWay looks for a way to the leader, whether or not one is known.
@@ -175,7 +175,8 @@
 		defer cancel()
 		direct := Way{"", w.Address}
 		if reply, err := c.ask(ctx, direct, c.request(0)); err == nil {
-			c.take(reply, direct)
+			c.take(reply)
+			c.found(direct, reply)
 		}
 	}()
 }
--- a/internal/fleetclient/search_test.go
+++ b/internal/fleetclient/search_test.go
@@ -1,10 +1,13 @@
 package fleetclient
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"sumachead/internal/rpc"
 )
 
 // In a large fleet that has lost its leader, what searches ask must not keep the
@@ -52,3 +55,32 @@
 		})
 	}
 }
+
+// A node that went through a relay stays on the direct way once that works again,
+// also when an answer over the relay was still under way then.
+func TestDirectWayIsKept(t *testing.T) {
+	leader := &fakeKeeper{address: freeAddress(t)}
+	leader.leader = leader.address
+	serve(t, leader)
+	relay := &rpc.Relay{Address: freeAddress(t), MaxConns: 4, Allowed: func(string) bool { return true }}
+	go func() { _ = relay.Run(t.Context()) }()
+	c := newIdleClient(t, leader.address)
+	overRelay := Way{relay.Address, leader.address}
+	c.way = overRelay
+	eventually(t, "the relay carries", func() bool { return c.follow(t.Context(), overRelay) })
+	c.way, c.directAt = overRelay, time.Time{}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = c.Run(ctx) }()
+	direct := func() bool {
+		w, ok := c.Way()
+		return ok && w.Relay == ""
+	}
+	eventually(t, "the direct way is taken", direct)
+	for range 20 {
+		time.Sleep(20 * time.Millisecond)
+		if !direct() {
+			t.Fatal("the direct way was left again")
+		}
+	}
+}
