Repeats stay within the fleet's bound with any number of routers

Ruled out: a bucket of less than one without more, which never allows a repeat. Change: a bucket that can't hold one repeat lends it with the chance that its part is, and earns it back.

--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -26,9 +27,10 @@
 	filled time.Time
 }
 
-// most returns how many repeats the bucket holds with so many routers.
+// most returns how many repeats the bucket holds with so many routers. With many it
+// is a part of one: then it is the chance that a repeat may be sent.
 func (a *retryAllowance) most(routers int) float64 {
-	return max(a.extra*retryShare/float64(routers), 1)
+	return a.extra * retryShare / float64(routers)
 }
 
 // refill earns what the time since the last call is worth. The caller holds mu.
@@ -54,12 +56,13 @@
 }
 
 // take reports whether a request may be sent again, and uses up the allowance
-// for it.
+// for it. A bucket that can't hold one repeat lends it, with the chance that its
+// part of one is, and earns it back.
 func (a *retryAllowance) take(now time.Time, routers int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refill(now, routers)
-	if a.tokens < 1 {
+	if a.tokens < 1 && (a.most(routers) >= 1 || rand.Float64() >= a.tokens) {
 		return false
 	}
 	a.tokens--
