Escrow: say how the part that is out grows, and what keep returns

The comment of ampleLasts said "in between" without saying between what, and the one of outPart read as if it held for all budgets. Both say now which rule applies when, and where the parts that were weighed stand. keep's comment did not say that it returns two amounts. No code changes.

--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -17,15 +17,18 @@
 	// reports.
 	liveFor = 4 * time.Second
 	// outPart is the part of what is free of a budget, one in so many, that all
-	// holders together should have at hand beyond what requests under way need: it
-	// is lost when they crash. A report takes some milliseconds, so that little is
-	// enough while the ledger is reached.
+	// holders together should have at hand beyond what requests under way need,
+	// where it lasts for a short time only: it is lost when they crash. A report
+	// takes some milliseconds, so that little is enough while the ledger is reached.
+	// docs/DESIGN.md has the parts that were weighed.
 	outPart = 32
-	// ampleLasts is how long, at the rate that all holders report, a budget has to
-	// last for all of it to be out; in between the part that is out grows with the
-	// time. What is lost by a crash then matters less, and a cut costs more. At most
-	// one part in amplePart is out. From the admission experiment: a budget that
-	// lasts three minutes bridges cuts of eight seconds.
+	// ampleLasts is how long, at the rate that all holders report, a budget would
+	// have to last for all of what is free to be out. The part that is out is the
+	// time for which a budget lasts, over ampleLasts, and at least one part in
+	// outPart and at most one in amplePart: what a crash loses of a budget that
+	// lasts matters less, and a cut would cost it more. From the admission experiment
+	// (TestRoutersAdmission): a budget that lasts three minutes bridges cuts of eight
+	// seconds.
 	ampleLasts = 2000 * time.Second
 	amplePart  = 4
 	// longestHold bounds for how long, at the rate it reports, a holder should be
@@ -195,8 +198,8 @@
 	return ws, s.lacking
 }
 
-// keep returns down to how much at hand a holder should give back when it has more
-// than above; NoWish for not at all. The caller holds mu.
+// keep returns what a holder should keep at hand when it has more than above, and
+// give back the rest; NoWish when it need not give back anything. The caller holds mu.
 func (s *Sizer) keep(b *Book, w sumachead.WorkspaceID, h Holder, hold sumachead.Tokens, now time.Time) (keep, above sumachead.Tokens) {
 	n, ok := s.wants[w]
 	switch {
@@ -224,7 +227,7 @@
 }
 
 // out returns how much of what is free of a budget all holders together should have
-// at hand, at the rate of their demand in tokens a second.
+// at hand. The rates are the sum of their demand in tokens a second, above 0.
 func out(free, rates sumachead.Tokens) sumachead.Tokens {
 	lasts := free / rates
 	ample := free * lasts / sumachead.Tokens(ampleLasts/time.Second)
