Admission experiment: its steps apart, the ways to share in a file of their own

trial.run had 65 lines with two local types and did everything: cuts, kills, bills, arrivals, admission and the judgement. The state of a run is a type (game) with one method for each of these now. Which workspace is hot, how many times its usual it sends, the sizes of requests and the part that is billed were bare numbers and have names. Fields of the policies that a newcomer had to work out have comments, and the policies moved to shares_test.go.

go test ./internal/escrow -run XXX -bench RoutersAdmission -benchtime 1x prints the same table, byte for byte, before and after. Tests of the package list and make lint pass.

--- a/internal/escrow/experiment_test.go
+++ b/internal/escrow/experiment_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,8 +27,18 @@
 	trialRuns = time.Second
 	// trialRate is how many requests come in a second, over all workspaces.
 	trialRate = 46
+	// trialUsed is the part of a request's bound, in percent, that it is billed.
+	trialUsed = 95
+	// trialHot is the workspace that sends more than its usual at times, by its place
+	// in trialWeights, and hotTimes how many times its usual.
+	trialHot = 2
+	hotTimes = 7
 )
 
+// trialSizes are the bounds of requests in tokens, of which each request has one at
+// random, times 0.5 to 1.5.
+var trialSizes = []float64{17_000, 9_000, 1_500, 1_500}
+
 // trialWeights are the workspaces' parts of the requests: a few are large.
 var trialWeights = []float64{0.3, 0.2, 0.12, 0.1, 0.08, 0.06, 0.05, 0.04, 0.03, 0.02}
 
@@ -38,7 +49,7 @@
 	cuts []span
 	// killed is when a router is killed; 0 for never. It is back a second later.
 	killed time.Duration
-	// hot is when the third workspace sends seven times its usual.
+	// hot is when one workspace, trialHot, sends more than its usual.
 	hot span
 	// budget is a workspace's budget by what it usually needs.
 	budget float64
@@ -47,10 +58,12 @@
 	mostFalse int
 }
 
+// span is a stretch of virtual time, without its end.
 type span struct{ from, to time.Duration }
 
 func (s span) holds(at time.Duration) bool { return at >= s.from && at < s.to }
 
+// trials are the situations.
 func trials() []trial {
 	cuts := []span{{10 * time.Second, 18 * time.Second}, {35 * time.Second, 43 * time.Second}}
 	hot := span{12 * time.Second, 22 * time.Second}
@@ -64,136 +77,8 @@
 	}
 }
 
-// share is a way to share budgets.
-type share interface {
-	// reserve holds a bound at a router; false when it has to wait or is refused.
-	reserve(router int, w sumachead.WorkspaceID, bound sumachead.Tokens, now time.Time, reached bool) (settle func(sumachead.Tokens), ok bool)
-	// tick lets reports go while the ledger is reached.
-	tick(now time.Time, reached bool)
-	// kill loses a router's memory.
-	kill(router int, now time.Time)
-}
-
-// pots are budgets in fixed amounts; a router draws from its own, and from the rest
-// as much as chunk says when that is short. The ledger counts as lost what a killed
-// router had.
-type pots struct {
-	rest  map[sumachead.WorkspaceID]sumachead.Tokens
-	own   [trialRouters]map[sumachead.WorkspaceID]sumachead.Tokens
-	chunk func(total, bound sumachead.Tokens) sumachead.Tokens
-	total map[sumachead.WorkspaceID]sumachead.Tokens
-	lives [trialRouters]int
-}
-
-func newPots(totals map[sumachead.WorkspaceID]sumachead.Tokens, atStart float64, chunk func(total, bound sumachead.Tokens) sumachead.Tokens) *pots {
-	p := &pots{rest: make(map[sumachead.WorkspaceID]sumachead.Tokens), chunk: chunk, total: totals}
-	for i := range p.own {
-		p.own[i] = make(map[sumachead.WorkspaceID]sumachead.Tokens)
-	}
-	for w, total := range totals {
-		part := sumachead.Tokens(float64(total) * atStart / trialRouters)
-		for i := range p.own {
-			p.own[i][w] = part
-		}
-		p.rest[w] = total - part*trialRouters
-	}
-	return p
-}
-
-func (p *pots) reserve(router int, w sumachead.WorkspaceID, bound sumachead.Tokens, _ time.Time, reached bool) (func(sumachead.Tokens), bool) {
-	own := p.own[router]
-	if own[w] < bound && reached {
-		take := min(max(p.chunk(p.total[w], bound), 0), p.rest[w])
-		own[w] += take
-		p.rest[w] -= take
-	}
-	if own[w] < bound {
-		return nil, false
-	}
-	own[w] -= bound
-	life := p.lives[router]
-	return func(bill sumachead.Tokens) {
-		if p.lives[router] == life {
-			p.own[router][w] += bound - bill
-		}
-	}, true
-}
-
-func (p *pots) tick(time.Time, bool) {}
-
-func (p *pots) kill(router int, _ time.Time) {
-	p.own[router] = make(map[sumachead.WorkspaceID]sumachead.Tokens)
-	p.lives[router]++
-}
-
-// byDemand is what the product does.
-type byDemand struct {
-	ledger  *ledger
-	wallets [trialRouters]*Wallet
-	boots   [trialRouters]int
-	told    [trialRouters]time.Time
-	kicked  [trialRouters]bool
-	names   []sumachead.WorkspaceID
-}
-
-func newByDemand(totals map[sumachead.WorkspaceID]sumachead.Tokens) *byDemand {
-	d := &byDemand{ledger: &ledger{NewBook(), &Sizer{}}}
-	d.ledger.book.SetTotals(totals)
-	for w := range totals {
-		d.names = append(d.names, w)
-	}
-	for i := range d.wallets {
-		d.open(i)
-	}
-	return d
-}
-
-func (d *byDemand) open(i int) {
-	d.boots[i]++
-	d.wallets[i] = &Wallet{Node: sumachead.NodeID(fmt.Sprint("r", i)), Kick: func() { d.kicked[i] = true }}
-	d.wallets[i].Open(sumachead.BootID(fmt.Sprint(d.boots[i])))
-	d.wallets[i].Watch(d.names)
-}
-
-func (d *byDemand) reserve(router int, w sumachead.WorkspaceID, bound sumachead.Tokens, now time.Time, _ bool) (func(sumachead.Tokens), bool) {
-	r, a, _ := d.wallets[router].try(w, bound, now, true)
-	if a == admitted {
-		return r.Settle, true
-	}
-	if a == short {
-		d.kicked[router] = true
-		d.wallets[router].leave(w, bound, false) // it tries again with the next tick
-	}
-	return nil, false
-}
-
-func (d *byDemand) tick(now time.Time, reached bool) {
-	if !reached {
-		return
-	}
-	lacking, _ := d.ledger.sizer.Lacking(now)
-	var ids []sumachead.WorkspaceID
-	for _, w := range lacking {
-		ids = append(ids, sumachead.WorkspaceID(w))
-	}
-	for i, w := range d.wallets {
-		if w.Touch(ids) {
-			d.kicked[i] = true
-		}
-		if !d.kicked[i] && now.Sub(d.told[i]) < trialReport {
-			continue
-		}
-		d.kicked[i], d.told[i] = false, now
-		if r := w.Report(now, false); r != nil {
-			boot := sumachead.BootID(r.GetBoot())
-			w.Take(d.ledger.take(r, now), boot, boot+"'", now)
-		}
-	}
-}
-
-func (d *byDemand) kill(router int, _ time.Time) { d.open(router) }
-
-// outcome is one policy's figures in one situation.
+// trialOutcome is one policy's figures in one situation. InCuts are the false
+// refusals while the ledger was not reached.
 type trialOutcome struct {
 	Requests, Served, False, InCuts int
 	Overspent                       sumachead.Tokens
@@ -214,11 +99,11 @@
 	for at := time.Duration(0); at < trialLasts; at += trialTick {
 		for w, part := range trialWeights {
 			rate := trialRate * part
-			if w == 2 && t.hot.holds(at) {
-				rate *= 7
+			if w == trialHot && t.hot.holds(at) {
+				rate *= hotTimes
 			}
 			if r.Float64() < rate*trialTick.Seconds() {
-				size := []float64{17_000, 9_000, 1_500, 1_500}[r.IntN(4)] * (0.5 + r.Float64())
+				size := trialSizes[r.IntN(len(trialSizes))] * (0.5 + r.Float64())
 				out = append(out, trialRequest{at, r.IntN(trialRouters), w, sumachead.Tokens(size)})
 			}
 		}
@@ -226,12 +111,12 @@
 	return out
 }
 
-// name is a workspace's.
+// trialName is the name of the workspace with a number.
 func trialName(w int) sumachead.WorkspaceID { return sumachead.WorkspaceID(fmt.Sprint("w", w)) }
 
 // totals are the budgets: by what each workspace usually needs.
 func (t trial) totals() map[sumachead.WorkspaceID]sumachead.Tokens {
-	const meanSize = 7250
+	const meanSize = 7250 // tokens; the mean of trialSizes
 	out := make(map[sumachead.WorkspaceID]sumachead.Tokens)
 	for w, part := range trialWeights {
 		out[trialName(w)] = sumachead.Tokens(t.budget * part * trialRate * trialLasts.Seconds() * meanSize)
@@ -239,74 +124,109 @@
 	return out
 }
 
+// waitingRequest is a request that has not been admitted so far.
+type waitingRequest struct {
+	trialRequest
+	until time.Duration
+}
+
+// runningRequest is a request that was admitted.
+type runningRequest struct {
+	trialRequest
+	ends   time.Duration
+	settle func(sumachead.Tokens)
+}
+
+// game is one situation played with one policy.
+type game struct {
+	trial
+	share   share
+	budgets map[sumachead.WorkspaceID]sumachead.Tokens
+	// at is the virtual time since the start, and reached whether the ledger can be
+	// reached then.
+	at      time.Duration
+	reached bool
+	// coming are in the order of their times, running in that of their ends.
+	coming  []trialRequest
+	waiting []waitingRequest
+	running []runningRequest
+	// spent and held are by the workspace, for the judgement; policies keep their own.
+	spent, held []sumachead.Tokens
+	out         trialOutcome
+}
+
 // run plays a situation with a policy.
 func (t trial) run(s share) trialOutcome {
-	type waiting struct {
-		trialRequest
-		until time.Duration
+	g := &game{
+		trial: t, share: s, budgets: t.totals(), coming: t.requests(),
+		spent: make([]sumachead.Tokens, len(trialWeights)), held: make([]sumachead.Tokens, len(trialWeights)),
 	}
-	type running struct {
-		ends   time.Duration
-		settle func(sumachead.Tokens)
-		w      int
-		bound  sumachead.Tokens
+	g.out.Requests = len(g.coming)
+	for ; g.at < trialLasts; g.at += trialTick {
+		g.step()
 	}
-	start := time.Unix(1_000_000, 0)
-	var out trialOutcome
-	var queue []waiting
-	var under []running
-	spent, held := make([]sumachead.Tokens, len(trialWeights)), make([]sumachead.Tokens, len(trialWeights))
-	totals := t.totals()
-	all := t.requests()
-	out.Requests = len(all)
-	for at := time.Duration(0); at < trialLasts; at += trialTick {
-		now := start.Add(at)
-		reached := true
-		for _, c := range t.cuts {
-			reached = reached && !c.holds(at)
-		}
-		if t.killed > 0 && at == t.killed {
-			s.kill(0, now)
-		}
-		for len(under) > 0 && under[0].ends <= at {
-			u := under[0]
-			under = under[1:]
-			bill := u.bound * 95 / 100
-			held[u.w] -= u.bound
-			spent[u.w] += bill
-			u.settle(bill)
-		}
-		s.tick(now, reached)
-		for len(all) > 0 && all[0].at <= at {
-			queue = append(queue, waiting{all[0], at + trialWait})
-			all = all[1:]
-		}
-		var next []waiting
-		for _, q := range queue {
-			name := trialName(q.workspace)
-			if settle, ok := s.reserve(q.router, name, q.bound, now, reached); ok {
-				out.Served++
-				held[q.workspace] += q.bound
-				under = append(under, running{at + trialRuns, settle, q.workspace, q.bound})
-				continue
-			}
-			if at < q.until {
-				next = append(next, q)
-				continue
-			}
-			if spent[q.workspace]+held[q.workspace]+q.bound <= totals[name] {
-				out.False++
-				if !reached {
-					out.InCuts++
-				}
-			}
+	for w := range trialWeights {
+		g.out.Overspent += max(g.spent[w]+g.held[w]-g.budgets[trialName(w)], 0)
+	}
+	return g.out
+}
+
+// now is the virtual time of day.
+func (g *game) now() time.Time { return time.Unix(1_000_000, 0).Add(g.at) }
+
+// step plays one tick.
+func (g *game) step() {
+	g.reached = !slices.ContainsFunc(g.cuts, func(c span) bool { return c.holds(g.at) })
+	if g.killed > 0 && g.at == g.killed {
+		g.share.kill(0, g.now())
+	}
+	g.settle()
+	g.share.tick(g.now(), g.reached)
+	for len(g.coming) > 0 && g.coming[0].at <= g.at {
+		g.waiting = append(g.waiting, waitingRequest{g.coming[0], g.at + trialWait})
+		g.coming = g.coming[1:]
+	}
+	var undecided []waitingRequest
+	for _, q := range g.waiting {
+		if !g.decide(q) {
+			undecided = append(undecided, q)
 		}
-		queue = next
 	}
-	for w := range trialWeights {
-		out.Overspent += max(spent[w]+held[w]-totals[trialName(w)], 0)
+	g.waiting = undecided
+}
+
+// settle bills the requests that have ended.
+func (g *game) settle() {
+	for len(g.running) > 0 && g.running[0].ends <= g.at {
+		q := g.running[0]
+		g.running = g.running[1:]
+		bill := q.bound * trialUsed / 100
+		g.held[q.workspace] -= q.bound
+		g.spent[q.workspace] += bill
+		q.settle(bill)
 	}
-	return out
+}
+
+// decide admits a request, or refuses one that has waited for as long as it may;
+// false when it has to go on waiting.
+func (g *game) decide(q waitingRequest) bool {
+	w := trialName(q.workspace)
+	if settle, ok := g.share.reserve(q.router, w, q.bound, g.now(), g.reached); ok {
+		g.out.Served++
+		g.held[q.workspace] += q.bound
+		g.running = append(g.running, runningRequest{q.trialRequest, g.at + trialRuns, settle})
+		return true
+	}
+	if g.at < q.until {
+		return false
+	}
+	if g.spent[q.workspace]+g.held[q.workspace]+q.bound <= g.budgets[w] {
+		g.out.False++
+		if !g.reached {
+			g.out.InCuts++
+		}
+	}
+	return true
 }
 
 // BenchmarkRoutersAdmission prints the experiment's table:
@@ -324,21 +244,6 @@
 	}
 }
 
-// trialPolicy is a policy by its name.
-type trialPolicy struct {
-	name string
-	share
-}
-
-func trialPolicies(t trial) []trialPolicy {
-	return []trialPolicy{
-		{"demand", newByDemand(t.totals())},
-		{"equal split", newPots(t.totals(), 1, func(_, _ sumachead.Tokens) sumachead.Tokens { return 0 })},
-		{"central", newPots(t.totals(), 0, func(_, bound sumachead.Tokens) sumachead.Tokens { return bound })},
-		{"leases of a 32nd", newPots(t.totals(), 0, func(total, bound sumachead.Tokens) sumachead.Tokens { return max(total/32, bound) })},
-	}
-}
-
 // No policy may overspend, and the product's refuses least while it is connected.
 func TestRoutersAdmission(t *testing.T) {
 	for _, s := range trials() {
