Raft: say what a poll passes by, and what PeerEnded needs

stepPoll's comment said that polls change no term, which is wrong: a reply in a later term is taken over. It says now which rules polls pass by, and why. onPoll, onPollReply, pollPause and two fields had no comment; upToDateFor did not say that it decides who campaigns and is goesBefore now. PeerEnded's callers have to be certain, since a leader that still runs may have a lease; both methods say so. The package's header lists the two. No code changes beyond the name.

--- a/internal/raft/calls.go
+++ b/internal/raft/calls.go
@@ -23,7 +23,8 @@
 	}
 }
 
-// PeerEnded takes in that the process of a member has ended. It does not block.
+// PeerEnded takes in that the process of a member has ended, of which the caller must
+// be certain. It does not block.
 func (n *Node) PeerEnded(id string) {
 	select {
 	case n.calls <- func() { n.core.PeerEnded(n.now(), id) }:
--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -6,6 +6,11 @@
 // learners, snapshots, and writing to the leader's disk in parallel with
 // replication (§10.2.1).
 //
+// Two things are its own: a poll (poll.go), by which members that were all restarted
+// elect a leader before an election timeout has passed, and [Node.PeerEnded], by
+// which they need not wait until the silence of a leader whose process has ended
+// shows.
+//
 // [Core] is the protocol alone: no clock, no disk, no network. It takes
 // messages and the time and yields a [Ready]: what to persist, send and apply.
 // [Storage] keeps the log, the vote and the snapshot on disk. [Node] drives a
--- a/internal/raft/poll.go
+++ b/internal/raft/poll.go
@@ -25,11 +25,13 @@
 // poll is what a member without a leader knows of the other voters.
 type poll struct {
 	// at is when the next round is due.
-	at    time.Duration
+	at time.Duration
+	// round numbers the rounds, so that a late reply counts for none.
 	round uint64
-	// idle are the voters that neither lead nor follow, as of this round.
+	// idle are the voters that neither lead nor follow, as of this round; nil while
+	// no round is under way.
 	idle map[string]bool
-	// beaten: another voter is to campaign.
+	// beaten: in this round another voter is to campaign.
 	beaten bool
 }
 
@@ -38,6 +40,8 @@
 	c.poll.at, c.poll.idle = c.now+c.pollPause(), nil
 }
 
+// pollPause draws a time that keeps members which started together from polling
+// each other at the same moments.
 func (c *Core) pollPause() time.Duration {
 	return time.Duration(c.cfg.Rand(int64(c.cfg.Election / pollPart)))
 }
@@ -57,8 +61,9 @@
 	}
 }
 
-// stepPoll deals with polls and their replies, which change no term; false means
-// that the message is another one.
+// stepPoll deals with polls and their replies; false means that the message is
+// another one. They go past the rules for incarnations and terms that Step has for
+// the others: a poll asks whoever runs at the address, whatever its term is.
 func (c *Core) stepPoll(m *wire.RaftMessage) bool {
 	switch m.GetKind() {
 	case wire.RaftKind_RAFT_KIND_POLL:
@@ -75,6 +80,8 @@
 	return true
 }
 
+// onPoll answers a poll. The reply has this member's term, and the end of its log,
+// by which the one that polls sees who is to campaign.
 func (c *Core) onPoll(m *wire.RaftMessage) {
 	c.sendLate(sender(m), &wire.RaftMessage{
 		Kind: wire.RaftKind_RAFT_KIND_POLL_REPLY, Term: c.term, Round: m.GetRound(),
@@ -82,6 +89,8 @@
 	})
 }
 
+// onPollReply takes in what another voter has answered in the round under way. A
+// later term is taken over, and ends the round.
 func (c *Core) onPollReply(m *wire.RaftMessage) {
 	if c.poll.idle == nil || m.GetRound() != c.poll.round {
 		return
@@ -96,15 +105,15 @@
 	case m.GetTerm() > c.term:
 		c.becomeFollower(m.GetTerm(), "")
 		return
-	case !c.upToDateFor(m):
+	case !c.goesBefore(m):
 		c.poll.beaten = true
 	}
 	c.noteIdle(m.GetFrom())
 }
 
-// upToDateFor reports whether this member rather than the one that has replied is
+// goesBefore reports whether this member rather than the one that has replied is
 // to campaign: by the log, then by id.
-func (c *Core) upToDateFor(m *wire.RaftMessage) bool {
+func (c *Core) goesBefore(m *wire.RaftMessage) bool {
 	if m.GetLogTerm() != c.lastTerm() {
 		return m.GetLogTerm() < c.lastTerm()
 	}
@@ -134,7 +143,8 @@
 }
 
 // PeerEnded takes in that a member's process has ended: it leads no more. A member
-// that followed it need not wait until its silence shows.
+// that followed it need not wait until its silence shows. It must be certain: a
+// leader that still runs may have a lease.
 func (c *Core) PeerEnded(now time.Duration, id string) {
 	c.now = now
 	if c.role == Leader || c.member(id) == nil {
