Fleet: comments that say which heartbeats, pauses and figures are meant

Unclear were: what an aliveBatch's two maps hold and for whom; what saw returns, and why a spare relay waits just so long; why the first failed copy is followed by another after ten milliseconds; in which order Budget returns its two amounts; which lines the keeper's bound covers; when the file of known servers is written. The bound on an answer to a copy's question stood twice and is copyWithin now; two constants that shared one comment have one each; Follow decides by a switch; again had one caller and one loop, which stands in passAlive now. IsRefused says what it can't tell apart. The package's header names the heartbeats that every keeper takes and the file.

No change of behaviour. Tests of the package list and make lint pass.

--- a/internal/fleet/alive.go
+++ b/internal/fleet/alive.go
@@ -14,7 +14,7 @@
 	// new: some times in the interval of heartbeats.
 	aliveEvery = 300 * time.Millisecond
 	// recordsAfter is for how long heartbeats that told something new are gathered:
-	// servers come in series, and callers have not missed them so far.
+	// servers come in series, and callers have not missed a new one so far.
 	recordsAfter = 40 * time.Millisecond
 	// contactFor is how long after the leader's last answer, or its own start, a
 	// keeper takes heartbeats of ready servers for it: some elections. It is less
@@ -22,14 +22,17 @@
 	contactFor = 4 * election
 )
 
-// aliveBatch gathers heartbeats of servers that are ready.
+// aliveBatch gathers heartbeats of servers that are ready, which a keeper that does
+// not lead has acknowledged and passes on to the leader.
 type aliveBatch struct {
 	// kick is told when there is a record.
 	kick chan struct{}
 
-	mu        sync.Mutex // guards the fields below
+	mu sync.Mutex // guards the fields below
+	// sequences are the newest heartbeats that told nothing new, by the server's id.
 	sequences map[string]uint64
-	records   map[string]*wire.ServerRecord
+	// records are the newest heartbeats that told something new, by the server's id.
+	records map[string]*wire.ServerRecord
 }
 
 func newAliveBatch() *aliveBatch {
@@ -46,7 +49,7 @@
 	b.sequences[r.GetId()] = max(b.sequences[r.GetId()], r.GetSequence())
 }
 
-// addRecord notes a heartbeat that did; the newest of a server counts.
+// addRecord notes a heartbeat that told something new; the newest of a server counts.
 func (b *aliveBatch) addRecord(r *wire.ServerRecord) {
 	b.mu.Lock()
 	if old := b.records[r.GetId()]; old == nil || old.GetSequence() < r.GetSequence() {
@@ -111,7 +114,8 @@
 	}
 }
 
-// passAlive passes on what is gathered.
+// passAlive passes on what is gathered, once a leader is known. Records that were
+// not passed on are put back for the next time.
 func (k *Keeper) passAlive(ctx context.Context) {
 	leader := k.node.Status().GetLeader()
 	if leader == "" {
@@ -129,14 +133,9 @@
 	defer cancel()
 	if _, err := rpc.Call[wire.Empty](ctx, k.Pool.Get(leader), "Fleet.Alive", report); err != nil {
 		k.Log.Debug("Heartbeats were not passed on.", "servers", len(report.GetIds()), "records", len(report.GetRecords()), "error", err)
-		k.again(report.GetRecords())
-	}
-}
-
-// again puts records back that were not passed on, for the next time.
-func (k *Keeper) again(records []*wire.ServerRecord) {
-	for _, r := range records {
-		k.alive.addRecord(r)
+		for _, r := range report.GetRecords() {
+			k.alive.addRecord(r)
+		}
 	}
 }
 
@@ -167,9 +166,9 @@
 }
 
 // copyFresh reports whether this keeper's copy of the records is the leader's as
-// of a moment ago.
+// of a moment ago: it has answered within the time that one question may take.
 func (k *Keeper) copyFresh() bool {
-	return time.Since(time.Unix(0, k.copiedAt.Load())) < copyWait+callTimeout
+	return time.Since(time.Unix(0, k.copiedAt.Load())) < copyWithin
 }
 
 // inContact reports whether the leader has answered lately, or may not have had the
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -19,9 +19,14 @@
 	sweepEvery = time.Second
 	// copyWait is how long the leader may hold a keeper's question.
 	copyWait = 800 * time.Millisecond
-	// copyPause separates questions that failed. The first is put again after
-	// copyAgain, to tell a lost connection from a leader whose process has ended.
+	// copyWithin bounds an answer to such a question.
+	copyWithin = copyWait + callTimeout
+	// copyPause separates questions that failed: some of them fit into an election
+	// timeout.
 	copyPause = 200 * time.Millisecond
+	// copyAgain is the same after the first that failed, which may only mean that a
+	// connection was lost. The next one needs a new connection: if that is refused,
+	// the leader's process has ended.
 	copyAgain = 10 * time.Millisecond
 )
 
@@ -132,7 +137,7 @@
 		// The declaration comes by the log.
 		Number: math.MaxUint64, History: history, Version: version, WaitMillis: copyWait.Milliseconds(),
 	}
-	ctx, cancel := context.WithTimeout(ctx, copyWait+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, copyWithin)
 	defer cancel()
 	reply, err := rpc.Call[wire.FollowReply](ctx, k.Pool.Get(leader), "Fleet.Follow", r)
 	if rpc.IsRefused(err) {
--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -8,6 +8,8 @@
 // keeper running on a disk that may fail for a while.
 //
 // Every keeper takes the calls of operators and backend servers, and passes on to
-// the leading one what only that can answer. Nodes call the leading keeper; another
-// one refuses and names it.
+// the leading one what only that can answer. Heartbeats of servers that are ready it
+// acknowledges by itself, and passes them on in batches (alive.go); the servers that
+// it knows are kept in a file, for a leader after a kill of all (records.go). Nodes
+// call the leading keeper; another one refuses and names it.
 package fleet
--- a/internal/fleet/followers.go
+++ b/internal/fleet/followers.go
@@ -28,9 +28,11 @@
 	// in halls that a cut has not reached.
 	relaysEach = 4
 	// relaysInHall is how many relays of a hall are told to routers: enough that
-	// the loss of some leaves a way. Others ask again after spareRelayPause, in
-	// case that one of these has gone.
-	relaysInHall    = 8
+	// the loss of some leaves a way.
+	relaysInHall = 8
+	// spareRelayPause is how long a relay beyond these waits before it asks again
+	// whether it is needed: longer than relayLives, after which one that has gone
+	// does not count any more.
 	spareRelayPause = 15 * time.Second
 )
 
@@ -52,7 +54,8 @@
 
 func newFollowers() *followers { return &followers{nodes: make(map[sumachead.NodeID]follower)} }
 
-// saw notes a question. A relay that is not needed is told for how long.
+// saw notes a question. For a relay that is not needed, which is not noted, it
+// returns how long that should wait before it asks again; 0 for all others.
 func (f *followers) saw(r *wire.FollowRequest, now time.Time) (pause time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -66,8 +66,9 @@
 	followers *followers
 	loads     *loads
 	metrics   *metrics
-	// lines bounds what is logged of grants.
+	// lines bounds what is logged of grants and of server records.
 	lines *telemetry.Lines
+	// alive is what this keeper passes on to the leader.
 	alive *aliveBatch
 	// startedAt is when Prepare was called.
 	startedAt time.Time
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -175,7 +175,7 @@
 	return s.Size(m.book, r, now)
 }
 
-// Budget returns a workspace's total, and what of it is not granted.
+// Budget returns what of a workspace's budget is not granted, and its total.
 func (m *Machine) Budget(w sumachead.WorkspaceID) (free, total sumachead.Tokens) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -13,10 +13,10 @@
 	"sumachead/internal/wal"
 )
 
-// A leader that has just started knows no server before its next heartbeat, which
-// may take an interval of heartbeats after a kill of all keepers. So each keeper
-// keeps the servers that it knows in a file. What it says is a hint: a server that
-// has ended meanwhile refuses connections or names another life, and falls silent.
+// After a kill of all keepers a leader would know no server before the server's next
+// heartbeat, which may take an interval of heartbeats. So each keeper keeps the
+// servers that it knows in a file. What the file says is a hint: a server that has
+// ended meanwhile refuses connections or names another life, and falls silent.
 
 const (
 	// recordsFile is the file in a keeper's folder that holds server records.
@@ -45,7 +45,8 @@
 	k.Log.Info("Servers are known from before.", "servers", len(known.GetServers()))
 }
 
-// recordsLoop keeps the file up to date.
+// recordsLoop keeps the file up to date. Each change that followers are told of moves
+// the table's position.
 func (k *Keeper) recordsLoop(ctx context.Context) error {
 	type position struct {
 		history string
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -99,7 +99,8 @@
 	return nil
 }
 
-// Follow tells a node what it lacks; it is held until there is something.
+// Follow tells a node what it lacks; it is held until there is something. A node that
+// only asks who leads is answered at once, and a relay is told of no servers.
 func (s *service) Follow(r *wire.FollowRequest, reply *wire.FollowReply) error {
 	k := s.keeper
 	if err := k.leading(); err != nil {
@@ -109,11 +110,13 @@
 		k.describe(r, reply)
 		return nil
 	}
-	if pause := k.followers.saw(r, time.Now()); pause > 0 {
+	pause := k.followers.saw(r, time.Now())
+	switch {
+	case pause > 0:
 		reply.PauseMillis = pause.Milliseconds()
-	} else if r.GetRole() == RoleRelay {
+	case r.GetRole() == RoleRelay:
 		time.Sleep(min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxRelayWait))
-	} else {
+	default:
 		s.hold(r)
 	}
 	if err := k.leading(); err != nil {
@@ -134,8 +137,8 @@
 	return nil
 }
 
-// describe tells a node of the fleet's control: who leads, who else there is, and
-// how many routers share what is shared.
+// describe tells a node of the fleet's control: who leads, which other keepers there
+// are, how many routers there are, and to a router its relays.
 func (k *Keeper) describe(r *wire.FollowRequest, reply *wire.FollowReply) {
 	reply.Keepers = k.node.Status().GetMembers()
 	reply.Leader = k.Address
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -28,7 +28,8 @@
 	// ctx ends the queues' goroutines.
 	ctx  context.Context
 	pool *rpc.Pool
-	// ended is told of an address at which no process listens any more.
+	// ended is told of an address at which no process listens any more; it must not
+	// block.
 	ended func(address string)
 
 	mu sync.Mutex // guards queues
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -35,7 +35,8 @@
 // ErrNotSent marks a call that never left this process: it had no effect.
 var ErrNotSent = errors.New("call was not sent")
 
-// IsRefused reports whether a call ended since no process listens at the address.
+// IsRefused reports whether a call ended since no process listens at the address. A
+// firewall that refuses connections in a host's name looks the same.
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // Client calls one address.
