Fleet client, registry: comments of searches and of a follower's own knowledge

search still said that all ways are asked at once, which holds no more. Three constants shared one comment that ran from one to the next; each has its own. The function wait had the name of a parameter in the same file and is pause. claim's comment left out that it notes the way, and that of found read both ways. The registry's header did not say what a follower changes by itself, and that a table may begin with the records of an earlier one.

No change of behaviour. Tests of the package list and make lint pass.

--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -1,8 +1,9 @@
 // Package fleetclient connects a node without a disk to the keepers of a fleet.
 //
 // A [Client] finds the leading keeper from a few seeds, directly or, where this
-// node is cut off from the keepers, through relays; follows the declaration in
-// force and the server records; and carries calls to the leader the same way.
+// node is cut off from the keepers, through relays (search.go); follows the
+// declaration in force and the server records (client.go); and carries calls
+// (call.go), escrow reports among them (escrow.go), to the leader the same way.
 package fleetclient
 
 import (
@@ -136,13 +137,13 @@
 		if c.search(ctx) {
 			continue
 		}
-		wait(ctx, searchPause+searchEach*time.Duration(c.Routers()))
+		pause(ctx, searchPause+searchEach*time.Duration(c.Routers()))
 	}
 	return nil
 }
 
-// wait waits, or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
+// pause returns after d, or once ctx ends.
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
 	case <-ctx.Done():
@@ -189,7 +190,7 @@
 	if err == nil {
 		c.take(reply)
 		c.heard(w, reply)
-		wait(ctx, time.Duration(reply.GetPauseMillis())*time.Millisecond)
+		pause(ctx, time.Duration(reply.GetPauseMillis())*time.Millisecond)
 		return true
 	}
 	if ctx.Err() != nil {
@@ -237,7 +238,7 @@
 	c.OnLacking(ids)
 }
 
-// found keeps a way over which a leader has answered that was looked for.
+// found keeps a way over which the leader has answered a search.
 func (c *Client) found(w Way, r *wire.FollowReply) {
 	c.mu.Lock()
 	if c.way != w {
--- a/internal/fleetclient/search.go
+++ b/internal/fleetclient/search.go
@@ -16,13 +16,16 @@
 	// relayDelay is the head start that direct ways have in a search: some round
 	// trips between data halls.
 	relayDelay = 20 * time.Millisecond
-	// searchMost is how many keepers a search asks directly: with a few more it would
-	// still find one that knows the leader, and a large fleet that has lost its
-	// leader would keep all keepers busy. searchAtOnce of them are asked at once,
-	// as many again after each searchStage, some round trips between data halls.
-	searchMost   = 6
+	// searchMost is how many keepers a search asks directly: enough to find one that
+	// knows the leader. If each search asked all keepers, those of a large fleet that
+	// has lost its leader would be busy with searches.
+	searchMost = 6
+	// searchAtOnce is how many of them are asked at a time: one of these mostly runs
+	// and knows the leader.
 	searchAtOnce = 3
-	searchStage  = 25 * time.Millisecond
+	// searchStage is the time between these and the next ones: some round trips
+	// between data halls.
+	searchStage = 25 * time.Millisecond
 	// throughEach is how many keepers a search asks through each relay.
 	throughEach = 2
 	// directAgain is how often a node that goes through a relay tries the direct
@@ -30,9 +33,9 @@
 	directAgain = 2 * time.Second
 )
 
-// search asks keepers over all ways at once and takes the first answer of a
-// leader; false means that nobody led. Searches that are wanted at the same time
-// are one.
+// search asks keepers over several ways, some of them later than others, and takes
+// the first answer of a leader; false means that nobody led. Searches that are wanted
+// at the same time are one.
 func (c *Client) search(ctx context.Context) bool {
 	done := c.searching.DoChan("", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), searchTimeout)
@@ -77,12 +80,14 @@
 // delayedWay is a way that a search asks after some time.
 type delayedWay struct {
 	Way
+	// after counts from the start of the search.
 	after time.Duration
 }
 
 // ways lists the ways that a search asks: some keepers directly, and a few through
 // each relay, others for each search. A keeper that does not lead names the one
-// that does, so that asking all of them through all relays would tell no more.
+// that does, so that asking all of them through all relays would tell no more. An
+// answer ends the search, so that ways with a later time are mostly not asked.
 func (c *Client) ways() []delayedWay {
 	keepers := c.Keepers()
 	c.mu.Lock()
@@ -102,7 +107,7 @@
 	return ws
 }
 
-// spread makes nodes begin their searches at different keepers.
+// spread returns a number by which nodes begin their searches at different keepers.
 func (c *Client) spread() uint16 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(c.Node))
@@ -111,7 +116,8 @@
 
 // searching is one search.
 type searching struct {
-	client  *Client
+	client *Client
+	// request asks only who leads.
 	request *wire.FollowRequest
 
 	mu sync.Mutex // guards asked
@@ -119,7 +125,8 @@
 	asked map[Way]bool
 }
 
-// claim reports whether a way has not been asked in this search.
+// claim reports whether a way has not been asked in this search, and notes that it
+// is asked now.
 func (s *searching) claim(w Way) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -3,8 +3,11 @@
 //
 // A [Table] holds one record for each life of a server. At the leader, records
 // get rising versions, by which followers ask for what is new to them; at a
-// follower the same table holds the copy. A server that has said it is leaving
-// never becomes ready again in that life.
+// follower the same table holds the copy. What a follower learns by itself, as that
+// a server still beats ([Table.Refresh]) or that its life is over ([Table.Leave]),
+// changes its copy without a version. A server that has said it is leaving never
+// becomes ready again in that life. A table may begin with the records of an earlier
+// one ([Table.Load]), which count as silent until their servers are heard of.
 package registry
 
 import (
