Gateway, intake: one place for default limits, one name for one thing

Defaults of callers' limits were put in by the gateway and again by the intake's server, while Memory.Read took a 0 as "nothing allowed", against the comment of Limits. The intake does it alone now, in both places; what the product does is the same. fetchFrom named a threshold in tokens and, in the same package, the address to fetch from; the threshold is fetchLeast. chunk is firstRoom. The defaults had no word on where they are from; the package's header did not say where bills, placement, retries and loads are; comments of most, take, Read, read and grow say what they left out.

Tests of the package list and make lint pass.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -177,7 +177,8 @@
 	case a.Head.NotRun || a.Head.Stale:
 		reason := sumachead.ReasonBusy
 		if a.Head.Stale {
-			// Another life answers at the address: this one is over.
+			// Another life answers at the address: this one is over, so that
+			// nothing more is sent to it before the leader tells of that.
 			reason = sumachead.ReasonFenced
 			d.servers.Leave(l.record.GetId(), time.Now())
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,8 @@
 // Ready reports whether callers should be sent here.
 func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.client.View() != nil }
 
-// Limits returns what the declaration in force says of callers.
+// Limits returns what the declaration in force says of callers; 0 for what it does not
+// say.
 func (g *Gateway) Limits() intake.Limits {
 	var l *wire.CallerLimits
 	if v := g.client.View(); v != nil {
@@ -130,7 +131,7 @@
 	return intake.Limits{
 		HeaderBytes: l.GetHeaderBytes(), BodyBytes: l.GetBodyBytes(),
 		Header: time.Duration(l.GetHeaderMillis()) * time.Millisecond, Idle: time.Duration(l.GetIdleMillis()) * time.Millisecond,
-	}.OrDefault()
+	}
 }
 
 // Open returns how many requests are under way.
--- a/internal/gateway/placer.go
+++ b/internal/gateway/placer.go
@@ -15,9 +15,10 @@
 	othersFor = time.Second
 	// partsKept bounds the parts remembered for each server.
 	partsKept = 4096
-	// fetchFrom is from how many tokens on, more than the chosen server has, shared
-	// parts are fetched from another: less is read as fast as a fetch is set up.
-	fetchFrom = 1000
+	// fetchLeast is how many more tokens of the shared parts than the chosen server
+	// another one must have for them to be fetched: less is read as fast as a fetch
+	// is set up.
+	fetchLeast = 1000
 	// forgetState is how long the state of a server that is not used is kept.
 	forgetState = 2 * time.Minute
 )
@@ -76,7 +77,8 @@
 	if x.service.GetEngine().GetFetchTokensPerSecond() == 0 || len(shared) == 0 {
 		return ""
 	}
-	address, most := "", p.state(sumachead.ServerID(chosen.GetId())).cached(shared)+fetchFrom
+	// most is what the best source so far has, and at first the least that is worth it.
+	address, most := "", p.state(sumachead.ServerID(chosen.GetId())).cached(shared)+fetchLeast
 	for _, s := range servers {
 		st := p.state(sumachead.ServerID(s.GetId()))
 		if s == chosen || s.GetState() != wire.ServerState_SERVER_STATE_READY || now.Before(st.suspectTo) {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -27,8 +27,8 @@
 	filled time.Time
 }
 
-// most returns how many repeats the bucket holds with so many routers. With many it
-// is a part of one: then it is the chance that a repeat may be sent.
+// most returns how many repeats the bucket holds with so many routers. With many
+// routers that is less than one, and take then makes it a chance.
 func (a *retryAllowance) most(routers int) float64 {
 	return a.extra * retryShare / float64(routers)
 }
@@ -56,8 +56,8 @@
 }
 
 // take reports whether a request may be sent again, and uses up the allowance
-// for it. A bucket that can't hold one repeat lends it, with the chance that its
-// part of one is, and earns it back.
+// for it. A bucket that can't hold a whole repeat lends one by chance, with the
+// probability of the part that it holds, and earns it back.
 func (a *retryAllowance) take(now time.Time, routers int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -11,12 +11,14 @@
 	"sumachead"
 )
 
-// comeBack is when to come back after a refusal for want of memory: some bodies are
-// done with by then.
-const comeBack = 300 * time.Millisecond
-
-// chunk is the room for a body whose length is not told; it grows as need be.
-const chunk = 16 << 10
+const (
+	// comeBack is how long a caller that was refused for want of memory should wait:
+	// some bodies are done with by then.
+	comeBack = 300 * time.Millisecond
+	// firstRoom is the room in bytes for a body whose length is not told, which is
+	// doubled as need be.
+	firstRoom = 16 << 10
+)
 
 // Memory bounds the bytes of bodies that are held at a time.
 type Memory struct {
@@ -28,17 +30,20 @@
 
 // Body is a body that was read whole.
 type Body struct {
-	Data   []byte
+	Data []byte
+
 	memory *Memory
-	size   int64
+	// size is how many bytes are counted for it.
+	size int64
 }
 
 // Release gives the body's memory back. It may be called once.
 func (b *Body) Release() { b.memory.held.Add(-b.size) }
 
-// Read reads a request's body within its limits. The error is a
-// [*sumachead.Refusal]; nothing is held then.
+// Read reads a request's body, if its headers and the body are within the limits. The
+// error is a [*sumachead.Refusal]; nothing is held then.
 func (m *Memory) Read(r *http.Request, l Limits) (*Body, error) {
+	l = l.orDefault()
 	if n := headerSize(r); n > l.HeaderBytes {
 		return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonHeadersTooLarge, "the headers are too large", time.Time{})
 	}
@@ -56,9 +61,10 @@
 	return b, nil
 }
 
-// read reads to the end. The length is below 0 when it was not told.
+// read reads to the end, or until there are more than most bytes. The length is below
+// 0 when it was not told. What is counted after an error is given back by Release.
 func (b *Body) read(from io.Reader, length, most int64) error {
-	size := int64(chunk)
+	size := int64(firstRoom)
 	if length >= 0 {
 		size = length + 1 // room to see the end
 	}
@@ -87,7 +93,7 @@
 	}
 }
 
-// grow counts n bytes more.
+// grow counts n bytes more, also where the error says that they are too many.
 func (b *Body) grow(n int64) error {
 	b.size += n
 	if held := b.memory.held.Add(n); b.memory.Most > 0 && held > b.memory.Most {
@@ -96,6 +102,7 @@
 	return nil
 }
 
+// tooLarge is the refusal of a body that is over its limit.
 func tooLarge() error {
 	return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonTooLarge, "the body is too large", time.Time{})
 }
@@ -103,7 +110,7 @@
 // headerSize returns the size of a request's line and headers as they were sent,
 // but for spaces.
 func headerSize(r *http.Request) int64 {
-	const line = 4 // a colon, a space and the end of the line
+	const line = 4 // a colon, a space and the two bytes that end the line
 	n := int64(len(r.Method)+len(r.RequestURI)+len(r.Proto)) + line + int64(len("Host")+len(r.Host)) + line
 	for name, values := range r.Header {
 		for _, v := range values {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -10,7 +10,7 @@
 	"sumachead/internal/telemetry"
 )
 
-// Limits bound what one caller may do. A limit of 0 takes the default.
+// Limits bound what one caller may do. A limit of 0 stands for the default.
 type Limits struct {
 	// HeaderBytes bounds the request line and the headers.
 	HeaderBytes int64
@@ -24,14 +24,18 @@
 
 // The defaults, for callers of which no declaration says anything.
 const (
+	// defaultHeaderBytes is a sixteenth of net/http's own bound.
 	defaultHeaderBytes = 64 << 10
-	defaultBodyBytes   = 8 << 20
-	defaultHeader      = 10 * time.Second
-	defaultIdle        = 75 * time.Second
+	// defaultBodyBytes is what bodies were bounded by before limits could be declared.
+	defaultBodyBytes = 8 << 20
+	// defaultHeader is the bound that telemetry.HTTPServer has for all servers.
+	defaultHeader = 10 * time.Second
+	// defaultIdle is how long connections could rest before limits could be declared.
+	defaultIdle = 75 * time.Second
 )
 
-// OrDefault returns the limits with defaults where they say nothing.
-func (l Limits) OrDefault() Limits {
+// orDefault returns the limits with defaults where they say nothing.
+func (l Limits) orDefault() Limits {
 	if l.HeaderBytes <= 0 {
 		l.HeaderBytes = defaultHeaderBytes
 	}
@@ -52,7 +56,8 @@
 	Address string
 	Handler http.Handler
 	Listen  *net.ListenConfig
-	// Limits returns the limits in force.
+	// Limits returns the limits in force. It is called while a connection is noted,
+	// so that it must not block.
 	Limits func() Limits
 	// MaxConns bounds the connections at a time; 0 for no bound. Above it the one
 	// that has rested longest is closed, or the new one where none rests.
@@ -68,7 +73,8 @@
 
 // connection is what is known of one connection.
 type connection struct {
-	// timer closes the connection while it waits for a request.
+	// timer closes the connection while it waits for a request, which has come when
+	// its headers are read.
 	timer *time.Timer
 	// restingSince is when its last answer ended; zero while a request is under
 	// way, and before the first.
@@ -110,15 +116,17 @@
 	}
 }
 
-func (s *Server) limits() Limits { return s.Limits().OrDefault() }
+// limits returns the limits in force, without gaps.
+func (s *Server) limits() Limits { return s.Limits().orDefault() }
 
 // closeAfter closes a connection some time from now.
 func closeAfter(conn net.Conn, after time.Duration) *time.Timer {
-	// Who waits on a connection that is closed sees that.
+	// Whoever reads or writes on a closed connection gets an error from that.
 	return time.AfterFunc(after, func() { _ = conn.Close() })
 }
 
-// makeRoom closes a connection if a new one makes too many. The caller holds mu.
+// makeRoom closes a connection if a new one makes too many: the one that has rested
+// longest, or else the new one. The caller holds mu.
 func (s *Server) makeRoom(added net.Conn) {
 	if s.MaxConns <= 0 || len(s.conns) <= s.MaxConns {
 		return
