Scenarios' network: what a place and a way are, and which places pump means

One comment explained two maps, "blocked are ways" did not say how a way is written, and pump(to, from, a, b) left open which pair of places the bytes come from: they are fromPlaces and toPlaces now. classOf returned all places of a caller, not its class, and is placesOf, as its field and its counterpart are. Fields and methods without a comment have one. No change of behaviour; go vet and make lint pass.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -93,14 +93,14 @@
 		return err
 	}
 	p.relay = &relay{
-		lis: lis, target: p.rpc, places: []string{hall, name, class}, net: f.net, placesOf: f.classOf, done: make(chan struct{}),
+		lis: lis, target: p.rpc, places: []string{hall, name, class}, net: f.net, placesOf: f.placesOf, done: make(chan struct{}),
 	}
 	p.env = []string{"SUMACHEAD_SETTINGS=" + f.path(name+".conf")}
 	return f.writeSettings(i, p, serves, true)
 }
 
-// classOf names the places of a caller by its address.
-func (f *fleet) classOf(ip string) []string {
+// placesOf names the places of a caller by its address.
+func (f *fleet) placesOf(ip string) []string {
 	for _, p := range f.processes {
 		if p.ip == ip {
 			return []string{p.hall, p.name, p.role}
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -106,12 +106,14 @@
 	all.Wait()
 }
 
+// note counts something.
 func (s *fleetSoak) note(counts map[string]int, what string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counts[what]++
 }
 
+// breaks notes a promise that is broken, for the report.
 func (s *fleetSoak) breaks(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -240,6 +242,7 @@
 	}
 }
 
+// report prints what was done and fails the test if a promise was broken.
 func (s *fleetSoak) report() {
 	s.t.Logf("processes %d, requests %d, declarations to %d", len(s.f.order), s.f.requests, s.acked)
 	s.t.Logf("faults %v", s.faults)
--- a/internal/scenario/relay_test.go
+++ b/internal/scenario/relay_test.go
@@ -8,23 +8,29 @@
 	"time"
 )
 
-// network decides which halls reach each other, and how fast.
+// network decides which places reach each other, and how fast. A place is a hall, a
+// process or a class of processes. A way leads in one direction, and is the two names
+// with a bar between them.
 type network struct {
 	mu sync.Mutex // guards the fields below
-	// blocked are ways in one direction, and delays how long bytes take on one.
+	// blocked are the ways that are cut.
 	blocked map[string]bool
-	delays  map[string]time.Duration
+	// delays are how long bytes take, by the way.
+	delays map[string]time.Duration
+	// changed is closed when a way is cut or heals.
 	changed chan struct{}
 	// pairs are the connections that relays pass on.
 	pairs map[*pair]bool
 }
 
-// pair is one connection that a relay passes on, and where it is from and to.
+// pair is one connection that a relay passes on, as the two that it consists of.
 type pair struct {
 	caller, target net.Conn
-	from, to       []string
+	// from and to are the places that the caller and the target count among.
+	from, to []string
 }
 
+// newNetwork returns a network without a cut.
 func newNetwork() *network {
 	return &network{
 		blocked: make(map[string]bool), delays: make(map[string]time.Duration),
@@ -32,8 +38,7 @@
 	}
 }
 
-// set cuts or heals the way between two places, both ways. A place is a hall
-// or a process.
+// set cuts or heals the way between two places, both ways.
 func (n *network) set(a, b string, blocked bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -49,7 +54,7 @@
 	n.notify()
 }
 
-// setDelay makes bytes between two places late; 0 ends that.
+// setDelay makes bytes between two places late, both ways; 0 ends that.
 func (n *network) setDelay(a, b string, d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -99,7 +104,8 @@
 	}
 }
 
-// delay returns how long bytes take on a way.
+// delay returns how long bytes take: the longest of what is set for any pair of the
+// places.
 func (n *network) delay(from, to []string) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -112,6 +118,7 @@
 	return most
 }
 
+// healAll ends all cuts and delays.
 func (n *network) healAll() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -136,6 +143,7 @@
 	}
 }
 
+// free reports whether no way between the places is cut. The caller holds mu.
 func (n *network) free(from, to []string) bool {
 	for _, a := range from {
 		for _, b := range to {
@@ -150,15 +158,18 @@
 // relay stands before one process. Bytes that a cut holds back go on after it
 // has healed, as they do in a real network.
 type relay struct {
-	lis    net.Listener
+	lis net.Listener
+	// target is the process's own address, and places what it counts among.
 	target string
 	places []string
 	net    *network
 	// placesOf names the places of a caller by its IP address.
 	placesOf func(ip string) []string
-	done     chan struct{}
+	// done is closed by close.
+	done chan struct{}
 }
 
+// run takes connections until close is called.
 func (r *relay) run() {
 	for {
 		c, err := r.lis.Accept()
@@ -169,11 +180,13 @@
 	}
 }
 
+// close ends run, and connections that wait for a way which is cut.
 func (r *relay) close() {
 	close(r.done)
 	_ = r.lis.Close()
 }
 
+// serve passes one connection on until it ends.
 func (r *relay) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	ip, _, _ := strings.Cut(c.RemoteAddr().String(), ":")
@@ -193,14 +206,15 @@
 	both.Wait()
 }
 
-// pump copies one way until an end, holding back while the way is cut.
-func (r *relay) pump(to, from net.Conn, a, b []string) {
+// pump copies what one side sends to the other until an end, late where the way is
+// delayed, and holding back while it is cut.
+func (r *relay) pump(to, from net.Conn, fromPlaces, toPlaces []string) {
 	defer func() { _ = to.Close() }()
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		time.Sleep(r.net.delay(a, b))
-		if !r.net.open(a, b, r.done) {
+		time.Sleep(r.net.delay(fromPlaces, toPlaces))
+		if !r.net.open(fromPlaces, toPlaces, r.done) {
 			return
 		}
 		if n > 0 {
