--- a/internal/telemetry/clock.go
+++ b/internal/telemetry/clock.go
@@ -24,7 +24,7 @@
 }
 
 // jumped returns by how much the time of day has jumped since the last look; 0 for
-// no jump. The steady time counts from any moment.
+// no jump. The steady time may count from any moment, but always from the same.
 func (c *clockWatch) jumped(wall time.Time, steady time.Duration) time.Duration {
 	offset := time.Duration(wall.UnixNano()) - steady
 	by := offset - c.offset
@@ -39,7 +39,7 @@
 // and other hosts' lines carry can't be compared across one.
 func WatchClock(ctx context.Context, log hclog.Logger) error {
 	begun := time.Now()
-	w := &clockWatch{offset: time.Duration(begun.UnixNano())}
+	w := &clockWatch{offset: time.Duration(begun.UnixNano())} // the steady clock counts from begun
 	return loop.Every(ctx, clockEvery, func() {
 		now := time.Now()
 		if by := w.jumped(now, now.Sub(begun)); by != 0 {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -1,6 +1,7 @@
 // Package telemetry serves health and metrics, and makes the logs of all
 // roles alike. A [QueuedWriter] keeps a slow reader of the log from holding up
-// the process; [Lines] bounds how many lines of one kind there are.
+// the process; [Lines] bounds how many lines of one kind there are; [WatchClock]
+// tells of jumps of the time of day, across which logs can't be compared.
 package telemetry
 
 import (
@@ -20,6 +21,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
+// headerTimeout bounds how long the headers of a request may take on any connection,
+// also where [HTTPServer.ConnState] closes connections by other limits.
 const headerTimeout = 10 * time.Second
 
 // DrainMonitoring is the Drain of a server of health and metrics alone.
