--- /dev/null
+++ b/internal/fleet/records_test.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"sumachead/api/wire"
+	"sumachead/internal/wal"
+)
+
+// After a kill of all keepers the next leader knows the servers that were ready,
+// and those that leave, without a heartbeat.
+func TestServersAreKnownAfterAKillOfAll(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	leader, _ := c.leader()
+	for i := range 4 {
+		r := &wire.ServerRecord{Id: fmt.Sprint("s", i), Service: "chat", Address: "10.0.0.1:80", Sequence: 1}
+		if err := leader.Beat(context.Background(), r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.eventually("all keepers have written four servers", func() bool {
+		for i := range c.members {
+			data, err := wal.ReadFile(filepath.Join(c.data(i), recordsFile))
+			known := &wire.ServerRecords{}
+			if err != nil || proto.Unmarshal(data, known) != nil || len(known.GetServers()) != 4 {
+				return false
+			}
+		}
+		return true
+	})
+	if err := leader.Beat(context.Background(), &wire.ServerRecord{Id: "s0", State: wire.ServerState_SERVER_STATE_LEAVING}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range c.members {
+		c.halt(i)
+	}
+	for i := range c.members {
+		c.start(i, false)
+	}
+	next, _ := c.leader()
+	if diff := cmp.Diff(3, known(next)); diff != "" {
+		t.Fatalf("servers known to the next leader (-want +got):\n%s", diff)
+	}
+}
--- a/internal/gateway/placement.go
+++ b/internal/gateway/placement.go
@@ -44,7 +44,8 @@
 	begun time.Time
 	// home: the server is the first choice for the prompt's shared parts.
 	home bool
-	// fetchFrom is the address of a server that keeps more of them; empty for none.
+	// fetchFrom is the address of a server that keeps more of these parts; empty for
+	// none.
 	fetchFrom string
 }
 
--- a/internal/raft/poll_test.go
+++ b/internal/raft/poll_test.go
@@ -14,7 +14,8 @@
 // quietNet is a group whose messages arrive at once, but for members that are
 // silent.
 type quietNet struct {
-	cores  map[string]*Core
+	cores map[string]*Core
+	// silent members get no messages, and none of theirs arrive.
 	silent map[string]bool
 	now    time.Duration
 }
@@ -38,6 +39,7 @@
 	return n
 }
 
+// core returns a member as it starts from what is on its disk.
 func (n *quietNet) core(id, incarnation string, state *wire.HardState, members *wire.Members, entries []*wire.LogEntry) *Core {
 	cfg := Config{
 		Group: "g", ID: id, Incarnation: incarnation, Heartbeat: testHeartbeat, Election: testElection, Rand: rand.Int64N,
@@ -54,8 +56,7 @@
 				c.Tick(n.now)
 			}
 		}
-		for n.deliver() {
-		}
+		n.settle()
 		for id, c := range n.cores {
 			if c.role == Leader && !n.silent[id] {
 				return id
@@ -65,6 +66,19 @@
 	return ""
 }
 
+// settle hands over messages until no member wants any sent.
+func (n *quietNet) settle() {
+	for n.deliver() {
+	}
+}
+
+// ended tells members that the process of another has ended.
+func (n *quietNet) ended(id string, members ...string) {
+	for _, m := range members {
+		n.cores[m].PeerEnded(n.now, id)
+	}
+}
+
 // deliver hands over what the members want sent; false when that was nothing.
 func (n *quietNet) deliver() bool {
 	found := false
@@ -105,9 +119,7 @@
 		{"one whose process has ended", []int{2, 2, 2}, func(n *quietNet) {
 			n.silent["k0"] = true
 			n.run(testElection / 4) // a round has begun
-			for _, id := range []string{"k1", "k2"} {
-				n.cores[id].PeerEnded(n.now, "k0")
-			}
+			n.ended("k0", "k1", "k2")
 		}, true, "k1"},
 	}
 	for _, tt := range tests {
@@ -142,8 +154,7 @@
 		for _, c := range n.cores {
 			c.Tick(n.now)
 		}
-		for n.deliver() {
-		}
+		n.settle()
 	}
 	if got := n.cores["k0"]; got.role != Leader || got.term != term {
 		t.Fatalf("role %v, term %d; before: leader in term %d", got.role, got.term, term)
@@ -159,17 +170,12 @@
 	}
 	n.now += testHeartbeat
 	n.cores["k0"].Tick(n.now)
-	for n.deliver() {
-	}
+	n.settle()
 	n.silent["k0"] = true
 	begun := n.now
-	for _, id := range []string{"k1", "k2", "k3", "k4"} {
-		n.cores[id].PeerEnded(n.now, "k0")
-	}
+	n.ended("k0", "k1", "k2", "k3", "k4")
 	n.run(n.now + testElection/4) // the first round
-	for _, id := range []string{"k1", "k2", "k3", "k4"} {
-		n.cores[id].PeerEnded(n.now, "k0")
-	}
+	n.ended("k0", "k1", "k2", "k3", "k4")
 	leader := n.run(begun + testElection)
 	if leader == "" || n.now-begun >= testElection {
 		t.Fatalf("leader %q after %v", leader, n.now-begun)
