A refused connection is a reason to poll, not proof that a member has ended

Cause: found by reading: a member took a refused connection to its leader for proof that the leader's process had ended, and elected another without the wait that leases need. Ruled out: proof by the relays' ways (they may be cut as well). Change: a refused connection lets a follower poll; an early election needs the answer of every other voter, from its next life where it has restarted. Before and after: TestRefusingLeaderKeepsItsLease and the row "one that refuses connections may lead" fail before. That row and TestEndedLeaderIsReplacedAtOnce asked for the fault (an election on refused connections alone); they are replaced by these two and TestRestartedLeaderIsReplacedAtOnce, which asks for the leader's answer. The model tells members of refused connections whether or not the other runs. Conclusion: a leader that is killed and stays down is replaced after the timeout again.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -141,7 +141,7 @@
 	defer cancel()
 	reply, err := rpc.Call[wire.FollowReply](ctx, k.Pool.Get(leader), "Fleet.Follow", r)
 	if rpc.IsRefused(err) {
-		k.node.PeerEnded(leader)
+		k.node.PeerRefused(leader)
 	}
 	if err != nil || k.node.Leading() {
 		return false
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -97,7 +97,7 @@
 	k.stopped = make(chan struct{})
 	k.machine = NewMachine()
 	k.machine.OnLeaving = func(id string) { k.servers.Leave(id, time.Now()) }
-	t := newTransport(ctx, k.Pool, func(address string) { k.node.PeerEnded(address) })
+	t := newTransport(ctx, k.Pool, func(address string) { k.node.PeerRefused(address) })
 	k.node = &raft.Node{
 		Group: Group, ID: k.Address, Incarnation: k.identity.GetIncarnation(),
 		Dir: filepath.Join(k.Data, "group"), Machine: k.machine, Send: t.send,
--- a/internal/fleet/transport.go
+++ b/internal/fleet/transport.go
@@ -28,17 +28,17 @@
 	// ctx ends the queues' goroutines.
 	ctx  context.Context
 	pool *rpc.Pool
-	// ended is told of an address at which no process listens any more; it must not
+	// refused is told of an address that refuses connections; it must not
 	// block.
-	ended func(address string)
+	refused func(address string)
 
 	mu sync.Mutex // guards queues
 	// queues are by the address of the member.
 	queues map[string]chan *wire.RaftMessage
 }
 
-func newTransport(ctx context.Context, pool *rpc.Pool, ended func(string)) *transport {
-	return &transport{ctx: ctx, pool: pool, ended: ended, queues: make(map[string]chan *wire.RaftMessage)}
+func newTransport(ctx context.Context, pool *rpc.Pool, refused func(string)) *transport {
+	return &transport{ctx: ctx, pool: pool, refused: refused, queues: make(map[string]chan *wire.RaftMessage)}
 }
 
 // send queues messages; it never blocks.
@@ -98,7 +98,7 @@
 	defer cancel()
 	if _, err := rpc.Call[wire.Empty](ctx, t.pool.Get(address), "Raft.Step", batch); err != nil {
 		if rpc.IsRefused(err) {
-			t.ended(address)
+			t.refused(address)
 		}
 		for len(q) > 0 {
 			<-q
--- a/internal/raft/calls.go
+++ b/internal/raft/calls.go
@@ -23,11 +23,11 @@
 	}
 }
 
-// PeerEnded takes in that the process of a member has ended, of which the caller must
-// be certain. It does not block.
-func (n *Node) PeerEnded(id string) {
+// PeerRefused takes in that a member's address refuses connections, as it does when its
+// process has ended. It does not block.
+func (n *Node) PeerRefused(id string) {
 	select {
-	case n.calls <- func() { n.core.PeerEnded(n.now(), id) }:
+	case n.calls <- func() { n.core.PeerRefused(n.now(), id) }:
 	default: // the peer's silence tells the same later
 	}
 }
--- a/internal/raft/core_test.go
+++ b/internal/raft/core_test.go
@@ -206,7 +206,7 @@
 		c.round, c.round, c.round, c.round, c.elect, c.exchange, c.propose, c.propose, c.propose,
 		c.isolate, c.heal, c.heal, c.heal, c.cutOne, c.double, c.drop, c.tick, c.deliverSome,
 		func() { c.restart(c.pick()) }, func() { c.restart(c.pick()) }, func() { c.crash(c.pick()) },
-		func() { c.compact(c.pick()) }, c.transfer, c.restartAll, c.tellEnded,
+		func() { c.compact(c.pick()) }, c.transfer, c.restartAll, c.tellRefused, c.tellRefused,
 	}
 }
 
@@ -220,11 +220,11 @@
 	}
 }
 
-// tellEnded tells one host that another, which is down, has ended.
-func (c *cluster) tellEnded() {
-	h, ended := c.pick(), c.pick()
-	if h.up && !ended.up {
-		h.core.PeerEnded(c.now, ended.id)
+// tellRefused tells one host that another one refuses connections, whether or not
+// that one runs: a firewall does the same.
+func (c *cluster) tellRefused() {
+	if h := c.pick(); h.up {
+		h.core.PeerRefused(c.now, c.pick().id)
 		c.process(h, c.crashPoint())
 	}
 }
--- a/internal/raft/doc.go
+++ b/internal/raft/doc.go
@@ -7,9 +7,8 @@
 // replication (§10.2.1).
 //
 // Two things are its own: a poll (poll.go), by which members that were all restarted
-// elect a leader before an election timeout has passed, and [Node.PeerEnded], by
-// which they need not wait until the silence of a leader whose process has ended
-// shows.
+// elect a leader before an election timeout has passed, and [Node.PeerRefused], by
+// which they poll before the silence of a leader that has restarted shows.
 //
 // [Core] is the protocol alone: no clock, no disk, no network. It takes
 // messages and the time and yields a [Ready]: what to persist, send and apply.
--- a/internal/raft/poll.go
+++ b/internal/raft/poll.go
@@ -14,8 +14,9 @@
 // leader has a lease, and none can get one without a vote in a later term. The one
 // among them whose log is the most advanced campaigns at once.
 //
-// A voter whose process has ended, or whose place is taken by a life with an empty
-// disk, does not lead either; it just has no vote to give.
+// A voter whose place is taken by a life with an empty disk does not lead either; it
+// just has no vote to give. One that does not answer may lead: then the election
+// timeout decides.
 
 // pollPart is the part of the election timeout that separates polls: some of them
 // fit into the wait that they save. Polling goes on while there is no leader, so
@@ -142,18 +143,14 @@
 	}
 }
 
-// PeerEnded takes in that a member's process has ended: it leads no more. A member
-// that followed it need not wait until its silence shows. It must be certain: a
-// leader that still runs may have a lease.
-func (c *Core) PeerEnded(now time.Duration, id string) {
+// PeerRefused takes in that a member's address refuses connections. That is a hint,
+// since something between the two may refuse them while the member runs: one that
+// followed it polls, and what counts is what the member's next life answers.
+func (c *Core) PeerRefused(now time.Duration, id string) {
 	c.now = now
-	if c.role == Leader || c.member(id) == nil {
+	if c.role == Leader || c.leader != id {
 		return
 	}
-	if c.leader == id {
-		c.leader = ""
-		c.startPolling()
-		return
-	}
-	c.noteIdle(id)
+	c.leader = ""
+	c.startPolling()
 }
--- a/internal/raft/poll_test.go
+++ b/internal/raft/poll_test.go
@@ -73,9 +73,9 @@
 }
 
 // ended tells members that the process of another has ended.
-func (n *quietNet) ended(id string, members ...string) {
+func (n *quietNet) refused(id string, members ...string) {
 	for _, m := range members {
-		n.cores[m].PeerEnded(n.now, id)
+		n.cores[m].PeerRefused(n.now, id)
 	}
 }
 
@@ -116,11 +116,11 @@
 			n.cores["k0"] = n.core("k0", "1", &wire.HardState{}, nil, nil)
 			n.cores["k1"] = n.core("k1", "1", &wire.HardState{}, nil, nil)
 		}, false, ""},
-		{"one whose process has ended", []int{2, 2, 2}, func(n *quietNet) {
+		{"one that refuses connections may lead", []int{2, 2, 2}, func(n *quietNet) {
 			n.silent["k0"] = true
 			n.run(testElection / 4) // a round has begun
-			n.ended("k0", "k1", "k2")
-		}, true, "k1"},
+			n.refused("k0", "k1", "k2")
+		}, false, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -161,27 +161,53 @@
 	}
 }
 
-// Members that hear that their leader's process has ended elect another without
-// waiting for its silence.
-func TestEndedLeaderIsReplacedAtOnce(t *testing.T) {
-	n := newQuietNet(2, 2, 2, 2, 2)
-	if leader := n.run(testElection); leader != "k0" {
-		t.Fatalf("leader %q", leader)
+// ledBy returns a group with a leader that all have just heard of.
+func ledBy(t *testing.T, leader string, lengths ...int) *quietNet {
+	t.Helper()
+	n := newQuietNet(lengths...)
+	if got := n.run(testElection); got != leader {
+		t.Fatalf("leader %q", got)
 	}
 	n.now += testHeartbeat
-	n.cores["k0"].Tick(n.now)
+	n.cores[leader].Tick(n.now)
 	n.settle()
+	return n
+}
+
+// A leader whose process has ended and begun anew is replaced at once by members whose
+// connections it refused: none waits for its silence.
+func TestRestartedLeaderIsReplacedAtOnce(t *testing.T) {
+	n := ledBy(t, "k0", 2, 2, 2, 2, 2)
+	old := n.cores["k0"]
 	n.silent["k0"] = true
 	begun := n.now
-	n.ended("k0", "k1", "k2", "k3", "k4")
-	n.run(n.now + testElection/4) // the first round
-	n.ended("k0", "k1", "k2", "k3", "k4")
+	n.refused("k0", "k1", "k2", "k3", "k4")
+	n.run(n.now + testElection/8)
+	n.cores["k0"] = n.core("k0", "0", old.HardState(), old.members, old.entries)
+	n.silent["k0"] = false
 	leader := n.run(begun + testElection)
 	if leader == "" || n.now-begun >= testElection {
 		t.Fatalf("leader %q after %v", leader, n.now-begun)
 	}
 }
 
+// A leader that runs on behind something that refuses connections keeps its lease: no
+// other is elected while it answers reads.
+func TestRefusingLeaderKeepsItsLease(t *testing.T) {
+	n := ledBy(t, "k0", 2, 2, 2)
+	k0 := n.cores["k0"]
+	if !k0.LeaseValid(n.now) {
+		t.Fatal("the leader has no lease")
+	}
+	n.silent["k0"] = true
+	for k0.LeaseValid(n.now) {
+		n.refused("k0", "k1", "k2")
+		if other := n.run(n.now + time.Millisecond); other != "" {
+			t.Fatalf("%s leads while the lease of k0 is valid", other)
+		}
+	}
+}
+
 // What a round has shown does not outlive the term that it was shown in: a leader
 // may have been elected since.
 func TestPollEndsWithItsTerm(t *testing.T) {
