--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -229,8 +229,9 @@
 // out returns how much of what is free of a budget all holders together should have
 // at hand. The rates are the sum of their demand in tokens a second, above 0.
 func out(free, rates sumachead.Tokens) sumachead.Tokens {
-	lasts := free / rates
-	ample := free * lasts / sumachead.Tokens(ampleLasts/time.Second)
+	full := sumachead.Tokens(ampleLasts / time.Second)
+	lasts := min(free/rates, full)
+	ample := free / full * lasts
 	return max(free/outPart, min(ample, free/amplePart))
 }
 
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -69,7 +69,7 @@
 
 // saveRecords writes the file.
 func (k *Keeper) saveRecords() error {
-	data, err := proto.Marshal(&wire.ServerRecords{Servers: k.servers.Ready()})
+	data, err := proto.Marshal(&wire.ServerRecords{Servers: k.servers.Known()})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -106,7 +106,11 @@
 	for range 100 {
 		conn, err := net.Dial("tcp", s.Address)
 		if err == nil {
+			if !ask(conn) { // the server counts it by now
+				t.Fatal("no answer")
+			}
 			_ = conn.Close()
+			forgotten(t, s)
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -114,6 +118,21 @@
 	t.Fatal("the server does not listen")
 }
 
+// forgotten waits until the server counts no connection any more.
+func forgotten(t *testing.T, s *Server) {
+	t.Helper()
+	for range 200 {
+		s.mu.Lock()
+		open := len(s.conns)
+		s.mu.Unlock()
+		if open == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the first connection is not forgotten")
+}
+
 // dial opens a connection; its reads end after two seconds.
 func dial(t *testing.T, s *Server) net.Conn {
 	t.Helper()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -320,14 +320,14 @@
 	return out
 }
 
-// Ready lists the servers that are ready, in no order; the records must not be
-// changed.
-func (t *Table) Ready() []*wire.ServerRecord {
+// Known lists the servers that are not known to leave, in no order; the records must
+// not be changed.
+func (t *Table) Known() []*wire.ServerRecord {
 	t.lock()
 	defer t.mu.Unlock()
 	var out []*wire.ServerRecord
 	for _, e := range t.entries {
-		if e.record.GetState() == wire.ServerState_SERVER_STATE_READY {
+		if e.record.GetState() != wire.ServerState_SERVER_STATE_LEAVING {
 			out = append(out, e.record)
 		}
 	}
