Fleets of two test processes side by side do not take the same addresses

Change: a fleet holds a listener on its base while it lives, and takes the next one where that is taken. Conclusion: a fault of the test's addresses, not of the product.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -40,6 +40,9 @@
 	stop   context.CancelFunc
 	ctx    context.Context
 	server map[string]*standin.Replica
+	// claim holds the base: a fleet of another test process that draws the same one
+	// takes the next.
+	claim net.Listener
 
 	mu       sync.Mutex // guards the fields below
 	callers  []*caller
@@ -48,13 +51,28 @@
 
 func newFleet(dir, node string, s fleetShape) *fleet {
 	f := &fleet{
-		system: newSystem(dir, "", "", shape{}), shape: s, node: node, base: 20 + (os.Getpid()+int(worlds.Add(1)))%90,
+		system: newSystem(dir, "", "", shape{}), shape: s, node: node,
 		inner: freePort(), front: freePort(), ready: freePort(), ctl: freePort(), server: make(map[string]*standin.Replica),
 	}
+	f.claimBase()
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	return f
 }
 
+// claimBase chooses addresses that no other fleet on this machine uses.
+func (f *fleet) claimBase() {
+	const first, bases, claimPort = 20, 90, 11999
+	begin := os.Getpid() + int(worlds.Add(1))
+	for i := range bases {
+		f.base = first + (begin+i)%bases
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.250:%d", f.base, claimPort))
+		if err == nil {
+			f.claim = lis
+			return
+		}
+	}
+}
+
 // advertised is where others reach a host, bound where its process really is: a
 // relay of the test stands between.
 func (f *fleet) advertised(i int) string { return fmt.Sprintf("127.%d.0.%d", f.base, i+1) }
@@ -207,6 +225,9 @@
 func (f *fleet) close() {
 	f.stop()
 	f.system.close()
+	if f.claim != nil {
+		_ = f.claim.Close()
+	}
 }
 
 // leaderOf returns the keeper that leads, by its figures.
