Fleet: two comments say what holds since a refused connection is a hint

Found by reading the whole change once more: the pause before a question is put again still took a refused connection for proof that the leader's process has ended, and the bound of contact claimed more than it keeps with other intervals of heartbeats. Comments only; lint and the package's tests pass.

--- a/internal/fleet/alive.go
+++ b/internal/fleet/alive.go
@@ -17,8 +17,8 @@
 	// servers come in series, and callers have not missed a new one so far.
 	recordsAfter = 40 * time.Millisecond
 	// contactFor is how long after the leader's last answer, or its own start, a
-	// keeper takes heartbeats of ready servers for it: some elections. It is less
-	// than the silence after which a server is not used.
+	// keeper takes heartbeats of ready servers for it: some elections. With heartbeats
+	// a second apart it is less than the silence after which a server is not used.
 	contactFor = 4 * election
 )
 
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -26,7 +26,7 @@
 	copyPause = 200 * time.Millisecond
 	// copyAgain is the same after the first that failed, which may only mean that a
 	// connection was lost. The next one needs a new connection: if that is refused,
-	// the leader's process has ended.
+	// the leader's process has most likely ended, and members poll each other.
 	copyAgain = 10 * time.Millisecond
 )
 
