Servers are chosen by the expected loss to callers, from a model of reading

The old score weighed the time to the first event and what is read again; it knew nothing of the streams that a prompt holds up.

Change: internal/place.Chooser. An engine's reading time is learned (a base, tokens, pairs of tokens as attention grows, tokens fetched; least squares that fades, a factor for each server). A choice minimizes one sum in tokens: the request's size times its chance to be late (first event, or a pause by long prompts that come there often), the same of streams that its reading makes late, and what is read again or fetched. Routers tell each other the reading that is left, the worth of streams at risk, how often long pauses came, and which shared parts servers have read. internal/gateway loses its own placer. No group of engines is declared: long prompts and streams part by themselves, as the mix asks.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -9,6 +9,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/catalog"
+	"sumachead/internal/place"
 	"sumachead/internal/upstream"
 )
 
@@ -116,14 +117,14 @@
 // [*upstream.Failure] says that another attempt may be made.
 func (d *dispatch) attempt() error {
 	servers := d.servers.Servers(d.x.service.GetName())
-	l := d.placer.place(servers, d.tried, d.x)
+	l := d.chooser.Place(servers, d.tried, d.x.work(), time.Now())
 	if l == nil {
 		if d.last != nil {
 			return d.giveUp(d.last.Reason, "no backend server is left: "+d.last.Err.Error())
 		}
 		return refuse(sumachead.ReasonNoServer, "no backend server is known", comeBackSoon)
 	}
-	id := sumachead.ServerID(l.record.GetId())
+	id := sumachead.ServerID(l.Record.GetId())
 	d.tried = append(d.tried, id)
 	d.x.placement = l
 	a, err := d.send(l, id)
@@ -133,21 +134,21 @@
 	defer a.Close()
 	err = d.relay(l, a)
 	if err == nil {
-		l.done(true)
+		l.Done(true, time.Now())
 		return nil
 	}
 	return d.failed(l, err)
 }
 
 // send makes the attempt and waits for the head of its answer.
-func (d *dispatch) send(l *placement, id sumachead.ServerID) (*upstream.Answer, error) {
+func (d *dispatch) send(l *place.Placement, id sumachead.ServerID) (*upstream.Answer, error) {
 	x := d.x
-	t := &sumachead.Attempt{Server: id, Workspace: x.workspace(), Deadline: x.deadline, Urgency: x.urgency(), FetchFrom: l.fetchFrom}
+	t := &sumachead.Attempt{Server: id, Workspace: x.workspace(), Deadline: x.deadline, Urgency: x.urgency(), FetchFrom: l.FetchFrom}
 	if d.stream != nil {
 		t.LastEvent = d.stream.lastID
 	}
 	x.attempts++
-	a, err := d.upstream.Send(d.ctx, upstream.Server{ID: id, Address: l.record.GetAddress()}, d.connBound(), x.request, t)
+	a, err := d.upstream.Send(d.ctx, upstream.Server{ID: id, Address: l.Record.GetAddress()}, d.connBound(), x.request, t)
 	var f *upstream.Failure
 	if errors.As(err, &f) && f.Verdict == sumachead.NotRun {
 		x.attempts-- // it reached nobody
@@ -161,18 +162,18 @@
 }
 
 // failed ends a placement by what the failure says of the server.
-func (d *dispatch) failed(l *placement, err error) error {
+func (d *dispatch) failed(l *place.Placement, err error) error {
 	var f *upstream.Failure
 	if !errors.As(err, &f) || d.ctx.Err() != nil || f.Reason == sumachead.ReasonBusy {
-		l.cancel()
+		l.Cancel(time.Now())
 		return err
 	}
-	l.done(false)
+	l.Done(false, time.Now())
 	return err
 }
 
 // relay brings a server's answer to the caller.
-func (d *dispatch) relay(l *placement, a *upstream.Answer) error {
+func (d *dispatch) relay(l *place.Placement, a *upstream.Answer) error {
 	switch {
 	case a.Head.NotRun || a.Head.Stale:
 		reason := sumachead.ReasonBusy
@@ -180,7 +181,7 @@
 			// Another life answers at the address: this one is over, so that
 			// nothing more is sent to it before the leader tells of that.
 			reason = sumachead.ReasonFenced
-			d.servers.Leave(l.record.GetId(), time.Now())
+			d.servers.Leave(l.Record.GetId(), time.Now())
 		}
 		drain(a)
 		return &upstream.Failure{Verdict: sumachead.NotRun, Reason: reason, Err: errors.New("the backend server did not run the request")}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"sumachead/api/wire"
 	"sumachead/internal/catalog"
 	"sumachead/internal/chain"
+	"sumachead/internal/place"
 )
 
 // exchange is one request on its way through the filters. Each filter fills in
@@ -36,7 +37,7 @@
 	// firstAt is when the first byte was handed out; zero before.
 	firstAt time.Time
 	// placement is where the last attempt went; nil before the first.
-	placement *placement
+	placement *place.Placement
 	// events counts the events handed out to the caller.
 	events int64
 	// billed is what the request has cost its workspace, once that is known.
@@ -47,12 +48,16 @@
 	pause   time.Duration
 }
 
-// noteEvent keeps the pauses between events.
-func (x *exchange) noteEvent(now time.Time) {
+// noteEvent keeps the pauses between events. It reports whether one has been too long
+// for the first time.
+func (x *exchange) noteEvent(now time.Time) (late bool) {
 	if !x.eventAt.IsZero() {
-		x.pause = max(x.pause, now.Sub(x.eventAt))
+		pause, most := now.Sub(x.eventAt), x.pauseObjective()
+		late = most > 0 && x.pause <= most && pause > most
+		x.pause = max(x.pause, pause)
 	}
 	x.eventAt = now
+	return late
 }
 
 // start sends the head of the answer.
@@ -97,6 +102,23 @@
 	return time.Duration(x.route.GetObjectiveMillis()) * time.Millisecond
 }
 
+// work returns the request as the choice of a server sees it.
+func (x *exchange) work() *place.Work {
+	w := &place.Work{
+		Route: x.route.GetName(), Prompt: x.request.PromptTokens, Answer: x.request.AnswerTokens, Parts: x.request.Parts,
+		Pause: x.pauseObjective(), Engine: x.service.GetEngine(),
+	}
+	if o := x.objective(); o > 0 {
+		w.FirstBy = x.arrived.Add(o)
+	}
+	return w
+}
+
+// pauseObjective returns the longest pause between events that is in time; 0 for none.
+func (x *exchange) pauseObjective() time.Duration {
+	return time.Duration(x.route.GetPauseMillis()) * time.Millisecond
+}
+
 // repeatable reports whether the request may run more than once.
 func (x *exchange) repeatable() bool {
 	switch x.route.GetKind() {
@@ -148,8 +170,9 @@
 		fields = append(fields, "declaration", x.view.Number)
 	}
 	if l := x.placement; l != nil {
-		fields = append(fields, "server", l.record.GetId(), "home", l.home, "prompt", x.request.PromptTokens,
-			"unread", l.unread, "queued", l.queued, "running", l.running)
+		first, backlog := l.Expected()
+		fields = append(fields, "server", l.Record.GetId(), "home", l.Home, "prompt", x.request.PromptTokens,
+			"unread", l.Unread(), "backlog", backlog, "expected", first.Sub(x.arrived), "running", l.Running)
 	}
 	return fields
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"sumachead/internal/fleetclient"
 	"sumachead/internal/intake"
 	"sumachead/internal/loop"
+	"sumachead/internal/place"
 	"sumachead/internal/registry"
 	"sumachead/internal/rpc"
 	"sumachead/internal/telemetry"
@@ -58,7 +59,7 @@
 	reporter *fleetclient.Reporter
 	servers  *registry.Table
 	upstream *upstream.Pool
-	placer   *placer
+	chooser  *place.Chooser
 	retries  *retryAllowance
 	metrics  *Metrics
 	// handle is the filters around dispatch.
@@ -86,7 +87,7 @@
 	g.reporter.Taken = func(d time.Duration) { g.metrics.ledger.Observe(d.Seconds()) }
 	g.reporter.Prepare()
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, OnDial: g.metrics.dials.Inc}
-	g.placer = newPlacer(g.Hall)
+	g.chooser = place.NewChooser(g.Hall)
 	g.handle = chain.Wrap(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.escrowFilter)
 	g.retries = &retryAllowance{ratio: g.RetryRatio, extra: g.RetryExtra, window: g.RetryWindow}
 }
@@ -100,7 +101,7 @@
 	tasks.Go(func() error {
 		return loop.Every(work, tidyEvery, func() {
 			g.upstream.Tidy(time.Now())
-			g.placer.tidy(time.Now())
+			g.chooser.Tidy(time.Now())
 			g.servers.Forget(time.Now())
 		})
 	})
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/fleetclient"
 )
@@ -23,6 +22,7 @@
 // loadsLoop exchanges loads while there are any.
 func (g *Gateway) loadsLoop(ctx context.Context) error {
 	idle := false
+	var seen *wire.LoadReply // the last reply
 	for {
 		pause := loadsEvery + loadsEach*time.Duration(g.client.Routers())
 		select {
@@ -30,52 +30,30 @@
 			return nil
 		case <-time.After(pause):
 		}
-		loads := g.placer.loads()
+		now := time.Now()
+		g.chooser.ForgetOthers(now)
+		loads := g.chooser.Loads(now)
 		if len(loads) == 0 && idle {
 			continue
 		}
 		idle = len(loads) == 0
-		g.exchangeLoads(ctx, loads)
+		seen = g.exchangeLoads(ctx, loads, seen)
 	}
 }
 
 // exchangeLoads tells the leading keeper this router's loads, and takes in those
-// of the others.
-func (g *Gateway) exchangeLoads(ctx context.Context, loads []*wire.ServerLoad) {
+// of the others. It returns the newest reply, seen if there is none.
+func (g *Gateway) exchangeLoads(ctx context.Context, loads []*wire.ServerLoad, seen *wire.LoadReply) *wire.LoadReply {
 	ctx, cancel := context.WithTimeout(ctx, loadsTimeout)
 	defer cancel()
-	report := &wire.LoadReport{Node: string(g.Node), Loads: loads}
+	report := &wire.LoadReport{Node: string(g.Node), Loads: loads, Brought: g.chooser.Brought(), Seen: seen.GetSeen(), History: seen.GetHistory()}
 	reply, err := fleetclient.CallOnce[wire.LoadReply](ctx, g.client, "Fleet.Loads", report)
 	if err != nil {
 		g.Log.Debug("Loads were not exchanged.", "error", err)
-		return
-	}
-	g.placer.others(reply.GetLoads(), time.Now())
-}
-
-// loads returns what this router has under way at each server.
-func (p *placer) loads() []*wire.ServerLoad {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []*wire.ServerLoad
-	for id, s := range p.states {
-		if s.running > 0 {
-			out = append(out, &wire.ServerLoad{Id: string(id), Queued: int64(s.prefill), Running: int64(s.running)})
-		}
-	}
-	return out
-}
-
-// others takes in what all other routers have under way.
-func (p *placer) others(loads []*wire.ServerLoad, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.othersAt = now
-	for _, s := range p.states {
-		s.otherPrefill, s.otherRunning = 0, 0
-	}
-	for _, l := range loads {
-		s := p.state(sumachead.ServerID(l.GetId()))
-		s.otherPrefill, s.otherRunning = sumachead.Tokens(l.GetQueued()), int(l.GetRunning())
+		return seen
 	}
+	now := time.Now()
+	g.chooser.Others(reply.GetLoads(), now)
+	g.chooser.BroughtByOthers(reply.GetBrought(), now)
+	return reply
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sumachead"
+	"sumachead/internal/place"
 	"sumachead/internal/upstream"
 )
 
@@ -79,7 +80,7 @@
 
 // relayEvents passes events on as they come, whole ones only. A stream that
 // breaks off may go on elsewhere, after the last event that was passed on.
-func (d *dispatch) relayEvents(l *placement, a *upstream.Answer) error {
+func (d *dispatch) relayEvents(l *place.Placement, a *upstream.Answer) error {
 	s := d.stream
 	s.buffer = s.buffer[:0]
 	const readSize = 4 << 10
@@ -100,7 +101,7 @@
 }
 
 // passEvents passes on the whole events in the buffer.
-func (d *dispatch) passEvents(l *placement, a *upstream.Answer) error {
+func (d *dispatch) passEvents(l *place.Placement, a *upstream.Answer) error {
 	s := d.stream
 	end := bytes.LastIndex(s.buffer, eventEnd)
 	if end < 0 {
@@ -108,12 +109,15 @@
 	}
 	end += len(eventEnd)
 	part := s.buffer[:end]
-	l.first()
+	now := time.Now()
+	l.First(now)
 	if s.header == nil {
 		s.header = a.Header
 		d.x.start(a.Status, a.Header, sizeUnknown)
 	}
-	d.x.noteEvent(time.Now())
+	if d.x.noteEvent(now) {
+		l.Late()
+	}
 	for event := range bytes.SplitAfterSeq(part, eventEnd) {
 		s.note(event, d.x)
 	}
--- /dev/null
+++ b/internal/place/chooser.go
@@ -0,0 +1,248 @@
+package place
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+const (
+	// othersFor is how long what other routers told of their loads is believed.
+	othersFor = 3 * time.Second
+	// fetchLeast is how many more tokens of the shared parts than the chosen server
+	// another one must have for them to be fetched: less is read as fast as a fetch
+	// is set up.
+	fetchLeast = 1000
+	// firstLength is how long streams of a route last as long as none has ended, and
+	// lengthWeight the weight of one that has.
+	firstLength  = 2 * time.Second
+	lengthWeight = 0.05
+)
+
+// Work is a request as the choice of a server sees it.
+type Work struct {
+	Route string
+	// Prompt and Answer are the tokens of the prompt and the most of the answer.
+	Prompt sumachead.Tokens
+	Answer sumachead.Tokens
+	Parts  []sumachead.PromptPart
+	// FirstBy is until when the first event is in time; zero for no objective.
+	FirstBy time.Time
+	// Pause is the objective for pauses between events; 0 for none.
+	Pause time.Duration
+	// Engine is nil for a plain service.
+	Engine *wire.EngineLimits
+}
+
+// Chooser chooses backend servers of a declared fleet by the expected loss to callers.
+// It is safe for concurrent use.
+type Chooser struct {
+	hall sumachead.HallID
+
+	mu      sync.Mutex // guards the fields below, and what servers hold
+	servers map[sumachead.ServerID]*server
+	reading *Reading
+	// lengths is how long streams of each route last from their first event.
+	lengths map[string]time.Duration
+	// brought is what other routers have not been told.
+	brought []brought
+	// toldAt is when other routers' loads were told.
+	toldAt time.Time
+}
+
+// NewChooser returns one for a router of a data hall.
+func NewChooser(h sumachead.HallID) *Chooser {
+	return &Chooser{
+		hall: h, servers: make(map[sumachead.ServerID]*server), reading: newReading(), lengths: make(map[string]time.Duration),
+	}
+}
+
+// rank orders servers; the least is chosen.
+type rank struct {
+	// doubt is 0 for a server that is trusted, 1 for one that has failed here
+	// lately, and 2 for one whose heartbeats are missing.
+	doubt int
+	// cost is in tokens for engines, and in percent of the slots for servers of a
+	// plain service; only servers of one service are compared.
+	cost float64
+	// draw decides between equal costs, alike at all routers.
+	draw uint64
+}
+
+// less orders by doubt, then cost, then draw.
+func (a rank) less(b rank) bool {
+	if a.doubt != b.doubt {
+		return a.doubt < b.doubt
+	}
+	if a.cost != b.cost {
+		return a.cost < b.cost
+	}
+	return a.draw < b.draw
+}
+
+// Place chooses among servers, passing over those that were tried, and counts the
+// request there; nil when none is left.
+func (c *Chooser) Place(records []*wire.ServerRecord, tried []sumachead.ServerID, w *Work, now time.Time) *Placement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *wire.ServerRecord
+	var bestRank rank
+	var expected estimate
+	o := c.offer(records, w, now)
+	for _, r := range records {
+		id := sumachead.ServerID(r.GetId())
+		if slices.Contains(tried, id) {
+			continue
+		}
+		s := c.server(id)
+		e := c.estimate(s, w, &o, now)
+		if k := c.rank(r, s, w, &o, e, now); best == nil || k.less(bestRank) {
+			best, bestRank, expected = r, k, e
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	l := &Placement{
+		Record: best, Home: best.GetId() == o.home,
+		chooser: c, server: c.server(sumachead.ServerID(best.GetId())), work: w, estimate: expected,
+	}
+	if l.fetched > 0 {
+		l.FetchFrom = o.address
+	}
+	c.begin(l, &o, now)
+	return l
+}
+
+// rank weighs one server. The caller holds mu.
+func (c *Chooser) rank(r *wire.ServerRecord, s *server, w *Work, o *offer, e estimate, now time.Time) rank {
+	k := rank{draw: affinity(homeKey(o.parts), r.GetId())}
+	if now.Before(s.suspectTo) {
+		k.doubt = 1
+	}
+	if r.GetState() == wire.ServerState_SERVER_STATE_SILENT {
+		k.doubt = 2
+	}
+	away := r.GetHall() != string(c.hall)
+	if w.Engine == nil {
+		k.cost = plainCost(r, s, away)
+		return k
+	}
+	k.cost = c.cost(s, w, e, away, now)
+	return k
+}
+
+// estimate predicts a request at a server. The caller holds mu.
+func (c *Chooser) estimate(s *server, w *Work, o *offer, now time.Time) estimate {
+	has := o.cachedAt(s)
+	own := max(s.cached(o.parts)-has, 0) // a prompt that is continued has its own part there too
+	e := estimate{backlog: s.backlog(now)}
+	var fetching time.Duration
+	if rate := w.Engine.GetFetchTokensPerSecond(); rate > 0 && o.id != string(s.id) && o.has >= has+fetchLeast {
+		e.fetched = o.has - has
+		fetching = c.reading.Fetch(e.fetched)
+	}
+	e.unread = max(w.Prompt-has-e.fetched-own, 0)
+	e.again = max(total(o.shared)-has-e.fetched, 0)
+	e.read = time.Duration(s.factor * float64(c.reading.Time(e.unread, w.Prompt)))
+	e.wait = c.reading.Base() + e.backlog + e.read + fetching
+	return e
+}
+
+// begin counts a request at its server. The caller holds mu.
+func (c *Chooser) begin(l *Placement, o *offer, now time.Time) {
+	s := l.server
+	l.begun, l.worth, l.Running = now, worthOf(l.work), s.running()
+	l.alone = l.backlog == 0
+	s.runs = append(s.runs, l)
+	s.busyUntil = laterOf(s.busyUntil, now).Add(l.read)
+	l.readBy = s.busyUntil
+	s.long.add(latePause(l.backlog+l.read, l.work.Pause)-latePause(l.backlog, l.work.Pause), now, longMemory)
+	s.usedAt = now
+	c.bring(s, o.parts, now)
+}
+
+// server returns what is known of a server, making it if need be. The caller holds mu.
+func (c *Chooser) server(id sumachead.ServerID) *server {
+	s := c.servers[id]
+	if s == nil {
+		s = newServer(id)
+		c.servers[id] = s
+	}
+	return s
+}
+
+// length returns how long streams of a route last. The caller holds mu.
+func (c *Chooser) length(route string) time.Duration {
+	if d, ok := c.lengths[route]; ok {
+		return d
+	}
+	return firstLength
+}
+
+// noteLength takes in a stream that has ended. The caller holds mu.
+func (c *Chooser) noteLength(route string, d time.Duration) {
+	old := c.length(route)
+	c.lengths[route] = old + time.Duration(lengthWeight*float64(d-old))
+}
+
+// Tidy forgets servers that are not used any more.
+func (c *Chooser) Tidy(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, s := range c.servers {
+		if len(s.runs) == 0 && now.Sub(s.usedAt) > forgetState {
+			delete(c.servers, id)
+		}
+	}
+}
+
+// Loads returns what this router has at each server.
+func (c *Chooser) Loads(now time.Time) []*wire.ServerLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*wire.ServerLoad
+	for _, s := range c.servers {
+		if l := s.load(now); l.GetRunning() > 0 || l.GetLongThousandths() > 0 {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// Others takes in what all other routers have.
+func (c *Chooser) Others(loads []*wire.ServerLoad, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.toldAt = now
+	for _, s := range c.servers {
+		s.others = others{}
+	}
+	for _, l := range loads {
+		c.server(sumachead.ServerID(l.GetId())).told(l, now)
+	}
+}
+
+// ForgetOthers drops what other routers told when that is too old.
+func (c *Chooser) ForgetOthers(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.toldAt.IsZero() || now.Sub(c.toldAt) < othersFor {
+		return
+	}
+	c.toldAt = time.Time{}
+	for _, s := range c.servers {
+		s.others = others{}
+	}
+}
+
+// laterOf returns the later of two times.
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/place/parts.go
@@ -0,0 +1,162 @@
+package place
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+// broughtMost bounds what is kept to be told to other routers: more than prompts bring
+// between two exchanges.
+const broughtMost = 512
+
+// partKey is the hash of a part's id. Two parts with one key would only make a wrong
+// guess of what a server has.
+type partKey uint64
+
+// part is a part of a prompt.
+type part struct {
+	key    partKey
+	tokens sumachead.Tokens
+}
+
+// partsOf returns a prompt's parts in order.
+func partsOf(w *Work) []part {
+	out := make([]part, len(w.Parts))
+	for i, p := range w.Parts {
+		out[i] = part{partKey(xxhash.Sum64String(p.ID)), p.Tokens}
+	}
+	return out
+}
+
+// sharedOf are a prompt's parts without the last, which is the request's own.
+func sharedOf(parts []part) []part { return parts[:max(len(parts)-1, 0)] }
+
+// total adds up the sizes of parts.
+func total(parts []part) sumachead.Tokens {
+	var sum sumachead.Tokens
+	for _, p := range parts {
+		sum += p.tokens
+	}
+	return sum
+}
+
+// homeKey is the part by which a prompt has its home: the last shared one.
+func homeKey(parts []part) partKey {
+	if len(parts) == 0 {
+		return 0
+	}
+	return parts[max(len(parts)-2, 0)].key
+}
+
+// affinity ranks a server for a prompt: all routers rank alike, so that requests
+// with the same shared parts meet.
+func affinity(k partKey, server string) uint64 {
+	return mix(uint64(k) ^ bits.RotateLeft64(xxhash.Sum64String(server), 32))
+}
+
+// mix spreads a number's bits, as the end of a hash does: without it, servers would
+// keep their order from prompt to prompt.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// offer is where the shared parts of a prompt are.
+type offer struct {
+	parts  []part
+	shared []part
+	// home is the server to which all routers send the prompt first; empty for a
+	// prompt without parts.
+	home string
+	// has, id and address are of the server that has most of the shared parts, as far
+	// as is known; 0 where nobody has any.
+	has     sumachead.Tokens
+	id      string
+	address string
+}
+
+// offer finds where a request's shared parts are. The caller holds mu.
+func (c *Chooser) offer(records []*wire.ServerRecord, w *Work, now time.Time) offer {
+	o := offer{parts: partsOf(w)}
+	o.shared = sharedOf(o.parts)
+	if len(o.parts) == 0 {
+		return o
+	}
+	key := homeKey(o.parts)
+	var least uint64
+	for _, r := range records {
+		if r.GetState() != wire.ServerState_SERVER_STATE_READY {
+			continue
+		}
+		if a := affinity(key, r.GetId()); o.home == "" || a < least {
+			o.home, least = r.GetId(), a
+		}
+		s := c.server(sumachead.ServerID(r.GetId()))
+		if has := s.cached(o.shared); has > o.has && !now.Before(s.suspectTo) {
+			o.has, o.address, o.id = has, r.GetAddress(), r.GetId()
+		}
+	}
+	return o
+}
+
+// cachedAt returns how many tokens of the shared parts a server has. Where nobody is
+// known to have any, requests meet at the home: it counts as having them.
+func (o *offer) cachedAt(s *server) sumachead.Tokens {
+	if o.has == 0 && string(s.id) == o.home {
+		return total(o.shared)
+	}
+	return s.cached(o.shared)
+}
+
+// bring notes that a prompt's parts are at its server from now on, and keeps for the
+// other routers which shared ones were not. The caller holds mu.
+func (c *Chooser) bring(s *server, parts []part, now time.Time) {
+	for i, p := range parts {
+		if s.bring(p.key, now) && i < len(parts)-1 && len(c.brought) < broughtMost {
+			c.brought = append(c.brought, brought{s.id, p.key})
+		}
+	}
+}
+
+// brought is a shared part that a server has read for this router.
+type brought struct {
+	server sumachead.ServerID
+	key    partKey
+}
+
+// Brought returns which shared parts servers have read since the last call.
+func (c *Chooser) Brought() []*wire.ServerParts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := make(map[sumachead.ServerID]*wire.ServerParts)
+	var out []*wire.ServerParts
+	for _, b := range c.brought {
+		l := at[b.server]
+		if l == nil {
+			l = &wire.ServerParts{Id: string(b.server)}
+			at[b.server] = l
+			out = append(out, l)
+		}
+		l.Parts = append(l.Parts, uint64(b.key))
+	}
+	c.brought = c.brought[:0]
+	return out
+}
+
+// BroughtByOthers takes in which shared parts servers have read for other routers.
+func (c *Chooser) BroughtByOthers(list []*wire.ServerParts, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range list {
+		s := c.server(sumachead.ServerID(l.GetId()))
+		for _, k := range l.GetParts() {
+			s.bring(partKey(k), now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/place/placement.go
@@ -0,0 +1,106 @@
+package place
+
+import (
+	"time"
+
+	"sumachead/api/wire"
+)
+
+// Placement is one attempt at a server; end it with Done or Cancel.
+type Placement struct {
+	Record *wire.ServerRecord
+	// Home: the server is the first choice for the prompt's shared parts.
+	Home bool
+	// FetchFrom is the address of a server that keeps more of these parts; empty for
+	// none.
+	FetchFrom string
+	// Running is what all routers had there before, as far as this one knew.
+	Running int
+
+	chooser *Chooser
+	server  *server
+	work    *Work
+	worth   worth
+	// estimate is what was expected when the server was chosen.
+	estimate
+	begun time.Time
+	// readBy is when the prompt should have been read, and firstAt when the first
+	// event came; zero before.
+	readBy  time.Time
+	firstAt time.Time
+	// alone: nothing else was to be read there, as far as was known.
+	alone bool
+	// late: the stream has missed an objective, and loses nothing more by pauses.
+	late bool
+}
+
+// inTime reports whether the stream may still lose worth by a pause.
+func (l *Placement) inTime() bool { return !l.late && l.work.Pause > 0 }
+
+// Expected returns when the choice expected the first event, and for how long the
+// server had other prompts to read.
+func (l *Placement) Expected() (first time.Time, backlog time.Duration) {
+	return l.begun.Add(l.wait), l.backlog
+}
+
+// Unread returns how many tokens of the prompt were to be read.
+func (l *Placement) Unread() int64 { return int64(l.unread) }
+
+// First notes that the answer has begun; later calls do nothing.
+func (l *Placement) First(now time.Time) {
+	c := l.chooser
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !l.firstAt.IsZero() {
+		return
+	}
+	l.firstAt = now
+	if !l.work.FirstBy.IsZero() && now.After(l.work.FirstBy) {
+		l.late = true
+	}
+	s := l.server
+	if l.alone && l.work.Engine != nil {
+		c.noteReading(l, now.Sub(l.begun))
+	}
+	s.read(now)
+}
+
+// noteReading learns from a prompt that was read alone. The caller holds mu.
+func (c *Chooser) noteReading(l *Placement, took time.Duration) {
+	if l.unread >= factorFrom {
+		usual := c.reading.Time(l.unread, l.work.Prompt)
+		f := float64(took-c.reading.Base()-c.reading.Fetch(l.fetched)) / float64(max(usual, 1))
+		l.server.factor += factorWeight * (min(max(f, fastest), slowest) - l.server.factor)
+	}
+	c.reading.Note(l.unread, l.work.Prompt, l.fetched, time.Duration(float64(took)/max(l.server.factor, 1)))
+}
+
+// Late notes that the stream has missed its objective for pauses.
+func (l *Placement) Late() {
+	l.chooser.mu.Lock()
+	defer l.chooser.mu.Unlock()
+	l.late = true
+}
+
+// Done ends an attempt; healthy says that the server did its work.
+func (l *Placement) Done(healthy bool, now time.Time) {
+	c := l.chooser
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.server.drop(l, now)
+	if !healthy {
+		l.server.suspect(now)
+		return
+	}
+	l.server.failures, l.server.suspectTo = 0, time.Time{}
+	if !l.firstAt.IsZero() && l.work.Pause > 0 {
+		c.noteLength(l.work.Route, now.Sub(l.firstAt))
+	}
+}
+
+// Cancel ends an attempt that says nothing of the server.
+func (l *Placement) Cancel(now time.Time) {
+	l.chooser.mu.Lock()
+	defer l.chooser.mu.Unlock()
+	l.server.drop(l, now)
+}
