Waiting and coming back are decided by what is expected, not by parts of an objective

What a request lacks has a prospect (sumachead.Prospect); it waits exactly while that lets the answer be of use: in time, or, where it is known to be under way, before the caller's deadline. Retry-After is that time, spread, the most urgent first, and left out where it is after the deadline. Prospects: a declaration is sure within a second of the process's start; escrow may come with the ledger's next answer (its time is learned), and then takes as long again as requests of that workspace have lacked it, or as the ledger has been out of reach. Refusals by servers say when one is free. Counters of waits, and of outcomes by route.

--- a/interfaces.go
+++ b/interfaces.go
@@ -60,3 +60,10 @@
 type Placer interface {
 	Place(r PlaceRequest, candidates []Candidate) (chosen Candidate, ok bool)
 }
+
+// Prospect estimates when something that a request lacks will be there.
+type Prospect interface {
+	// Expect returns when it is expected, as known at a time; the zero time for
+	// never. The estimate is sure where what is lacking is known to be under way.
+	Expect(now time.Time) (at time.Time, sure bool)
+}
--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -13,6 +13,10 @@
 // to smooth over single large requests.
 const rateMemory = 4 * time.Second
 
+// shortFor is how long it is believed that requests wait in vain when none has waited
+// since: some reports.
+const shortFor = 2 * time.Second
+
 // purse is a holder's money of one workspace.
 type purse struct {
 	// granted, returned and spent are totals since the holder started.
@@ -29,6 +33,11 @@
 	// asked is the smallest bound among waiting and left as of the last report;
 	// what was at hand then, if that was more.
 	asked sumachead.Tokens
+	// shortSince is since when no request of at least shortBound that waited was
+	// admitted, and shortAt when one last had to wait; zero while none waits in vain.
+	shortSince time.Time
+	shortAt    time.Time
+	shortBound sumachead.Tokens
 	// rate is demand in tokens a second as of rateAt.
 	rate   float64
 	rateAt time.Time
@@ -46,6 +55,21 @@
 // atHand returns what may be reserved.
 func (p *purse) atHand() sumachead.Tokens { return p.granted - p.returned - p.spent - p.reserved }
 
+// noteShort notes that a request has to wait.
+func (p *purse) noteShort(bound sumachead.Tokens, now time.Time) {
+	if p.shortSince.IsZero() || now.Sub(p.shortAt) > shortFor {
+		p.shortSince, p.shortBound = now, bound
+	}
+	p.shortAt, p.shortBound = now, min(p.shortBound, bound)
+}
+
+// noteAdmitted notes that a request is admitted.
+func (p *purse) noteAdmitted(bound sumachead.Tokens) {
+	if bound >= p.shortBound {
+		p.shortSince = time.Time{}
+	}
+}
+
 // lacks returns what the smallest waiting request and all together lack.
 func (p *purse) lacks() (needed, wanted sumachead.Tokens) {
 	all := slices.Concat(p.waiting, p.left)
--- a/internal/escrow/reservation.go
+++ b/internal/escrow/reservation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sumachead"
+	"sumachead/internal/patience"
 )
 
 // exhaustedFor is how long a ledger's word that a budget is used up is believed.
@@ -22,15 +23,16 @@
 }
 
 // Reserve holds bound of a workspace's money. When there is too little at hand it
-// asks the ledger and waits until the deadline, the end of ctx, or the ledger's
-// word that the budget is used up. The error is a [*sumachead.Refusal].
-func (w *Wallet) Reserve(ctx context.Context, id sumachead.WorkspaceID, bound sumachead.Tokens, deadline time.Time) (*Reservation, error) {
-	r, a, changed := w.try(id, bound, time.Now(), true)
+// asks the ledger, and waits while what is expected of it is of use to the caller, or
+// until ctx ends or the ledger says that the budget is used up. The urgency is the
+// caller's rank among those who come back. The error is a [*sumachead.Refusal].
+func (w *Wallet) Reserve(ctx context.Context, id sumachead.WorkspaceID, bound sumachead.Tokens, u patience.Use, urgency uint32) (*Reservation, error) {
+	begun := time.Now()
+	r, a, changed := w.try(id, bound, begun, true)
 	if a == short {
 		defer func() { w.leave(id, bound, a == admitted) }()
 	}
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
+	p := w.prospect(id, begun)
 	for {
 		switch a {
 		case admitted:
@@ -39,18 +41,43 @@
 			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonBudgetExhausted, "the workspace's budget does not hold the request", time.Time{})
 		}
 		w.Kick()
-		select {
-		case <-changed:
-		case <-timer.C:
-			const comeBack = 250 * time.Millisecond // some reports
-			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonLedgerUnreached, "too little escrow at hand", time.Now().Add(comeBack))
-		case <-ctx.Done():
+		now := time.Now()
+		again, wait := patience.Wait(p, u, now)
+		if !wait {
+			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonLedgerUnreached, "too little escrow at hand", patience.ComeBack(p, u, urgency, now))
+		}
+		if !pause(ctx, changed, again) {
 			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonDeadlinePassed, "the caller has gone", time.Time{})
 		}
 		r, a, changed = w.try(id, bound, time.Now(), false)
 	}
 }
 
+// prospect returns that of a workspace's money for a request that asks for it now:
+// requests have lacked some since the first that waited in vain.
+func (w *Wallet) prospect(id sumachead.WorkspaceID, asked time.Time) sumachead.Prospect {
+	w.mu.Lock()
+	since := w.purse(id).shortSince
+	w.mu.Unlock()
+	if w.Prospect == nil {
+		return patience.AsLong{Since: since}
+	}
+	return w.Prospect(asked, since)
+}
+
+// pause returns when something has changed, or at a time; false when ctx has ended.
+func pause(ctx context.Context, changed <-chan struct{}, until time.Time) bool {
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // admission is the outcome of one look at a purse.
 type admission int
 
@@ -80,6 +107,7 @@
 	if first {
 		p.waiting = append(p.waiting, bound)
 	}
+	p.noteShort(bound, now)
 	p.dirty = true
 	return nil, short, w.changed
 }
@@ -88,6 +116,7 @@
 func (w *Wallet) reserve(p *purse, id sumachead.WorkspaceID, bound sumachead.Tokens) *Reservation {
 	p.reserved += bound
 	p.dirty = true
+	p.noteAdmitted(bound)
 	if p.atHand() < p.low {
 		p.low = 0 // no more than one such report until the next answer
 		w.Kick()
--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -14,6 +14,9 @@
 	Node sumachead.NodeID
 	// Kick asks for a report soon; it must not block.
 	Kick func()
+	// Prospect returns that of money which is asked for at a time, and which requests
+	// have lacked since another; nil where nothing is known of the ledger.
+	Prospect func(asked, since time.Time) sumachead.Prospect
 
 	mu sync.Mutex // guards the fields below, and what purses hold
 	// boot is the holder's life; the ledger may close it.
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -22,6 +22,7 @@
 	"sumachead/internal/catalog"
 	"sumachead/internal/fleet"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/loop"
 	"sumachead/internal/registry"
 	"sumachead/internal/rpc"
 )
@@ -78,6 +79,8 @@
 	view atomic.Pointer[catalog.View]
 	// routers is how many routers the leader last counted.
 	routers atomic.Uint32
+	// known is open once there is a declaration.
+	known loop.Gate
 	// searching makes one of searches that are wanted at the same time.
 	searching singleflight.Group
 
@@ -100,6 +103,9 @@
 // View returns the declaration in force; nil before the first.
 func (c *Client) View() *catalog.View { return c.view.Load() }
 
+// Known returns a channel that is closed once there is a declaration.
+func (c *Client) Known() <-chan struct{} { return c.known.Wait() }
+
 // Routers returns how many routers there are, at least 1.
 func (c *Client) Routers() int { return max(int(c.routers.Load()), 1) }
 
@@ -296,6 +302,7 @@
 		return // one that came beside it is newer
 	}
 	c.view.Store(v)
+	c.known.Set(true)
 	c.adoptedAt = time.Now()
 	c.Log.Info("A declaration is in force.", "number", d.GetNumber(), "routes", len(d.GetCatalog().GetRoutes()))
 }
--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -45,6 +45,8 @@
 	kick chan struct{}
 	// gap is the least time before the next report. Run alone uses it.
 	gap time.Duration
+	// ledger is what is known of the ledger's answers.
+	ledger ledgerTimes
 }
 
 // Prepare opens the wallet. Call it before Run.
@@ -53,6 +55,7 @@
 	r.kick = make(chan struct{}, 1)
 	r.gap = reportGap
 	r.Wallet.Kick = r.Kick
+	r.Wallet.Prospect = r.ledger.prospect
 	r.Client.OnLacking = func(ids []sumachead.WorkspaceID) {
 		if r.Wallet.Touch(ids) {
 			r.Kick()
@@ -100,7 +103,9 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	begun := time.Now()
+	r.ledger.asked(begun)
 	reply, err := Call[wire.EscrowReply](ctx, r.Client, "Fleet.Report", report)
+	r.ledger.answered(time.Now(), err == nil)
 	if err == nil && r.Taken != nil {
 		r.Taken(time.Since(begun))
 	}
--- /dev/null
+++ b/internal/fleetclient/ledgertimes.go
@@ -0,0 +1,98 @@
+package fleetclient
+
+import (
+	"sync"
+	"time"
+
+	"sumachead"
+	"sumachead/internal/patience"
+)
+
+const (
+	// firstAnswer is what a report is expected to take as long as none was answered:
+	// a synced write of a group on slow disks.
+	firstAnswer = 50 * time.Millisecond
+	// answerWeight is the weight of one report in what is expected of the next.
+	answerWeight = 0.2
+	// overdue is how many times what is expected a report may take before the ledger
+	// counts as out of reach since it was sent.
+	overdue = 4
+)
+
+// ledgerTimes learns when the ledger answers. The zero value is ready.
+type ledgerTimes struct {
+	mu sync.Mutex // guards the fields below
+	// usual is how long reports take that are answered; 0 before the first.
+	usual time.Duration
+	// sentAt is when the report under way was sent; zero when none is.
+	sentAt time.Time
+	// failingSince is when the first report was sent that failed after the last one
+	// that did not; zero while the ledger answers.
+	failingSince time.Time
+}
+
+// asked notes that a report is sent.
+func (t *ledgerTimes) asked(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sentAt = now
+}
+
+// answered notes how the report under way has ended.
+func (t *ledgerTimes) answered(now time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	took := now.Sub(t.sentAt)
+	switch {
+	case ok:
+		t.usual = t.expected() + time.Duration(answerWeight*float64(took-t.expected()))
+		t.failingSince = time.Time{}
+	case t.failingSince.IsZero():
+		t.failingSince = t.sentAt
+	}
+	t.sentAt = time.Time{}
+}
+
+// expected returns how long a report should take. The caller holds mu.
+func (t *ledgerTimes) expected() time.Duration {
+	if t.usual == 0 {
+		return firstAnswer
+	}
+	return t.usual
+}
+
+// outSince returns since when the ledger has been out of reach; zero while it answers.
+// The caller holds mu.
+func (t *ledgerTimes) outSince(now time.Time) time.Time {
+	if t.failingSince.IsZero() && !t.sentAt.IsZero() && now.Sub(t.sentAt) > overdue*t.expected() {
+		return t.sentAt
+	}
+	return t.failingSince
+}
+
+// prospect returns that of money which is asked for at a time, and which requests have
+// lacked since another.
+func (t *ledgerTimes) prospect(asked, since time.Time) sumachead.Prospect {
+	return ledgerProspect{t, asked, since}
+}
+
+// ledgerProspect is the prospect of money. While the ledger answers, it may come with
+// the next answer, which is under way; after that, when others have given back or
+// requests have ended, which takes as long again as requests have lacked it. While the
+// ledger does not answer, that holds for the ledger itself.
+type ledgerProspect struct {
+	times *ledgerTimes
+	asked time.Time
+	since time.Time
+}
+
+// Expect implements sumachead.Prospect.
+func (p ledgerProspect) Expect(now time.Time) (at time.Time, sure bool) {
+	t := p.times
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if out := t.outSince(now); !out.IsZero() {
+		return patience.AsLong{Since: out}.Expect(now)
+	}
+	return patience.Usual{Since: p.since, By: p.asked.Add(reportGap + t.expected())}.Expect(now)
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -9,6 +9,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/catalog"
+	"sumachead/internal/patience"
 	"sumachead/internal/place"
 	"sumachead/internal/upstream"
 )
@@ -94,7 +95,7 @@
 // giveUp is the end of a request that is not tried again.
 func (d *dispatch) giveUp(reason sumachead.Reason, detail string) error {
 	if !d.mayHaveRun {
-		return refuse(reason, detail, comeBackSoon)
+		return d.refuse(reason, detail)
 	}
 	if reason == sumachead.ReasonRetryBudget {
 		reason = d.last.Reason
@@ -102,13 +103,27 @@
 	return sumachead.Refuse(sumachead.MayHaveRun, reason, detail, time.Time{})
 }
 
+// refuse refuses a request that has not run; its caller is to come back when it should
+// be served.
+func (d *dispatch) refuse(reason sumachead.Reason, detail string) error {
+	now := time.Now()
+	at := d.chooser.FreeAt(d.servers.Servers(d.x.service.GetName()), now)
+	switch {
+	case reason == sumachead.ReasonRetryBudget:
+		at = d.retries.nextAt(now, d.client.Routers())
+	case at.IsZero():
+		at = now.Add(d.Heartbeat) // a server that is there tells of itself by then
+	}
+	return sumachead.Refuse(sumachead.NotRun, reason, detail, patience.Spread(at, d.x.use(), d.x.urgency(), now))
+}
+
 // ended is the end of a request whose time is up or whose caller has gone.
 func (d *dispatch) ended() error {
 	if d.x.ctx.Err() != nil {
 		return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonInterrupted, "the caller has gone", time.Time{})
 	}
 	if !d.mayHaveRun && d.x.attempts == 0 {
-		return refuse(sumachead.ReasonNoServer, "the time is up, and the request was not sent", comeBackSoon)
+		return refuseFinally(sumachead.ReasonNoServer, "the time is up, and the request was not sent")
 	}
 	return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonDeadlinePassed, "the time is up", time.Time{})
 }
@@ -122,7 +137,7 @@
 		if d.last != nil {
 			return d.giveUp(d.last.Reason, "no backend server is left: "+d.last.Err.Error())
 		}
-		return refuse(sumachead.ReasonNoServer, "no backend server is known", comeBackSoon)
+		return d.refuse(sumachead.ReasonNoServer, "no backend server is known")
 	}
 	id := sumachead.ServerID(l.Record.GetId())
 	d.tried = append(d.tried, id)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"sumachead/api/wire"
 	"sumachead/internal/catalog"
 	"sumachead/internal/chain"
+	"sumachead/internal/patience"
 	"sumachead/internal/place"
 )
 
@@ -60,6 +61,18 @@
 	return late
 }
 
+// outcome names how a request with a whole answer was served.
+func (x *exchange) outcome() string {
+	objective, most := x.objective(), x.pauseObjective()
+	switch {
+	case objective > 0 && x.firstAt.Sub(x.arrived) > objective:
+		return outcomeLateFirst
+	case most > 0 && x.pause > most:
+		return outcomeLatePause
+	}
+	return outcomeInTime
+}
+
 // start sends the head of the answer.
 func (x *exchange) start(status int, header http.Header, size int) {
 	x.started, x.firstAt = true, time.Now()
@@ -86,17 +99,23 @@
 	return x.started, nil
 }
 
-// refuse is a refusal of a request that has not run, after which coming back
-// soon may help.
-func refuse(reason sumachead.Reason, detail string, after time.Duration) error {
-	return sumachead.Refuse(sumachead.NotRun, reason, detail, time.Now().Add(after))
-}
-
 // refuseFinally is a refusal after which coming back does not help.
 func refuseFinally(reason sumachead.Reason, detail string) error {
 	return sumachead.Refuse(sumachead.NotRun, reason, detail, time.Time{})
 }
 
+// use returns until when an answer is of use to the caller.
+func (x *exchange) use() patience.Use {
+	u := patience.Use{Deadline: x.request.Deadline}
+	if !x.deadline.IsZero() {
+		u.Deadline = x.deadline
+	}
+	if o := x.objective(); o > 0 {
+		u.InTime = x.arrived.Add(o)
+	}
+	return u
+}
+
 // objective returns the time within which the first byte is in time.
 func (x *exchange) objective() time.Duration {
 	return time.Duration(x.route.GetObjectiveMillis()) * time.Millisecond
@@ -108,9 +127,7 @@
 		Route: x.route.GetName(), Prompt: x.request.PromptTokens, Answer: x.request.AnswerTokens, Parts: x.request.Parts,
 		Pause: x.pauseObjective(), Engine: x.service.GetEngine(),
 	}
-	if o := x.objective(); o > 0 {
-		w.FirstBy = x.arrived.Add(o)
-	}
+	w.FirstBy = x.use().InTime
 	return w
 }
 
@@ -151,7 +168,7 @@
 
 // noteRefusal counts and logs a request that ended without its whole answer.
 func (g *Gateway) noteRefusal(x *exchange, f *sumachead.Refusal) {
-	g.metrics.refusals.WithLabelValues(string(f.Reason)).Inc()
+	g.metrics.noteRefused(x, f.Reason)
 	g.failures.Info(g.Log, "A request has no whole answer.", append(x.fields(),
 		"reason", f.Reason, "verdict", f.Verdict, "detail", f.Detail, "started", x.started)...)
 }
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -4,30 +4,50 @@
 	"time"
 
 	"sumachead"
+	"sumachead/internal/patience"
 )
 
-const (
-	// comeBackSoon is when to come back after a refusal that should pass
-	// quickly.
-	comeBackSoon = 300 * time.Millisecond
-	// escrowShare is the part of the objective, in percent, for which a request
-	// waits for escrow: a refusal after a quarter is too late to be made good.
-	escrowShare = 22
-	// defaultObjective stands in for a route that has none.
-	defaultObjective = time.Second
-)
+// startMost is how long after the start of the process a declaration is expected: in
+// played recoveries of a whole fleet the first came within 0.7 s of it, or not at all
+// while the host was cut off.
+const startMost = time.Second
 
-// settingsFilter fixes the declaration that the request is dealt with under.
+// settingsFilter fixes the declaration that the request is dealt with under. A process
+// that has just started waits for its first.
 func (g *Gateway) settingsFilter(next handler) handler {
 	return func(x *exchange) error {
-		x.view = g.client.View()
-		if x.view == nil {
-			return refuse(sumachead.ReasonSettingsStale, "no declaration is known yet", comeBackSoon)
+		if x.view = g.client.View(); x.view == nil {
+			err := g.awaitDeclaration(x)
+			g.metrics.noteWait(waitDeclaration, x.arrived, err == nil)
+			if err != nil {
+				return err
+			}
 		}
 		return next(x)
 	}
 }
 
+// awaitDeclaration waits for the first declaration while that is of use.
+func (g *Gateway) awaitDeclaration(x *exchange) error {
+	p := patience.Usual{Since: g.startedAt, By: g.startedAt.Add(startMost)}
+	u := x.use()
+	for {
+		now := time.Now()
+		again, wait := patience.Wait(p, u, now)
+		if !wait {
+			return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonSettingsStale, "no declaration is known yet", patience.ComeBack(p, u, 0, now))
+		}
+		select {
+		case <-g.client.Known():
+			x.view = g.client.View()
+			return nil
+		case <-time.After(time.Until(again)):
+		case <-x.ctx.Done():
+			return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonDeadlinePassed, "the caller has gone", time.Time{})
+		}
+	}
+}
+
 // routeFilter finds the route and the service.
 func (g *Gateway) routeFilter(next handler) handler {
 	return func(x *exchange) error {
@@ -72,12 +92,9 @@
 		if x.access == nil || x.access.Prepaid == nil || bound == 0 {
 			return next(x)
 		}
-		objective := x.objective()
-		if objective == 0 {
-			objective = defaultObjective
-		}
-		wait := x.arrived.Add(objective * escrowShare / 100)
-		money, err := g.wallet.Reserve(x.ctx, x.workspace(), bound, wait)
+		begun := time.Now()
+		money, err := g.wallet.Reserve(x.ctx, x.workspace(), bound, x.use(), x.urgency())
+		g.metrics.noteWait(waitEscrow, begun, err == nil)
 		if err != nil {
 			return err
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,12 +68,15 @@
 	// that are not, of which more is kept.
 	lines    *telemetry.Lines
 	failures *telemetry.Lines
-	open     atomic.Int64
-	stopping atomic.Bool
+	// startedAt is when Prepare was called.
+	startedAt time.Time
+	open      atomic.Int64
+	stopping  atomic.Bool
 }
 
 // Prepare makes what Run and Serve need.
 func (g *Gateway) Prepare() {
+	g.startedAt = time.Now()
 	g.servers = &registry.Table{Heartbeat: g.Heartbeat}
 	g.metrics = newMetrics(g)
 	g.lines = &telemetry.Lines{PerSecond: g.LinesPerSecond}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -18,7 +19,13 @@
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
 	served   prometheus.Counter
-	dials    prometheus.Counter
+	// outcomes are of requests by route: in time, late by the first event or by a
+	// pause, or without a whole answer.
+	outcomes *prometheus.CounterVec
+	// waits are of requests that waited for what they lacked, by what that was and
+	// whether it came.
+	waits *prometheus.HistogramVec
+	dials prometheus.Counter
 	// first, whole and pause are of requests with a whole answer.
 	first prometheus.Histogram
 	whole prometheus.Histogram
@@ -44,6 +51,12 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sumachead_gateway_retries_total", Help: "Attempts after the first, by the reason of the one before.",
 		}, []string{"reason"}),
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sumachead_gateway_outcomes_total", Help: "Requests by route (empty where none was found) and outcome: in_time, late_first, late_pause, not_whole.",
+		}, []string{"route", "outcome"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "sumachead_gateway_waits_seconds", Help: "Time that requests waited for a declaration or escrow, by whether it came.", Buckets: seconds,
+		}, []string{"what", "came"}),
 		served: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sumachead_gateway_served_total", Help: "Requests with a whole answer.",
 		}),
@@ -59,7 +72,12 @@
 		m.refusals.WithLabelValues(string(r))
 		m.retries.WithLabelValues(string(r))
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, rpc.Traffic{})
+	m.outcomes.WithLabelValues("", outcomeNotWhole) // of requests that no route was found for
+	for _, what := range []string{waitDeclaration, waitEscrow} {
+		m.waits.WithLabelValues(what, "true")
+		m.waits.WithLabelValues(what, "false")
+	}
+	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, rpc.Traffic{})
 	m.gauges(g)
 	return m
 }
@@ -104,9 +122,40 @@
 // noteServed takes in a request with a whole answer.
 func (m *Metrics) noteServed(x *exchange) {
 	m.served.Inc()
+	m.outcomes.WithLabelValues(x.route.GetName(), x.outcome()).Inc()
 	m.first.Observe(x.firstAt.Sub(x.arrived).Seconds())
 	m.whole.Observe(time.Since(x.arrived).Seconds())
 	if x.events > 1 {
 		m.pause.Observe(x.pause.Seconds())
 	}
 }
+
+// noteRefused takes in a request without a whole answer.
+func (m *Metrics) noteRefused(x *exchange, r sumachead.Reason) {
+	m.refusals.WithLabelValues(string(r)).Inc()
+	m.outcomes.WithLabelValues(x.route.GetName(), outcomeNotWhole).Inc()
+}
+
+// The outcomes of requests.
+const (
+	outcomeInTime    = "in_time"
+	outcomeLateFirst = "late_first"
+	outcomeLatePause = "late_pause"
+	outcomeNotWhole  = "not_whole"
+)
+
+// What requests wait for.
+const (
+	waitDeclaration = "declaration"
+	waitEscrow      = "escrow"
+)
+
+// leastWaited is the time below which a request has not waited.
+const leastWaited = time.Millisecond
+
+// noteWait takes in a request that waited for something since a time.
+func (m *Metrics) noteWait(what string, since time.Time, came bool) {
+	if took := time.Since(since); took >= leastWaited {
+		m.waits.WithLabelValues(what, strconv.FormatBool(came)).Observe(took.Seconds())
+	}
+}
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -68,3 +68,15 @@
 	a.tokens--
 	return true
 }
+
+// nextAt returns when the allowance should hold another repeat.
+func (a *retryAllowance) nextAt(now time.Time, routers int) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refill(now, routers)
+	perSecond := a.most(routers) / a.window.Seconds() / 2
+	if perSecond <= 0 || a.tokens >= 1 {
+		return now
+	}
+	return now.Add(time.Duration((1 - a.tokens) / perSecond * float64(time.Second)))
+}
--- a/internal/place/chooser.go
+++ b/internal/place/chooser.go
@@ -117,6 +117,21 @@
 	return l
 }
 
+// FreeAt returns when a server should be able to take a request: now, unless all of them
+// are passed over for a while; the zero time if there are none.
+func (c *Chooser) FreeAt(records []*wire.ServerRecord, now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var free time.Time
+	for _, r := range records {
+		at := laterOf(c.server(sumachead.ServerID(r.GetId())).suspectTo, now)
+		if free.IsZero() || at.Before(free) {
+			free = at
+		}
+	}
+	return free
+}
+
 // rank weighs one server. The caller holds mu.
 func (c *Chooser) rank(r *wire.ServerRecord, s *server, w *Work, o *offer, e estimate, now time.Time) rank {
 	k := rank{draw: affinity(homeKey(o.parts), r.GetId())}
--- a/scripts/paired/entry.go
+++ b/scripts/paired/entry.go
@@ -15,6 +15,8 @@
 // result is what one play came to: named figures, shares of the day's worth.
 type result struct {
 	figures map[string]float64
+	// sources is the digest of what was played.
+	sources string
 	// broken are the rules that were broken.
 	broken []string
 }
@@ -33,9 +35,12 @@
 type entry struct {
 	Command string     `json:"cmd"`
 	Args    []string   `json:"argv"`
-	Why     string     `json:"why"`
 	Site    string     `json:"site"`
 	Days    []entryDay `json:"days"`
+	// Sources are the digests of what was played.
+	Sources []struct {
+		Digest string `json:"sha256"`
+	} `json:"policy"`
 }
 
 // entryDay is one day of an entry. Parts and prices are rows of a name and figures.
@@ -53,9 +58,9 @@
 // noCPU is the bench's option by which processor time is not charged.
 const noCPU = "--no-cpu"
 
-// readJournal reads the single plays of a tree that were made for a reason, or for any
-// if it is empty, with processor time charged or not.
-func readJournal(tree, why string, cpu bool) (journal, error) {
+// readJournal reads the single plays of certain sources in a tree, with processor time
+// charged or not. A journal has plays of other sources too: those of earlier commits.
+func readJournal(tree, sources string, cpu bool) (journal, error) {
 	files, err := filepath.Glob(filepath.Join(tree, "journal", "*.json"))
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -66,10 +71,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if r == nil || e.Command != "run" || slices.Contains(e.Args, noCPU) == cpu {
-			continue
-		}
-		if why == "" || e.Why == why {
+		if r != nil && r.sources == sources && e.Command == "run" && slices.Contains(e.Args, noCPU) != cpu {
 			name, _, _ := strings.Cut(e.Days[0].Name, " ")
 			out[play{e.Site, name, e.Days[0].Seed}.key()] = r
 		}
@@ -91,7 +93,11 @@
 	if len(e.Days) != 1 {
 		return &e, nil, nil
 	}
-	return &e, e.Days[0].result(), nil
+	r := e.Days[0].result()
+	for _, s := range e.Sources {
+		r.sources += s.Digest
+	}
+	return &e, r, nil
 }
 
 // result names the figures of a day.
--- a/scripts/paired/main.go
+++ b/scripts/paired/main.go
@@ -26,7 +26,6 @@
 	Seeds []uint64 `long:"seed" description:"a seed; may be given more than once"`
 	Jobs  int      `long:"jobs" default:"6" description:"how many days are played at a time"`
 	Why   string   `long:"why" required:"true" description:"the hypothesis, for the journal"`
-	Reuse bool     `long:"reuse" description:"take plays of the old tree that were made for another reason; its sources must not have changed since"`
 	CPU   bool     `long:"cpu" description:"charge processor time: plays then repeat less well"`
 }
 
