--- a/internal/place/placement.go
+++ b/internal/place/placement.go
@@ -58,21 +58,23 @@
 	if !l.work.FirstBy.IsZero() && now.After(l.work.FirstBy) {
 		l.late = true
 	}
-	s := l.server
-	if l.alone && l.work.Engine != nil {
-		c.noteReading(l, now.Sub(l.begun))
+	if l.work.Engine != nil {
+		c.noteFirst(l, now.Sub(l.begun))
 	}
-	s.read(now)
+	l.server.read(now)
 }
 
-// noteReading learns from a prompt that was read alone. The caller holds mu.
-func (c *Chooser) noteReading(l *Placement, took time.Duration) {
-	if l.unread >= factorFrom {
-		usual := c.reading.Time(l.unread, l.work.Prompt)
-		f := float64(took-c.reading.Base()-c.reading.Fetch(l.fetched)) / float64(max(usual, 1))
-		l.server.factor += factorWeight * (min(max(f, fastest), slowest) - l.server.factor)
+// noteFirst learns from a first event: how fast the server is, and, where nothing else
+// was to be read there, how long prompts take. The caller holds mu.
+func (c *Chooser) noteFirst(l *Placement, took time.Duration) {
+	s := l.server
+	if work := l.backlog + l.read; work >= factorFrom {
+		f := s.factor * float64(took-c.reading.Base()-c.reading.Fetch(l.fetched)) / float64(work)
+		s.factor += factorWeight * (min(max(f, fastest), slowest) - s.factor)
+	}
+	if l.alone {
+		c.reading.Note(l.unread, l.work.Prompt, l.fetched, time.Duration(float64(took)/max(s.factor, 1)))
 	}
-	c.reading.Note(l.unread, l.work.Prompt, l.fetched, time.Duration(float64(took)/max(l.server.factor, 1)))
 }
 
 // Late notes that the stream has missed its objective for pauses.
--- a/internal/place/reading.go
+++ b/internal/place/reading.go
@@ -38,8 +38,9 @@
 	slowest      = 8.0
 	fastest      = 0.5
 	factorWeight = 0.15
-	// factorFrom is the least number of tokens of a prompt that tells of speed.
-	factorFrom = 1500
+	// factorFrom is the least time of reading, as predicted, that tells of speed: what
+	// else a first event takes varies by some ms.
+	factorFrom = 30 * time.Millisecond
 )
 
 // numFeatures is how many features a prompt has.
