--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -55,6 +55,7 @@
 	r.kick = make(chan struct{}, 1)
 	r.gap = reportGap
 	r.Wallet.Kick = r.Kick
+	r.ledger.heardAt = r.Client.HeardAt
 	r.Wallet.Prospect = r.ledger.prospect
 	r.Client.OnLacking = func(ids []sumachead.WorkspaceID) {
 		if r.Wallet.Touch(ids) {
--- a/internal/fleetclient/ledgertimes.go
+++ b/internal/fleetclient/ledgertimes.go
@@ -19,16 +19,21 @@
 	overdue = 4
 )
 
-// ledgerTimes learns when the ledger answers. The zero value is ready.
+// ledgerTimes learns when the ledger answers.
 type ledgerTimes struct {
+	// heardAt returns when the ledger's leader last answered anything.
+	heardAt func() time.Time
+
 	mu sync.Mutex // guards the fields below
 	// usual is how long reports take that are answered; 0 before the first.
 	usual time.Duration
 	// sentAt is when the report under way was sent; zero when none is.
 	sentAt time.Time
 	// failingSince is when the first report was sent that failed after the last one
-	// that did not; zero while the ledger answers.
+	// that did not, and failedAt when the last one failed; zero while the ledger
+	// answers.
 	failingSince time.Time
+	failedAt     time.Time
 }
 
 // asked notes that a report is sent.
@@ -43,12 +48,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	took := now.Sub(t.sentAt)
-	switch {
-	case ok:
+	if ok {
 		t.usual = t.expected() + time.Duration(answerWeight*float64(took-t.expected()))
 		t.failingSince = time.Time{}
-	case t.failingSince.IsZero():
-		t.failingSince = t.sentAt
+	} else {
+		if t.failingSince.IsZero() {
+			t.failingSince = t.sentAt
+		}
+		t.failedAt = now
 	}
 	t.sentAt = time.Time{}
 }
@@ -61,9 +68,13 @@
 	return t.usual
 }
 
-// outSince returns since when the ledger has been out of reach; zero while it answers.
-// The caller holds mu.
+// outSince returns since when the ledger has been out of reach; zero while it answers,
+// and once its leader has been heard of after the last report that failed. The caller
+// holds mu.
 func (t *ledgerTimes) outSince(now time.Time) time.Time {
+	if !t.failingSince.IsZero() && t.heardAt().After(t.failedAt) {
+		t.failingSince = time.Time{}
+	}
 	if t.failingSince.IsZero() && !t.sentAt.IsZero() && now.Sub(t.sentAt) > overdue*t.expected() {
 		return t.sentAt
 	}
