Silent servers are asked who they are before they get a request

Cause: after a loss of all power the servers too are other lives at their old addresses. Ruled out: sending to the life that a health check names (a reused address may belong to another service, and the check does not say).

Change: where all servers of a service are silent, some are asked for their health; one that answers as it is known is used, another's life is over, and requests wait for servers to tell of themselves within the interval of heartbeats. After that a silent one is tried as before, since health may lie.

--- a/callers.go
+++ b/callers.go
@@ -85,4 +85,7 @@
 	Encode(h http.Header, r *CallerRequest, a *Attempt)
 	// Decode reads the head of an answer that came at now.
 	Decode(status int, h http.Header, now time.Time) AnswerHead
+	// Identity returns which life of a server has answered a health check; empty where
+	// it is not well or does not say.
+	Identity(status int, h http.Header) ServerID
 }
--- /dev/null
+++ b/internal/gateway/candidates.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/patience"
+)
+
+// After a loss of power of everything the servers that are known from before may be
+// gone, or other lives of theirs may have their addresses. A request that is sent there
+// has used up an attempt, and often its only one. So silent servers are asked who they
+// are before they get a request, and while there is no other server a request waits: a
+// server that is there tells of itself within the interval of heartbeats.
+
+const (
+	// checkAgain is the least time between checks of one server, and checkTimeout
+	// bounds one: some round trips between data halls.
+	checkAgain   = 300 * time.Millisecond
+	checkTimeout = 200 * time.Millisecond
+	// checksAtOnce bounds the checks of a service that run at a time: a few servers
+	// that are found soon are enough to begin with.
+	checksAtOnce = 8
+)
+
+// checks is what a router knows of checks of silent servers, and since when services
+// have had no server. The zero value is ready.
+type checks struct {
+	mu sync.Mutex // guards the fields below
+	// at is when servers were last checked.
+	at map[string]time.Time
+	// lackingSince is since when a service has had no server that may be sent to.
+	lackingSince map[string]time.Time
+}
+
+// due picks the servers that may be checked now, and notes that they are.
+func (c *checks) due(records []*wire.ServerRecord, now time.Time) []*wire.ServerRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.at == nil {
+		c.at = make(map[string]time.Time)
+	}
+	var out []*wire.ServerRecord
+	for _, r := range records {
+		if len(out) < checksAtOnce && now.Sub(c.at[r.GetId()]) > checkAgain {
+			c.at[r.GetId()] = now
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// lacking notes whether a service lacks servers, and returns since when it does.
+func (c *checks) lacking(service string, lacks bool, now time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !lacks {
+		delete(c.lackingSince, service)
+		return time.Time{}
+	}
+	if c.lackingSince == nil {
+		c.lackingSince = make(map[string]time.Time)
+	}
+	if c.lackingSince[service].IsZero() {
+		c.lackingSince[service] = now
+	}
+	return c.lackingSince[service]
+}
+
+// forget drops the checks of servers that are not known any more.
+func (c *checks) forget(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, at := range c.at {
+		if now.Sub(at) > checkAgain {
+			delete(c.at, id)
+		}
+	}
+}
+
+// candidates returns the servers that the request may be sent to. Where all that are
+// known are silent, they are checked, and the request waits for one while that is of
+// use; after that it may be sent to a silent one, whose health may lie.
+func (d *dispatch) candidates() ([]*wire.ServerRecord, error) {
+	service := d.x.service.GetName()
+	for {
+		changed := d.servers.Changed()
+		all := d.servers.Servers(service)
+		now := time.Now()
+		since := d.checks.lacking(service, !slices.ContainsFunc(all, isHeard), now)
+		if since.IsZero() || d.last != nil {
+			return all, nil
+		}
+		if due := d.checks.due(all, now); len(due) > 0 {
+			go d.check(due, d.x.service.GetHealthPath())
+		}
+		p := patience.Usual{Since: since, By: since.Add(d.Heartbeat)}
+		again, wait := patience.Wait(p, d.x.use(), now)
+		switch {
+		case !wait && len(all) > 0:
+			return all, nil
+		case !wait:
+			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonNoServer, "no backend server is known to run", patience.ComeBack(p, d.x.use(), d.x.urgency(), now))
+		}
+		select {
+		case <-changed:
+		case <-time.After(min(time.Until(again), checkAgain)):
+		case <-d.ctx.Done():
+			return nil, d.ended()
+		}
+	}
+}
+
+// isHeard reports whether a server has been heard of lately.
+func isHeard(r *wire.ServerRecord) bool {
+	return r.GetState() != wire.ServerState_SERVER_STATE_SILENT
+}
+
+// check asks silent servers who they are. One that answers as it is known may be sent
+// to; where another life answers, the one that is known is over.
+func (g *Gateway) check(records []*wire.ServerRecord, path string) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	tasks, work := errgroup.WithContext(ctx)
+	for _, r := range records {
+		tasks.Go(func() error {
+			id, err := g.upstream.Check(work, r.GetAddress(), path)
+			switch {
+			case err != nil:
+				g.failures.Info(g.Log, "A silent server did not answer.", "server", r.GetId(), "error", err)
+			case string(id) == r.GetId():
+				g.servers.Confirm(r.GetId(), time.Now())
+			default:
+				g.failures.Info(g.Log, "A silent server's life is over.", "server", r.GetId(), "answered", id)
+				g.servers.Leave(r.GetId(), time.Now())
+			}
+			return nil // one that does not answer ends no other check
+		})
+	}
+	_ = tasks.Wait() // no task returns an error
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -131,13 +131,16 @@
 // attempt sends the request to one server and relays what it answers. A
 // [*upstream.Failure] says that another attempt may be made.
 func (d *dispatch) attempt() error {
-	servers := d.servers.Servers(d.x.service.GetName())
+	servers, err := d.candidates()
+	if err != nil {
+		return err
+	}
 	l := d.chooser.Place(servers, d.tried, d.x.work(), time.Now())
 	if l == nil {
 		if d.last != nil {
 			return d.giveUp(d.last.Reason, "no backend server is left: "+d.last.Err.Error())
 		}
-		return d.refuse(sumachead.ReasonNoServer, "no backend server is known")
+		return d.refuse(sumachead.ReasonNoServer, "no backend server is left")
 	}
 	id := sumachead.ServerID(l.Record.GetId())
 	d.tried = append(d.tried, id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	upstream *upstream.Pool
 	chooser  *place.Chooser
 	retries  *retryAllowance
+	checks   checks
 	metrics  *Metrics
 	// handle is the filters around dispatch.
 	handle handler
@@ -106,6 +107,7 @@
 			g.upstream.Tidy(time.Now())
 			g.chooser.Tidy(time.Now())
 			g.servers.Forget(time.Now())
+			g.checks.forget(time.Now())
 		})
 	})
 	follow, stop := context.WithCancel(context.Background())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -44,6 +44,13 @@
 	}
 }
 
+func (testDialect) Identity(status int, h http.Header) sumachead.ServerID {
+	if status != http.StatusOK {
+		return ""
+	}
+	return sumachead.ServerID(h.Get("X-Server"))
+}
+
 // backend is a server that answers by hand; runs counts what reached it.
 type backend struct {
 	id   string
@@ -143,7 +150,7 @@
 	g.Prepare()
 	g.client.Adopt(&wire.Declaration{Number: 1, Catalog: &wire.Catalog{
 		KeysNeeded: true,
-		Services:   []*wire.Service{{Name: "pool", MaxConns: 100, Engine: &wire.EngineLimits{EventTokens: 3}}},
+		Services:   []*wire.Service{{Name: "pool", MaxConns: 100, HealthPath: "/health", Engine: &wire.EngineLimits{EventTokens: 3}}},
 		Routes: []*wire.Route{{
 			Name: "r", Host: "h", PathPrefix: "/r/", Kind: kind, Resumable: resumable, TimeoutMillis: 1000, ObjectiveMillis: 500,
 			MaxAttempts: 2, Shares: []*wire.ServiceShare{{Service: "pool", Weight: 1}},
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -52,7 +52,7 @@
 	// leads: the numbering is this table's own. A follower that learns something by
 	// itself must not number it: it would pass over a change of the leader's.
 	leads bool
-	// changed is closed when a record gets a new version.
+	// changed is closed when a record gets a new version, or comes from the leader.
 	changed chan struct{}
 	// changes are the newest changes, oldest first; those up to trimmed are not
 	// kept any more.
@@ -81,8 +81,7 @@
 	r.Version = t.version
 	t.changes = append(t.changes, change{t.version, r.GetId()})
 	t.trim()
-	close(t.changed)
-	t.changed = make(chan struct{})
+	t.notify()
 }
 
 // trim forgets the older half of the changes when there are more than would save
@@ -197,6 +196,33 @@
 	}
 }
 
+// Confirm takes in that a server which was silent has answered as the life that this
+// table knows. The leader says otherwise once it knows more.
+func (t *Table) Confirm(id string, now time.Time) {
+	t.lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	if e == nil || e.record.GetState() != wire.ServerState_SERVER_STATE_SILENT {
+		return
+	}
+	e.seen = now
+	t.setState(e, wire.ServerState_SERVER_STATE_READY)
+	t.notify()
+}
+
+// Changed returns a channel that is closed when records change.
+func (t *Table) Changed() <-chan struct{} {
+	t.lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// notify wakes up those who wait for a change. The caller holds mu.
+func (t *Table) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
 // Leave marks a server's life as leaving.
 func (t *Table) Leave(id string, now time.Time) {
 	t.lock()
@@ -275,6 +301,9 @@
 		t.takeOne(s, now)
 	}
 	t.history, t.version, t.leads = r.GetHistory(), r.GetVersion(), false
+	if len(r.GetServers()) > 0 {
+		t.notify()
+	}
 }
 
 // takeOne takes in one record. The caller holds mu.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -22,6 +22,10 @@
 	h.Set("X-Request", string(r.ID))
 }
 
+func (plainDialect) Identity(_ int, h http.Header) sumachead.ServerID {
+	return sumachead.ServerID(h.Get("X-Server"))
+}
+
 func (plainDialect) Decode(status int, h http.Header, _ time.Time) sumachead.AnswerHead {
 	return sumachead.AnswerHead{
 		ID: sumachead.RequestID(h.Get("X-Request")), NotRun: h.Get("X-Not-Run") != "",
