A keeper that knows no server yet logs no failure to write them

Every start logged 'not written: record of 0 bytes' at each keeper, which looked like a failing disk to whoever reads the logs. Seen failing: TestNoServersAreNotWritten.

--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -67,9 +67,13 @@
 	})
 }
 
-// saveRecords writes the file.
+// saveRecords writes the file; with no server known there is nothing to write.
 func (k *Keeper) saveRecords() error {
-	data, err := proto.Marshal(&wire.ServerRecords{Servers: k.servers.Known()})
+	known := k.servers.Known()
+	if len(known) == 0 {
+		return nil
+	}
+	data, err := proto.Marshal(&wire.ServerRecords{Servers: known})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/fleet/records_test.go
+++ b/internal/fleet/records_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/protobuf/proto"
 
 	"sumachead/api/wire"
+	"sumachead/internal/registry"
 	"sumachead/internal/wal"
 )
 
@@ -48,3 +50,15 @@
 		t.Fatalf("servers known to the next leader (-want +got):\n%s", diff)
 	}
 }
+
+// A keeper that knows no server has nothing to write, which is no failure.
+func TestNoServersAreNotWritten(t *testing.T) {
+	k := &Keeper{Data: t.TempDir(), servers: &registry.Table{Heartbeat: time.Second}}
+	if err := k.saveRecords(); err != nil {
+		t.Fatalf("writing no servers: %v", err)
+	}
+	k.servers.Beat(&wire.ServerRecord{Id: "i-1", Service: "pool", Sequence: 1}, time.Now())
+	if err := k.saveRecords(); err != nil {
+		t.Fatalf("writing a server: %v", err)
+	}
+}
