A server without a free slot is not sent to while others have one

Change: from 0.95 of its slots (others' requests are known late) a request is expected to wait for as long as it takes that the surplus ends. Test: TestSlotsBoundWhatIsSent, failed before.

--- a/internal/place/chooser.go
+++ b/internal/place/chooser.go
@@ -163,10 +163,22 @@
 	e.unread = max(w.Prompt-has-e.fetched-own, 0)
 	e.again = max(total(o.shared)-has-e.fetched, 0)
 	e.read = time.Duration(s.factor * float64(c.reading.Time(e.unread, w.Prompt)))
-	e.wait = c.reading.Base() + e.backlog + e.read + fetching
+	e.wait = c.reading.Base() + e.backlog + e.read + fetching + c.slotWait(s, w)
 	return e
 }
 
+// slotWait returns how long a request waits until one of a server's slots is free: as
+// long as it takes for those to end that have more than a part of them. The caller holds
+// mu.
+func (c *Chooser) slotWait(s *server, w *Work) time.Duration {
+	slots := float64(w.Engine.GetSlots())
+	if slots == 0 {
+		return 0
+	}
+	over := float64(s.running()) - fullSlots*slots
+	return time.Duration(max(over, 0) / slots * float64(c.length(w.Route)))
+}
+
 // begin counts a request at its server. The caller holds mu.
 func (c *Chooser) begin(l *Placement, o *offer, now time.Time) {
 	s := l.server
--- a/internal/place/chooser_test.go
+++ b/internal/place/chooser_test.go
@@ -128,6 +128,34 @@
 	}
 }
 
+// A server whose slots are taken is passed over, by whomever they are.
+func TestSlotsBoundWhatIsSent(t *testing.T) {
+	now := time.Now()
+	servers := engines("a", "b")
+	most := int(limits.GetSlots())
+	t.Run("own", func(t *testing.T) {
+		c := trained("hall-1")
+		count := make(map[string]int)
+		for range most * 3 / 2 {
+			l := c.Place(servers, nil, chat(now), now)
+			l.First(now)
+			count[l.Record.GetId()]++
+		}
+		for id, n := range count {
+			if n > most {
+				t.Errorf("%d requests at %s, which has %d slots", n, id, most)
+			}
+		}
+	})
+	t.Run("other routers'", func(t *testing.T) {
+		c := trained("hall-1")
+		c.Others([]*wire.ServerLoad{{Id: "a", Running: int64(most)}}, now)
+		if l := c.Place(servers, nil, chat(now), now); l.Record.GetId() != "b" {
+			t.Error("sent to a server without a free slot")
+		}
+	})
+}
+
 // What one router has brought to a server, another learns.
 func TestPartsAreTold(t *testing.T) {
 	now := time.Now()
--- a/internal/place/objective.go
+++ b/internal/place/objective.go
@@ -39,6 +39,9 @@
 	// reading of a very long prompt, which more prompts may prolong.
 	firstFrom, firstTo = 0.6, 1.05
 	pauseFrom, pauseTo = 0.2, 1.6
+	// fullSlots is the part of an engine's slots from which one is expected to have to
+	// be waited for: what other routers have there is known a little late.
+	fullSlots = 0.95
 	// fullPart is the part, in percent, of a plain service's slots that one
 	// router fills before it goes to another data hall.
 	fullPart = 50
