Place: the package's page, and what the term of waiting is for

It stays for routes without objectives, where nothing else tells a busy engine from an idle one: TestWithoutObjectivesTheIdleServerIsChosen, failing without it.

--- a/internal/place/chooser_test.go
+++ b/internal/place/chooser_test.go
@@ -158,6 +158,22 @@
 	})
 }
 
+// Where a route has no objectives nothing is late, and the first event still comes from
+// the server that has the least to read.
+func TestWithoutObjectivesTheIdleServerIsChosen(t *testing.T) {
+	now := time.Now()
+	servers := engines("a", "b", "c")
+	c := trained("hall-1")
+	w := &Work{Route: "plain", Prompt: 9000, Answer: 300, Engine: limits}
+	seen := make(map[string]bool)
+	for range servers {
+		seen[c.Place(servers, nil, w, now).Record.GetId()] = true
+	}
+	if len(seen) != len(servers) {
+		t.Errorf("three prompts were sent to %d servers", len(seen))
+	}
+}
+
 // What one router has brought to a server, another learns.
 func TestPartsAreTold(t *testing.T) {
 	now := time.Now()
--- /dev/null
+++ b/internal/place/doc.go
@@ -0,0 +1,27 @@
+// Package place chooses backend servers. It has no sockets and no clock of its own.
+//
+// There are two kinds of choice. For backend servers with agents, which tell their load,
+// [Weighted] is the policy in use (place.go); [RoundRobin] and [LeastOutstanding] are the
+// baselines that it is measured against.
+//
+// For model engines of a declared fleet a [Chooser] sends each request ([Work]) to the
+// server at which callers are expected to lose least. The loss is a sum in tokens
+// (objective.go):
+//
+//	size * P(late)                the request's own: by its first event, or by a pause
+//	                              while a long prompt is read beside its stream
+//	+ sum of size * dP(late)      of the streams there that reading this prompt makes late
+//	+ tokens read again           of shared parts that another engine has
+//	+ 0.6 * tokens fetched        from that engine instead
+//	+ 2 * ms to the first event   so that equal servers are told apart
+//	+ 300 for another data hall
+//
+// where a request's size is its prompt and ten times the most of its answer, and P rises
+// with the predicted time over the objective. Times are predicted by [Reading], which
+// learns what a first event takes from those that were observed (reading.go), by what
+// this router and all others have at a server (server.go), and by which shared parts
+// servers have read (parts.go). A [Placement] is one request at its server; what becomes of
+// it is what the chooser learns from (placement.go).
+//
+// docs/DECISIONS.md says what each term is worth, and what else was tried.
+package place
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -1,7 +1,3 @@
-// Package place chooses backend servers.
-//
-// [Weighted] is the policy in use; [RoundRobin] and [LeastOutstanding] are the
-// baselines that it is measured against.
 package place
 
 import (
