--- a/internal/place/chooser_test.go
+++ b/internal/place/chooser_test.go
@@ -163,6 +163,9 @@
 func TestWithoutObjectivesTheIdleServerIsChosen(t *testing.T) {
 	now := time.Now()
 	servers := engines("a", "b", "c")
+	for _, r := range servers {
+		r.Hall = "hall-1"
+	}
 	c := trained("hall-1")
 	w := &Work{Route: "plain", Prompt: 9000, Answer: 300, Engine: limits}
 	seen := make(map[string]bool)
