One wait for a change, one hash of a server, one way to confirm it

Found by reading the whole change once more; behaviour stays as it is. - The wait for a change, a time or the end stood three times (escrow, the first declaration, silent servers): loop.Pause. - Each choice hashed each server's id twice: the server's state holds the hash.

The tests of the packages pass under the race detector, unchanged.

--- a/internal/escrow/reservation.go
+++ b/internal/escrow/reservation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sumachead"
+	"sumachead/internal/loop"
 	"sumachead/internal/patience"
 )
 
@@ -46,7 +47,7 @@
 		if !wait {
 			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonLedgerUnreached, "too little escrow at hand", patience.ComeBack(p, u, urgency, now))
 		}
-		if !pause(ctx, changed, again) {
+		if !loop.Pause(ctx, changed, again) {
 			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonDeadlinePassed, "the caller has gone", time.Time{})
 		}
 		r, a, changed = w.try(id, bound, time.Now(), false)
@@ -65,19 +66,6 @@
 	return w.Prospect(asked, since)
 }
 
-// pause returns when something has changed, or at a time; false when ctx has ended.
-func pause(ctx context.Context, changed <-chan struct{}, until time.Time) bool {
-	t := time.NewTimer(time.Until(until))
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-t.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
 // admission is the outcome of one look at a purse.
 type admission int
 
--- a/internal/fleet/loads.go
+++ b/internal/fleet/loads.go
@@ -55,9 +55,9 @@
 	self := sumachead.NodeID(r.GetNode())
 	l.routers[self] = routerLoads{r.GetLoads(), now}
 	sums := make(map[string]*wire.ServerLoad)
-	reply := &wire.LoadReply{History: l.history, Brought: l.broughtAfter(r), Seen: l.first + uint64(len(l.brought)) - 1}
+	reply := &wire.LoadReply{History: l.history, Brought: l.broughtAfter(r)}
 	l.bring(self, r.GetBrought())
-	reply.Seen += uint64(countParts(r.GetBrought()))
+	reply.Seen = l.first + uint64(len(l.brought)) - 1
 	for n, x := range l.routers {
 		if now.Sub(x.at) > loadLives {
 			delete(l.routers, n)
@@ -126,12 +126,3 @@
 		l.first += uint64(over)
 	}
 }
-
-// countParts counts the parts of a list.
-func countParts(list []*wire.ServerParts) int {
-	n := 0
-	for _, s := range list {
-		n += len(s.GetParts())
-	}
-	return n
-}
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -10,6 +10,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/loop"
 	"sumachead/internal/patience"
 )
 
@@ -108,10 +109,10 @@
 		case !wait:
 			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonNoServer, "no backend server is known to run", patience.ComeBack(p, d.x.use(), d.x.urgency(), now))
 		}
-		select {
-		case <-changed:
-		case <-time.After(min(time.Until(again), checkAgain)):
-		case <-d.ctx.Done():
+		if next := now.Add(checkAgain); next.Before(again) {
+			again = next
+		}
+		if !loop.Pause(d.ctx, changed, again) {
 			return nil, d.ended()
 		}
 	}
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sumachead"
+	"sumachead/internal/loop"
 	"sumachead/internal/patience"
 )
 
@@ -37,14 +38,12 @@
 		if !wait {
 			return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonSettingsStale, "no declaration is known yet", patience.ComeBack(p, u, 0, now))
 		}
-		select {
-		case <-g.client.Known():
-			x.view = g.client.View()
-			return nil
-		case <-time.After(time.Until(again)):
-		case <-x.ctx.Done():
+		if !loop.Pause(x.ctx, g.client.Known(), again) {
 			return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonDeadlinePassed, "the caller has gone", time.Time{})
 		}
+		if x.view = g.client.View(); x.view != nil {
+			return nil
+		}
 	}
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -21,6 +21,19 @@
 	}
 }
 
+// Pause returns true when changed is closed or at a time, and false when ctx ends first.
+func Pause(ctx context.Context, changed <-chan struct{}, until time.Time) bool {
+	t := time.NewTimer(time.Until(until))
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // Until polls done at an interval until it holds or ctx ends; it reports whether
 // it held.
 func Until(ctx context.Context, interval time.Duration, done func() bool) bool {
--- a/internal/place/chooser.go
+++ b/internal/place/chooser.go
@@ -134,7 +134,7 @@
 
 // rank weighs one server. The caller holds mu.
 func (c *Chooser) rank(r *wire.ServerRecord, s *server, w *Work, o *offer, e estimate, now time.Time) rank {
-	k := rank{draw: affinity(homeKey(o.parts), r.GetId())}
+	k := rank{draw: affinity(homeKey(o.parts), s)}
 	if now.Before(s.suspectTo) {
 		k.doubt = 1
 	}
@@ -244,10 +244,7 @@
 func (c *Chooser) Others(loads []*wire.ServerLoad, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.toldAt = now
-	for _, s := range c.servers {
-		s.others = others{}
-	}
+	c.dropOthers(now)
 	for _, l := range loads {
 		c.server(sumachead.ServerID(l.GetId())).told(l, now)
 	}
@@ -260,7 +257,13 @@
 	if c.toldAt.IsZero() || now.Sub(c.toldAt) < othersFor {
 		return
 	}
-	c.toldAt = time.Time{}
+	c.dropOthers(time.Time{})
+}
+
+// dropOthers forgets what other routers told. What takes its place is told at a time, or
+// nothing does at the zero time. The caller holds mu.
+func (c *Chooser) dropOthers(at time.Time) {
+	c.toldAt = at
 	for _, s := range c.servers {
 		s.others = others{}
 	}
--- a/internal/place/parts.go
+++ b/internal/place/parts.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,9 +54,7 @@
 
 // affinity ranks a server for a prompt: all routers rank alike, so that requests
 // with the same shared parts meet.
-func affinity(k partKey, server string) uint64 {
-	return mix(uint64(k) ^ bits.RotateLeft64(xxhash.Sum64String(server), 32))
-}
+func affinity(k partKey, s *server) uint64 { return mix(uint64(k) ^ s.draw) }
 
 // mix spreads a number's bits, as the end of a hash does: without it, servers would
 // keep their order from prompt to prompt.
@@ -94,10 +91,10 @@
 		if r.GetState() != wire.ServerState_SERVER_STATE_READY {
 			continue
 		}
-		if a := affinity(key, r.GetId()); o.home == "" || a < least {
+		s := c.server(sumachead.ServerID(r.GetId()))
+		if a := affinity(key, s); o.home == "" || a < least {
 			o.home, least = r.GetId(), a
 		}
-		s := c.server(sumachead.ServerID(r.GetId()))
 		if has := s.cached(o.shared); has > o.has && !now.Before(s.suspectTo) {
 			o.has, o.address, o.id = has, r.GetAddress(), r.GetId()
 		}
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -2,9 +2,12 @@
 
 import (
 	"maps"
+	"math/bits"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sumachead"
 	"sumachead/api/wire"
 )
@@ -30,6 +33,8 @@
 // what other routers have told.
 type server struct {
 	id sumachead.ServerID
+	// draw is the hash of the id, for affinity.
+	draw uint64
 	// runs are this router's requests there, in the order in which they were sent.
 	runs []*Placement
 	// busyUntil is when what this router sent there should have been read.
@@ -66,7 +71,7 @@
 
 // newServer returns the state of a server that nothing is known of.
 func newServer(id sumachead.ServerID) *server {
-	return &server{id: id, factor: 1, parts: make(map[partKey]time.Time)}
+	return &server{id: id, draw: bits.RotateLeft64(xxhash.Sum64String(string(id)), 32), factor: 1, parts: make(map[partKey]time.Time)}
 }
 
 // backlog returns for how long the server has prompts to read, as far as is known.
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -201,13 +201,10 @@
 func (t *Table) Confirm(id string, now time.Time) {
 	t.lock()
 	defer t.mu.Unlock()
-	e := t.entries[id]
-	if e == nil || e.record.GetState() != wire.ServerState_SERVER_STATE_SILENT {
-		return
+	if e := t.entries[id]; e != nil {
+		t.alive(e, e.record.GetSequence(), now)
+		t.notify()
 	}
-	e.seen = now
-	t.setState(e, wire.ServerState_SERVER_STATE_READY)
-	t.notify()
 }
 
 // Changed returns a channel that is closed when records change.
