--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sumachead"
+	"sumachead/internal/loop"
 )
 
 // brokenBody breaks off after some bytes.
@@ -217,6 +218,27 @@
 	}
 }
 
+// awaitResting waits until the server knows that a connection rests: it learns that
+// after its caller has read the answer.
+func awaitResting(t *testing.T, s *Server) {
+	t.Helper()
+	rests := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, c := range s.conns {
+			if !c.restingSince.IsZero() {
+				return true
+			}
+		}
+		return false
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if !loop.Until(ctx, time.Millisecond, rests) {
+		t.Fatal("no connection rests after its answer")
+	}
+}
+
 func TestConnectionsAreBounded(t *testing.T) {
 	s := &Server{MaxConns: 2, Limits: func() Limits { return Limits{} }}
 	serve(t, s)
@@ -227,6 +249,7 @@
 	if _, err := io.WriteString(busy, "GET / HTTP/1.1\r\n"); err != nil {
 		t.Fatal(err)
 	}
+	awaitResting(t, s)
 	newest := dial(t, s)
 	if !ask(newest) {
 		t.Error("a new connection has no answer, though another one rests")
