Requests wait for agents that are expected back; the demo waits for its stand-ins

Change: where no server of the pool can take a request for now, it waits as long as one is expected back before its deadline: as long again as the server has been silent, or as the request has been refused for want of settings (package patience, as in the gateway). A server that has been silent for long is not waited for. An agent that turned out to have restarted during a call may be tried again by what may be repeated. Stand-ins are outside of the product: the demo waits for them.

--- a/internal/router/deliver.go
+++ b/internal/router/deliver.go
@@ -86,8 +86,8 @@
 	case wire.RunCode_RUN_CODE_GONE:
 		return sumachead.Refuse(sumachead.Ran, sumachead.ReasonAnswerGone, "the request ran; its answer is gone", time.Time{})
 	case wire.RunCode_RUN_CODE_WRONG_BOOT:
+		d.restarted = true
 		if !sentBefore {
-			d.restarted = true
 			return refuseSoon(sumachead.NotRun, sumachead.ReasonServerUnreached, "the agent has restarted")
 		}
 	}
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -41,6 +41,8 @@
 	// restarted: the agent of the last attempt turned out to be a new process,
 	// which may be tried as well.
 	restarted bool
+	// refusedAt is when an agent first refused that had no settings proved current.
+	refusedAt time.Time
 	// used is what the attempt that has just failed is known to have used.
 	used int64
 }
@@ -55,7 +57,7 @@
 	}
 	r.retries.noteRequest(x.workspace)
 	d := &dispatch{Router: r, x: x, ctx: ctx}
-	if err := d.place(); err != nil {
+	if err := d.awaitServer(); err != nil {
 		return x.unsure(sumachead.AsRefusal(err))
 	}
 	return d.reserve()
@@ -266,7 +268,14 @@
 		d.tried = append(d.tried, d.to.server)
 	}
 	d.restarted = false
-	if err := d.place(); err != nil {
+	if f.Reason == sumachead.ReasonSettingsStale && d.refusedAt.IsZero() {
+		d.refusedAt = time.Now()
+	}
+	next := d.place
+	if mayAwait(f) {
+		next = d.awaitServer
+	}
+	if err := next(); err != nil {
 		// No other server is left: the refusal that led here says more.
 		return d.giveUp(f)
 	}
--- a/internal/router/links.go
+++ b/internal/router/links.go
@@ -39,6 +39,8 @@
 	outstanding int
 	// down: the agent was not reached, and is being probed.
 	down bool
+	// downSince is when the agent was first not reached; zero when it answered last.
+	downSince time.Time
 }
 
 // target is a link as one attempt uses it: with the process that it names.
@@ -56,7 +58,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.load, l.loadAt, l.boot = load, time.Now(), load.GetBoot()
-	l.down = false
+	l.down, l.downSince = false, time.Time{}
+}
+
+// silent returns since when the agent has not been reached; zero when it answered last.
+func (l *link) silent() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.downSince
 }
 
 // markDown passes the server over until its agent answers again, and forgets
@@ -69,6 +78,9 @@
 		return
 	}
 	l.down = true
+	if l.downSince.IsZero() {
+		l.downSince = time.Now()
+	}
 	go l.probe(time.Now().Add(probeFor))
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -91,6 +91,10 @@
 tool() { "$bin/sumachead" "$@"; }
 
 wait_for 20 "a leader" curl -sf http://127.0.0.1:7111/readyz
+# The product waits for its own processes; the stand-ins are outside of it.
+for ((i = 1; i < 2 + engines || i <= 3; i++)); do
+  wait_for 10 "the stand-in on port 730$i" curl -sf "http://127.0.0.1:730$i/admin/runs"
+done
 
 say "applying the settings tree"
 tool settings check "$dir/settings.json"
