A keeper with an empty disk is taken in also where the leader is no seed

In all that broke, the keeper that led after the first loss was none of the three seeds; a newcomer asks the seeds and the members that it knows, which for an empty disk are none, and those that do not lead refuse. Ruled out: elections (somebody led until the second replacement), the promotion of learners (none came).

Change: a refusal names the leader, and the newcomer asks that one as well.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -368,3 +369,48 @@
 		t.Fatalf("answered %v after a leader was known", late)
 	}
 }
+
+// A keeper that has lost its disk knows the seeds only. It is taken in also where the
+// leader is none of them.
+func TestNewSelfJoinsALeaderThatIsNoSeed(t *testing.T) {
+	const seeds = 3
+	c := newCluster(t, 5, seeds)
+	c.voters(5)
+	for {
+		leader, _ := c.leader()
+		i := slices.Index(c.members, leader)
+		if i >= seeds {
+			break
+		}
+		c.halt(i)
+		c.leader() // another one, perhaps again a seed
+		c.start(i, false)
+	}
+	c.halt(1)
+	if err := os.RemoveAll(c.data(1)); err != nil {
+		t.Fatal(err)
+	}
+	c.start(1, false)
+	c.eventually("the new self votes", func() bool {
+		for i, m := range c.members {
+			if !m.node.Leading() {
+				continue
+			}
+			if i < seeds {
+				t.Fatal("a seed has come to lead: the test shows nothing")
+			}
+			return isVoter(m.node.Status().GetMembers(), c.members[1].self())
+		}
+		return false
+	})
+}
+
+// isVoter reports whether a self is among the members and votes.
+func isVoter(ms []*wire.Member, self *wire.Member) bool {
+	for _, m := range ms {
+		if m.GetId() == self.GetId() {
+			return m.GetIncarnation() == self.GetIncarnation() && !m.GetLearner()
+		}
+	}
+	return false
+}
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sumachead/api/wire"
+	"sumachead/internal/keeperclient"
 	"sumachead/internal/loop"
 	"sumachead/internal/raft"
 	"sumachead/internal/rpc"
@@ -53,29 +54,39 @@
 	})
 }
 
-// askToJoin sends the question to all keepers that are known; the one that leads
-// acts on it.
+// askToJoin sends the question to all keepers that are known, and to those that they
+// name as leading: a new self knows the seeds only. The one that leads acts on it.
 func (k *Keeper) askToJoin(ctx context.Context, s *wire.GroupStatus) {
 	addresses := slices.Clone(k.Seeds())
 	for _, m := range s.GetMembers() {
 		addresses = append(addresses, m.GetAddress())
 	}
 	slices.Sort(addresses)
-	for _, a := range slices.Compact(addresses) {
+	addresses = slices.Compact(addresses)
+	for _, a := range addresses {
 		if a == k.Address {
 			continue
 		}
 		go func() {
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			_, err := rpc.Call[wire.Empty](callCtx, k.Pool.Get(a), "Fleet.Join", &wire.JoinRequest{Group: string(Group), Member: k.self()})
-			if err != nil {
-				k.Log.Debug("A keeper did not take this one in.", "keeper", a, "error", err)
+			leader := keeperclient.Leader(k.askOne(ctx, a))
+			if leader != "" && leader != k.Address && !slices.Contains(addresses, leader) {
+				_ = k.askOne(ctx, leader) // logged there
 			}
 		}()
 	}
 }
 
+// askOne asks one keeper to take this one in.
+func (k *Keeper) askOne(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := rpc.Call[wire.Empty](ctx, k.Pool.Get(address), "Fleet.Join", &wire.JoinRequest{Group: string(Group), Member: k.self()})
+	if err != nil {
+		k.Log.Debug("A keeper did not take this one in.", "keeper", address, "error", err)
+	}
+	return err
+}
+
 // promote gives a learner its vote.
 func promote(ms *wire.Members, id string) *wire.Members {
 	next := proto.CloneOf(ms)
