Runs of the scenarios claim addresses of their own

Cause: scenarios of the first kind of fleet listened on 127.0.0.1, at ports that were free when the run began; while a process was down, another suite on the machine could take its port, or answer in its place.

A run that finds none fails instead of going on with the last one tried.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"sumachead/internal/standin"
@@ -19,9 +18,6 @@
 // A fleet is a system of real node processes on the platform's settings, with a
 // stand-in for the platform: an operator, backend servers that register, callers.
 
-// worlds numbers fleets, so that each has loopback addresses of its own.
-var worlds atomic.Int32
-
 // fleetShape says how large a fleet is.
 type fleetShape struct {
 	keepers, routers, relays, engines, desks int
@@ -30,9 +26,12 @@
 
 type fleet struct {
 	*system
-	shape  fleetShape
-	node   string
-	base   int // second number of the hosts' addresses
+	shape fleetShape
+	node  string
+	// base is the second number of the hosts' addresses, held by claim.
+	base  int
+	claim net.Listener
+
 	inner  int // port of what processes say to each other
 	front  int
 	ready  int
@@ -40,9 +39,6 @@
 	stop   context.CancelFunc
 	ctx    context.Context
 	server map[string]*standin.Replica
-	// claim holds the base: a fleet of another test process that draws the same one
-	// takes the next.
-	claim net.Listener
 
 	mu       sync.Mutex // guards the fields below
 	callers  []*caller
@@ -54,31 +50,20 @@
 		system: newSystem(dir, "", "", shape{}), shape: s, node: node,
 		inner: freePort(), front: freePort(), ready: freePort(), ctl: freePort(), server: make(map[string]*standin.Replica),
 	}
-	f.claimBase()
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	return f
 }
 
-// claimBase chooses addresses that no other fleet on this machine uses.
-func (f *fleet) claimBase() {
-	const first, bases, claimPort = 20, 90, 11999
-	begin := os.Getpid() + int(worlds.Add(1))
-	for i := range bases {
-		f.base = first + (begin+i)%bases
-		lis, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.250:%d", f.base, claimPort))
-		if err == nil {
-			f.claim = lis
-			return
-		}
-	}
-}
-
 // advertised is where others reach a host, bound where its process really is: a
 // relay of the test stands between.
 func (f *fleet) advertised(i int) string { return fmt.Sprintf("127.%d.0.%d", f.base, i+1) }
-func (f *fleet) bound(i int) string      { return fmt.Sprintf("127.%d.0.%d", f.base+100, i+1) }
+func (f *fleet) bound(i int) string      { return fmt.Sprintf("127.%d.0.%d", f.base+boundAbove, i+1) }
 
 func (f *fleet) build() error {
+	var err error
+	if f.base, f.claim, err = claimBase(firstFleetBase, fleetBases); err != nil {
+		return err
+	}
 	classes := []struct {
 		name, serves string
 		n            int
--- a/internal/scenario/system_test.go
+++ b/internal/scenario/system_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,27 +28,8 @@
 	startTimeout = 30 * time.Second
 	stopTimeout  = 30 * time.Second
 	workspaceKey = "clerks-key"
-	// firstPort is below the range from which the kernel picks ports.
-	firstPort = 12000
-	lastPort  = 32000
 )
 
-var nextPort atomic.Int32
-
-// freePort returns a port that nothing else in this test run gets.
-func freePort() int {
-	for {
-		p := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
-		if err == nil {
-			_ = l.Close()
-			return p
-		}
-	}
-}
-
-func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
-
 // shape says how large a system is.
 type shape struct {
 	keepers, routers, engines, bookings int
