--- a/scripts/days.py
+++ b/scripts/days.py
@@ -5,9 +5,14 @@
 comes twice, at 6 s and at 20 s of a calm day. deploy/days/pairs has a day for each
 pair of troubles that share a mechanism: both come at the day's start, in its middle
 and at its end, the second a little after the first.
+
+With --drawn N it writes N days to deploy/days/drawn (not kept in git) instead, each of
+troubles that are drawn by --seed: half of them of the control's hosts, at any time.
 """
 
+import argparse
 import pathlib
+import random
 
 # kind -> (extra fields, planned work or not, variants of how)
 KINDS = {
@@ -95,6 +100,16 @@
 ]
 
 
+# Kinds that fall on the control's hosts or on what they hold.
+CONTROL = [
+    "node_kill_core", "node_freeze_core", "herd_kill_core", "replace_core", "after_ack_kill", "after_ack_wipe",
+    "disk_slow", "disk_full", "disk_stall", "clock_step", "core_cut", "seed_turnover", "config_race", "ack_lost",
+]  # fmt: skip
+
+# How many troubles a drawn day has, and by which second they begin.
+DRAWN_TROUBLES, DRAWN_UNTIL = 6, 32.0
+
+
 def entry(kind: str, how: str, at: float) -> str:
     """Returns the text of one trouble."""
     extra = KINDS[kind][0]
@@ -139,8 +154,24 @@
     (path / f"{name}.toml").write_text(day(name, troubles))
 
 
+def draw(seed: int, n: int) -> None:
+    """Writes n drawn days."""
+    for i in range(n):
+        r = random.Random(f"{seed}/{i}")
+        kinds = [r.choice(CONTROL if j % 2 else list(KINDS)) for j in range(DRAWN_TROUBLES)]
+        troubles = [(k, r.choice(KINDS[k][2]), round(r.uniform(0.5, DRAWN_UNTIL), 1)) for k in kinds]
+        write("drawn", f"drawn-{seed}-{i}", sorted(troubles, key=lambda t: t[2]))
+
+
 def main() -> None:
-    """Writes all days."""
+    """Writes all days, or drawn ones."""
+    options = argparse.ArgumentParser(description=__doc__)
+    options.add_argument("--drawn", type=int, default=0, help="write so many drawn days instead")
+    options.add_argument("--seed", type=int, default=1, help="what drawn days follow from")
+    given = options.parse_args()
+    if given.drawn:
+        draw(given.seed, given.drawn)
+        return
     for kind, (_, _, variants) in KINDS.items():
         for how in variants:
             write("kinds", named(kind, how), [(kind, how, at) for at in (6.0, 20.0)])
