--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -57,7 +57,8 @@
 // advertised is where others reach a host, bound where its process really is: a
 // relay of the test stands between.
 func (f *fleet) advertised(i int) string { return fmt.Sprintf("127.%d.0.%d", f.base, i+1) }
-func (f *fleet) bound(i int) string      { return fmt.Sprintf("127.%d.0.%d", f.base+boundAbove, i+1) }
+
+func (f *fleet) bound(i int) string { return fmt.Sprintf("127.%d.0.%d", f.base+boundAbove, i+1) }
 
 func (f *fleet) build() error {
 	var err error
