Read again: one way to pause, one use of a deadline, a check that could not fail

- router: awaitServer and deliver's pause wrote loop.Pause again; both call it now.
- router: reserveWithRoom took the earlier of two deadlines, and its context's is never the later one; "useful until a deadline" is said in one place.
- TestSilence set the link down before it marked it so, which does nothing: what it checked could not fail.
It marks one that is no longer probed, as happens after ten minutes.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -21,6 +21,7 @@
 	"sumachead/internal/catalog"
 	"sumachead/internal/escrow"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/raft"
 	"sumachead/internal/rpc"
 )
 
@@ -399,18 +400,9 @@
 			if i < seeds {
 				t.Fatal("a seed has come to lead: the test shows nothing")
 			}
-			return isVoter(m.node.Status().GetMembers(), c.members[1].self())
+			ms := m.node.Status().GetMembers()
+			return raft.IsMember(ms, c.members[1].self()) && voters(ms) == len(c.members)
 		}
 		return false
 	})
 }
-
-// isVoter reports whether a self is among the members and votes.
-func isVoter(ms []*wire.Member, self *wire.Member) bool {
-	for _, m := range ms {
-		if m.GetId() == self.GetId() {
-			return m.GetIncarnation() == self.GetIncarnation() && !m.GetLearner()
-		}
-	}
-	return false
-}
--- a/internal/router/deliver.go
+++ b/internal/router/deliver.go
@@ -11,6 +11,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/loop"
 	"sumachead/internal/rpc"
 )
 
@@ -62,9 +63,7 @@
 
 // pause waits before a call is repeated; a refusal means that it is too late.
 func (d *dispatch) pause(giveUpAt time.Time) *sumachead.Refusal {
-	select {
-	case <-time.After(retryPause):
-	case <-d.ctx.Done():
+	if !loop.Pause(d.ctx, nil, time.Now().Add(retryPause)) {
 		return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonDeadlinePassed, "the deadline passed while it ran", time.Time{})
 	}
 	if time.Now().After(giveUpAt) {
--- a/internal/router/reserve.go
+++ b/internal/router/reserve.go
@@ -73,17 +73,13 @@
 // upper bounds of requests under way, and these are expected to end in time.
 func (d *dispatch) reserveWithRoom(ctx context.Context, r *wire.ReserveRequest) (*wire.LedgerReply, error) {
 	p := patience.AsLong{Since: time.Now()}
-	u := patience.Use{Deadline: d.x.deadline}
-	if end, ok := ctx.Deadline(); ok && end.Before(u.Deadline) {
-		u.Deadline = end
-	}
-	u.InTime = u.Deadline
+	end, _ := ctx.Deadline() // the caller's, or an earlier one
 	for {
 		reply, err := d.ledger.Reserve(ctx, r) // held there until there may be room
 		if err != nil || !reply.GetRoomSoon() {
 			return reply, err
 		}
-		if _, wait := patience.Wait(p, u, time.Now()); !wait {
+		if _, wait := patience.Wait(p, usefulUntil(end), time.Now()); !wait {
 			return reply, nil
 		}
 	}
--- a/internal/router/waiting.go
+++ b/internal/router/waiting.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sumachead"
+	"sumachead/internal/loop"
 	"sumachead/internal/patience"
 	"sumachead/internal/settings"
 )
@@ -18,19 +19,25 @@
 			return err
 		}
 		now := time.Now()
-		again, wait := patience.Wait(d.lacking(), patience.Use{InTime: d.x.deadline, Deadline: d.x.deadline}, now)
+		again, wait := patience.Wait(d.lacking(), usefulUntil(d.x.deadline), now)
 		if !wait {
 			return err
 		}
-		select {
-		case <-time.After(min(again.Sub(now), probeEvery)):
-		case <-d.ctx.Done():
+		if next := now.Add(probeEvery); next.Before(again) {
+			again = next
+		}
+		if !loop.Pause(d.ctx, nil, again) {
 			return err
 		}
 		d.tried = nil
 	}
 }
 
+// usefulUntil is the use of an answer to a caller who tells nothing but a deadline.
+func usefulUntil(deadline time.Time) patience.Use {
+	return patience.Use{InTime: deadline, Deadline: deadline}
+}
+
 // mayAwait reports whether a refused attempt is one that a backend server may take as
 // soon as it runs and knows the settings.
 func mayAwait(f *sumachead.Refusal) bool {
--- a/internal/router/waiting_test.go
+++ b/internal/router/waiting_test.go
@@ -55,16 +55,12 @@
 	}
 }
 
-// An agent has been silent since it was first not reached, however often it is asked.
+// An agent has been silent since it was first not reached, however often that is found,
+// until it answers.
 func TestSilence(t *testing.T) {
-	l := &link{down: true} // so that nothing is probed
-	if !l.silent().IsZero() {
-		t.Fatal("silent before it was asked")
-	}
-	l.down = false
-	l.downSince = time.Now().Add(-time.Hour)
-	since := l.downSince
-	l.down = true
+	since := time.Now().Add(-time.Hour)
+	// It is not probed any more, and a request has asked in vain once again.
+	l := &link{client: &rpc.Client{Address: "127.0.0.1:1"}, downSince: since}
 	l.markDown()
 	if diff := cmp.Diff(since, l.silent()); diff != "" {
 		t.Errorf("after another failure (-want +got):\n%s", diff)
@@ -73,6 +69,11 @@
 	if !l.silent().IsZero() {
 		t.Error("silent after it answered")
 	}
+	l.markDown()
+	if !l.silent().After(since) {
+		t.Error("silent since before it answered")
+	}
+	l.learn(&wire.Load{}) // ends the probes
 }
 
 func TestMayAwait(t *testing.T) {
--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -30,12 +30,9 @@
 func serveEcho(t *testing.T, address string) (string, func()) {
 	t.Helper()
 	if address == "" {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		address = l.Addr().String()
-		_ = l.Close()
+		var lis net.Listener
+		lis, address = listen(t)
+		_ = lis.Close()
 	}
 	s := &Server{Address: address}
 	if err := s.Register("Echo", echo{}); err != nil {
@@ -55,28 +52,27 @@
 	}
 }
 
-// silent accepts connections, reads, and closes them after a time.
-func silent(t *testing.T, after time.Duration) string {
+// listen returns a listener that accepts nothing by itself, and its address.
+func listen(t *testing.T) (net.Listener, string) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = lis.Close() })
+	return lis, lis.Addr().String()
+}
+
+// closing returns an address where a connection is closed once something was read.
+func closing(t *testing.T) string {
+	lis, address := listen(t)
 	go func() {
-		for {
-			c, err := lis.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				_, _ = c.Read(make([]byte, 1))
-				time.Sleep(after)
-			}()
+		if c, err := lis.Accept(); err == nil {
+			_, _ = c.Read(make([]byte, 1))
+			_ = c.Close()
 		}
 	}()
-	return lis.Addr().String()
+	return address
 }
 
 // What a failed call says decides whether a request may have run.
@@ -85,6 +81,7 @@
 	defer stop()
 	nobody, end := serveEcho(t, "")
 	end()
+	_, mute := listen(t)
 	type outcome struct {
 		NotSent, Refused, TimeUp, Failed bool
 		Says                             string
@@ -99,8 +96,8 @@
 		{"answered with an error", served, "Echo.Refuse", outcome{Failed: true, Says: "refused on purpose"}},
 		{"no such method", served, "Echo.None", outcome{Failed: true, Says: "can't find"}},
 		{"nobody listens", nobody, "Echo.Answer", outcome{NotSent: true, Refused: true, Failed: true}},
-		{"closed after it was read", silent(t, 0), "Echo.Answer", outcome{Failed: true}},
-		{"no answer in time", silent(t, time.Minute), "Echo.Answer", outcome{TimeUp: true, Failed: true}},
+		{"closed after it was read", closing(t), "Echo.Answer", outcome{Failed: true}},
+		{"no answer in time", mute, "Echo.Answer", outcome{TimeUp: true, Failed: true}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
