Routers of a data hall lend each other money: a workspace's is held by one of them

Cause: with 102 routers each workspace's escrow lay in 102 pieces, most of them smaller than one request's bound (8,000 to 20,000 tokens), so that almost each request asked the ledger, a cut of all routers from the core left nothing at hand, and what was left at a budget's end was out of everybody's reach. The leader committed some 500 reports a second. A router that had lost its ways refused at once while its neighbours had money and ways.

Change: package lending. One router of a hall, by rendezvous hashing over those that the leader names, holds a workspace's money; the others borrow it for single requests. A lender that is down, stops or has lost the ledger sends borrowers on, within 80 ms. The ledger's invariant is untouched; a model check with kills, lost replies, lost and overtaking bills passes, and two mutants fail it (bills halved, overdue loans given back).

--- a/interfaces.go
+++ b/interfaces.go
@@ -61,6 +61,13 @@
 	Place(r PlaceRequest, candidates []Candidate) (chosen Candidate, ok bool)
 }
 
+// Reservation is the upper bound of one request's cost, held until its bill is known.
+type Reservation interface {
+	// Settle puts the bill in the place of the reservation. The bill is cut to the
+	// bound; a second call does nothing.
+	Settle(bill Tokens)
+}
+
 // Prospect estimates when something that a request lacks will be there.
 type Prospect interface {
 	// Expect returns when it is expected, as known at a time; the zero time for
--- a/internal/escrow/reservation.go
+++ b/internal/escrow/reservation.go
@@ -54,6 +54,20 @@
 	}
 }
 
+// Try holds bound of a workspace's money if there is enough at hand; otherwise it returns
+// nil, and nothing is noted.
+func (w *Wallet) Try(id sumachead.WorkspaceID, bound sumachead.Tokens) *Reservation {
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.purses[id]
+	if p == nil || p.atHand() < bound {
+		return nil
+	}
+	p.decay(now, bound)
+	return w.reserve(p, id, bound)
+}
+
 // prospect returns that of a workspace's money for a request that asks for it now:
 // requests have lacked some since the first that waited in vain.
 func (w *Wallet) prospect(id sumachead.WorkspaceID, asked time.Time) sumachead.Prospect {
--- a/internal/fleet/followers.go
+++ b/internal/fleet/followers.go
@@ -42,6 +42,8 @@
 	hall sumachead.HallID
 	// relay is where it relays connections; empty for none.
 	relay string
+	// lending is where it lends escrow; empty where it does not.
+	lending string
 	// seen is when its last question came.
 	seen time.Time
 }
@@ -64,7 +66,8 @@
 		return spareRelayPause
 	}
 	f.nodes[sumachead.NodeID(r.GetNode())] = follower{
-		role: r.GetRole(), hall: sumachead.HallID(r.GetHall()), relay: r.GetRelayAddress(), seen: now,
+		role: r.GetRole(), hall: sumachead.HallID(r.GetHall()), relay: r.GetRelayAddress(),
+		lending: r.GetLendingAddress(), seen: now,
 	}
 	return 0
 }
@@ -140,6 +143,24 @@
 	return out
 }
 
+// lendersOf lists where the routers of a data hall lend escrow, with a digest of the list.
+func (f *followers) lendersOf(hall sumachead.HallID) (lenders []string, digest uint64) {
+	f.mu.Lock()
+	for _, x := range f.nodes {
+		if x.lending != "" && x.hall == hall {
+			lenders = append(lenders, x.lending)
+		}
+	}
+	f.mu.Unlock()
+	slices.Sort(lenders)
+	h := fnv.New64a()
+	for _, l := range lenders {
+		_, _ = h.Write([]byte(l))
+		_, _ = h.Write([]byte{0})
+	}
+	return lenders, h.Sum64()
+}
+
 // rank orders relays differently for each node.
 func rank(node, relay string) uint64 {
 	h := fnv.New64a()
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -162,13 +162,16 @@
 }
 
 // describe tells a node of the fleet's control: who leads, which other keepers there
-// are, how many routers there are, and to a router its relays.
+// are, how many routers there are, and to a router its relays and its data hall's lenders.
 func (k *Keeper) describe(r *wire.FollowRequest, reply *wire.FollowReply) {
 	reply.Keepers = k.node.Status().GetMembers()
 	reply.Leader = k.Address
 	reply.Routers = uint32(k.followers.count(RoleRouter))
 	if r.GetRole() == RoleRouter {
 		reply.Relays = k.followers.relaysFor(r.GetNode())
+		if lenders, digest := k.followers.lendersOf(sumachead.HallID(r.GetHall())); digest != r.GetLendersDigest() {
+			reply.Lenders, reply.LendersDigest = lenders, digest
+		}
 	}
 }
 
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -65,6 +65,9 @@
 	Hall sumachead.HallID
 	// RelayAddress is where this node relays connections; empty for none.
 	RelayAddress string
+	// LendingAddress returns where this node lends escrow to routers of its data hall;
+	// empty while it does not. Nil for a node that never does.
+	LendingAddress func() string
 	// Seeds returns addresses of some keepers.
 	Seeds func() []string
 	Pool  *rpc.Pool
@@ -90,6 +93,10 @@
 	// keepers and relays are the addresses that the leader last named.
 	keepers []string
 	relays  []string
+	// lenders are the addresses of the data hall's lenders of escrow, and lendersDigest
+	// the leader's digest of them.
+	lenders       []string
+	lendersDigest uint64
 	// heardAt is when the leader last answered.
 	heardAt time.Time
 	// adoptedAt is when the declaration in force was put in force.
@@ -133,6 +140,14 @@
 	return slices.Compact(all)
 }
 
+// Lenders lists the addresses of the data hall's lenders of escrow, as the leader last
+// named them. The list is not to be changed.
+func (c *Client) Lenders() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lenders
+}
+
 // Run follows until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -167,8 +182,12 @@
 	if v := c.View(); v != nil {
 		r.Number = v.Number
 	}
+	if c.LendingAddress != nil {
+		r.LendingAddress = c.LendingAddress()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.LendersDigest = c.lendersDigest
 	if left := adoptGap - time.Since(c.adoptedAt); left > 0 {
 		// Whatever is newer is asked for once the time has passed.
 		r.Number = math.MaxUint64
@@ -272,6 +291,9 @@
 	if len(r.GetRelays()) > 0 {
 		c.relays = r.GetRelays()
 	}
+	if len(r.GetLenders()) > 0 {
+		c.lenders, c.lendersDigest = r.GetLenders(), r.GetLendersDigest()
+	}
 }
 
 // isNew reports whether a declaration's number is above that of the one in force.
--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -65,6 +65,9 @@
 	r.Wallet.Open(r.boot)
 }
 
+// Unreached reports whether the ledger is out of reach.
+func (r *Reporter) Unreached() bool { return r.ledger.unreached(time.Now()) }
+
 // Kick asks for a report soon; it does not block.
 func (r *Reporter) Kick() {
 	select {
--- a/internal/fleetclient/ledgertimes.go
+++ b/internal/fleetclient/ledgertimes.go
@@ -81,6 +81,13 @@
 	return t.failingSince
 }
 
+// unreached reports whether the ledger is out of reach.
+func (t *ledgerTimes) unreached(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.outSince(now).IsZero()
+}
+
 // prospect returns that of money which is asked for at a time, and which requests have
 // lacked since another.
 func (t *ledgerTimes) prospect(asked, since time.Time) sumachead.Prospect {
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -92,7 +92,7 @@
 			return next(x)
 		}
 		begun := time.Now()
-		money, err := g.wallet.Reserve(x.ctx, x.workspace(), bound, x.use(), x.urgency())
+		money, err := g.borrower.Reserve(x.ctx, x.workspace(), bound, x.use(), x.urgency())
 		g.metrics.noteWait(waitEscrow, begun, err == nil)
 		if err != nil {
 			return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"sumachead/internal/fleet"
 	"sumachead/internal/fleetclient"
 	"sumachead/internal/intake"
+	"sumachead/internal/lending"
 	"sumachead/internal/loop"
 	"sumachead/internal/place"
 	"sumachead/internal/registry"
@@ -51,12 +52,18 @@
 	LinesPerSecond    int
 	FailuresPerSecond int
 	Dialect           sumachead.Dialect
-	Pool              *rpc.Pool
-	Log               hclog.Logger
+	// RPC takes the calls of other routers at Address; nil for a router that neither
+	// lends nor borrows escrow.
+	RPC     *rpc.Server
+	Address string
+	Pool    *rpc.Pool
+	Log     hclog.Logger
 
 	client   *fleetclient.Client
 	wallet   *escrow.Wallet
 	reporter *fleetclient.Reporter
+	lender   *lending.Lender
+	borrower *lending.Borrower
 	servers  *registry.Table
 	upstream *upstream.Pool
 	chooser  *place.Chooser
@@ -84,12 +91,21 @@
 	g.failures = &telemetry.Lines{PerSecond: cmp.Or(g.FailuresPerSecond, failuresASecond)}
 	g.client = &fleetclient.Client{
 		Node: g.Node, Role: fleet.RoleRouter, Hall: g.Hall, Seeds: g.Seeds, Pool: g.Pool,
-		Servers: g.servers, Log: g.Log.Named("follow"),
+		Servers: g.servers, Log: g.Log.Named("follow"), LendingAddress: g.lendingAddress,
 	}
 	g.wallet = &escrow.Wallet{Node: g.Node}
 	g.reporter = &fleetclient.Reporter{Client: g.client, Wallet: g.wallet, Log: g.Log.Named("escrow")}
 	g.reporter.Taken = func(d time.Duration) { g.metrics.ledger.Observe(d.Seconds()) }
 	g.reporter.Prepare()
+	g.lender = &lending.Lender{
+		Wallet: g.wallet, Unreached: g.reporter.Unreached,
+		Overdue: func(t sumachead.Tokens) { g.metrics.overdue.Add(float64(t)) },
+	}
+	g.borrower = &lending.Borrower{
+		Self: g.Address, Lenders: g.client.Lenders, Wallet: g.wallet, Unreached: g.reporter.Unreached, Pool: g.Pool,
+		Log: g.Log.Named("lending"),
+	}
+	g.borrower.Prepare()
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, OnDial: g.metrics.dials.Inc}
 	g.chooser = place.NewChooser(g.Hall)
 	g.handle = chain.Wrap(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.escrowFilter)
@@ -100,6 +116,12 @@
 // to be served only before; what is not spent is returned then.
 func (g *Gateway) Run(ctx context.Context) error {
 	tasks, work := errgroup.WithContext(ctx)
+	lend, stopLending := context.WithCancel(context.Background())
+	defer stopLending()
+	lent, err := g.lend(lend)
+	if err != nil {
+		return err
+	}
 	tasks.Go(func() error { return g.reporter.Run(work) })
 	tasks.Go(func() error { return g.loadsLoop(work) })
 	tasks.Go(func() error {
@@ -114,11 +136,13 @@
 	defer stop()
 	followed := make(chan error, 1)
 	go func() { followed <- g.client.Run(follow) }()
-	err := tasks.Wait()
+	err = tasks.Wait()
+	g.settleLoans()
 	g.reporter.Close()
+	stopLending()
 	g.upstream.Close()
 	stop()
-	return errors.Join(err, <-followed)
+	return errors.Join(err, <-followed, <-lent)
 }
 
 // Stopping reports whether a planned stop has begun.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,8 @@
 	pause prometheus.Histogram
 	// ledger is of reports of escrow.
 	ledger prometheus.Histogram
+	// overdue is of escrow lent to other routers.
+	overdue prometheus.Counter
 }
 
 // seconds are the buckets of all histograms: from a call within a data hall to
@@ -63,6 +65,9 @@
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sumachead_gateway_dials_total", Help: "New connections to backend servers.",
 		}),
+		overdue: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sumachead_gateway_overdue_loan_tokens_total", Help: "Escrow lent to other routers that counts as spent since no bill came.",
+		}),
 		first:  histogram("sumachead_gateway_first_byte_seconds", "Time to the first byte of an answer."),
 		whole:  histogram("sumachead_gateway_answer_seconds", "Time to the end of a whole answer."),
 		pause:  histogram("sumachead_gateway_pause_seconds", "Longest pause between events of a whole answer."),
@@ -77,7 +82,7 @@
 		m.waits.WithLabelValues(what, "true")
 		m.waits.WithLabelValues(what, "false")
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, rpc.Traffic{})
+	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.overdue, rpc.Traffic{})
 	m.gauges(g)
 	return m
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -27,6 +27,7 @@
 // no more callers or ctx ends. Requests that still come are served.
 func (g *Gateway) TurnAway(ctx context.Context, turn time.Duration) {
 	g.stopping.Store(true)
+	g.lender.Stop()
 	select {
 	case <-time.After(turn):
 	case <-ctx.Done():
