A delayed heartbeat of a crashed life neither revives it nor harms the next

The table knew lives by their ids only, so that a crashed life stayed ready beside the next one for five heartbeats, and a delayed one made it ready again; routers were sent to it and lost an attempt (421), for many routes the only one.

Ruled out: that a new life replaces what is at its address at once (a delayed heartbeat of a life that the leader never heard of would replace the living one, whose records a leader that is new does not know either).

The life of an address that goes on to send heartbeats is the one that runs: another that was not heard of since its heartbeat before the last is silent, and is not brought back while that one is ready.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -34,6 +34,8 @@
 	record *wire.ServerRecord // replaced, never changed
 	// seen is when the last heartbeat came, or at a follower the record.
 	seen time.Time
+	// replaced: another life at the address goes on, and this one does not.
+	replaced bool
 }
 
 // Table is a set of server records. It is safe for concurrent use. Set the
@@ -61,6 +63,8 @@
 	// lists are the records of services as they were last asked for; nil once a record
 	// has changed. Requests ask some hundred times between changes.
 	lists map[string][]*wire.ServerRecord
+	// lives are the ids of the lives at each address.
+	lives map[string][]string
 }
 
 // change says which record got a version.
@@ -80,12 +84,14 @@
 
 // set replaces the record of a life. The caller holds mu.
 func (t *Table) set(e *entry, next *wire.ServerRecord) {
+	t.index(e, next)
 	e.record = next
 	t.lists = nil
 }
 
 // drop forgets a life. The caller holds mu.
 func (t *Table) drop(id string) {
+	t.unindex(t.entries[id].record)
 	delete(t.entries, id)
 	t.lists = nil
 }
@@ -136,9 +142,10 @@
 		e = &entry{}
 		t.entries[r.GetId()] = e
 	}
-	if e.record != nil && r.GetSequence() < e.record.GetSequence() {
+	if e.record != nil && (r.GetSequence() < e.record.GetSequence() || t.isReplaced(e) && r.GetState() == wire.ServerState_SERVER_STATE_READY) {
 		return false
 	}
+	before := e.seen
 	e.seen = now
 	next := proto.CloneOf(r)
 	if e.record != nil {
@@ -152,6 +159,7 @@
 	if news {
 		t.bump(next)
 	}
+	t.replace(e, before)
 	return news
 }
 
@@ -188,9 +196,10 @@
 // alive notes a heartbeat's time and sequence. One that is older than what is
 // known changes nothing. The caller holds mu.
 func (t *Table) alive(e *entry, sequence uint64, now time.Time) {
-	if sequence < e.record.GetSequence() {
+	if sequence < e.record.GetSequence() || t.isReplaced(e) {
 		return
 	}
+	before := e.seen
 	e.seen = now
 	next := proto.CloneOf(e.record)
 	next.Sequence = sequence
@@ -198,6 +207,7 @@
 	if next.GetState() == wire.ServerState_SERVER_STATE_SILENT {
 		t.setState(e, wire.ServerState_SERVER_STATE_READY)
 	}
+	t.replace(e, before)
 }
 
 // Forget drops lives that left long ago; a follower calls it.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -243,3 +243,84 @@
 		t.Fatalf("states (-want +got):\n%s", diff)
 	}
 }
+
+// A heartbeat that a cut has delayed comes after its sender has crashed and another life has
+// registered at the address. It must neither bring the crashed life back nor harm the next.
+func TestDelayedHeartbeatOfACrashedLife(t *testing.T) {
+	const every = time.Second
+	type event struct {
+		at   time.Duration
+		beat *wire.ServerRecord
+		// passed: a keeper in contact has passed the heartbeat on, with others.
+		passed bool
+	}
+	beat := func(at time.Duration, id string, sequence uint64) event {
+		return event{at, record(id, sequence, ready), false}
+	}
+	passed := func(at time.Duration, id string, sequence uint64) event {
+		return event{at, record(id, sequence, ready), true}
+	}
+	tests := []struct {
+		name   string
+		events []event
+		want   map[string]wire.ServerState
+	}{
+		{
+			"a quick restart: the old life is silent after two heartbeats of the new one",
+			[]event{beat(0, "old", 7), beat(300, "new", 1), beat(1300, "new", 2)},
+			map[string]wire.ServerState{"old": silent, "new": ready},
+		},
+		{
+			"a delayed one does not revive what was replaced",
+			[]event{beat(0, "old", 7), beat(300, "new", 1), beat(1300, "new", 2), beat(1800, "old", 8)},
+			map[string]wire.ServerState{"old": silent, "new": ready},
+		},
+		{
+			"also where a keeper passes it on",
+			[]event{beat(0, "old", 7), beat(300, "new", 1), passed(1300, "new", 2), passed(1800, "old", 8)},
+			map[string]wire.ServerState{"old": silent, "new": ready},
+		},
+		{
+			"one of a life that this leader never heard of does no harm to the next",
+			[]event{beat(0, "new", 1), beat(500, "old", 8)},
+			map[string]wire.ServerState{"old": ready, "new": ready},
+		},
+		{
+			"and is silent after two heartbeats",
+			[]event{beat(0, "new", 1), beat(500, "old", 8), beat(1000, "new", 2), beat(2000, "new", 3)},
+			map[string]wire.ServerState{"old": silent, "new": ready},
+		},
+		{
+			"it counts again where the other life is over",
+			[]event{beat(0, "old", 7), beat(300, "new", 1), beat(1300, "new", 2), {1400, record("new", 3, leaving), false}, beat(1800, "old", 8)},
+			map[string]wire.ServerState{"old": ready, "new": leaving},
+		},
+		{
+			"a leader that has just begun has heard nobody, and silences nobody",
+			[]event{beat(0, "old", 7), beat(300, "new", 1)},
+			map[string]wire.ServerState{"old": ready, "new": ready},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			begun := time.Now()
+			table := &Table{Heartbeat: every}
+			table.Lead("history", begun)
+			for _, e := range tt.events {
+				now := begun.Add(e.at * time.Millisecond)
+				if e.passed {
+					table.Alive(&wire.AliveReport{Ids: []string{e.beat.GetId()}, Sequences: []uint64{e.beat.GetSequence()}}, now)
+					continue
+				}
+				table.Beat(e.beat, now)
+			}
+			got := make(map[string]wire.ServerState)
+			for id, e := range table.entries {
+				got[id] = e.record.GetState()
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("states (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
