--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -177,7 +177,7 @@
 func (l *Line) value(name string) any {
 	v := l.Fields[name]
 	switch name {
-	case "after", "first", "pause":
+	case "after", "first", "pause", "expected", "backlog", "told":
 		if n, ok := v.(float64); ok {
 			return time.Duration(n).Round(time.Microsecond)
 		}
