A router with much demand for a workspace holds its money itself

These routers are at their limits; a call to the lender for each request took longer than they wait for one (863 lenders were passed over for that), so that they came back to an empty wallet.

Ruled out: a longer wait for lenders (the lender is well, the borrower is slow).

From 4 requests a second on a router holds a workspace's money itself, down to 2; while the first grant is on its way it borrows.

--- a/internal/escrow/reservation.go
+++ b/internal/escrow/reservation.go
@@ -68,6 +68,18 @@
 	return w.reserve(p, id, bound)
 }
 
+// Want notes a request for bound of a workspace's money that was not at hand and that does
+// not wait for it, so that the ledger grants for the next ones.
+func (w *Wallet) Want(id sumachead.WorkspaceID, bound sumachead.Tokens) {
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.purse(id)
+	p.decay(now, bound)
+	p.dirty = true
+	w.Kick()
+}
+
 // prospect returns that of a workspace's money for a request that asks for it now:
 // requests have lacked some since the first that waited in vain.
 func (w *Wallet) prospect(id sumachead.WorkspaceID, asked time.Time) sumachead.Prospect {
--- a/internal/lending/borrower.go
+++ b/internal/lending/borrower.go
@@ -45,6 +45,7 @@
 
 	boot   sumachead.BootID
 	number atomic.Uint64
+	demand demand
 	// bills are those on their way to lenders.
 	bills *outbox.Outbox[string, dueBill]
 
@@ -61,8 +62,15 @@
 }
 
 // Reserve holds bound of a workspace's money at the workspace's lender, or in this router's
-// own wallet where no lender can know more. The error is a [*sumachead.Refusal].
+// own wallet: where its own demand is large (demand.go), and where no lender can know more.
+// The error is a [*sumachead.Refusal].
 func (b *Borrower) Reserve(ctx context.Context, id sumachead.WorkspaceID, bound sumachead.Tokens, u patience.Use, urgency uint32) (sumachead.Reservation, error) {
+	if b.demand.note(id, time.Now()) {
+		if m := b.Wallet.Try(id, bound); m != nil {
+			return m, nil
+		}
+		b.Wallet.Want(id, bound)
+	}
 	for _, l := range choose(b.Lenders(), id, b.fit) {
 		if l == b.Self {
 			if m := b.Wallet.Try(id, bound); m != nil {
--- /dev/null
+++ b/internal/lending/demand_test.go
@@ -0,0 +1,68 @@
+package lending
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestBusyRouterHoldsMoneyItself(t *testing.T) {
+	tests := []struct {
+		name string
+		// rates are requests a second, each for some seconds.
+		rates []float64
+		want  []bool
+	}{
+		{"few requests", []float64{1, 1, 1}, []bool{false, false, false}},
+		{"many", []float64{10, 10}, []bool{true, true}},
+		{"fewer again, but not few", []float64{10, 3}, []bool{true, true}},
+		{"few again", []float64{10, 0.5}, []bool{true, false}},
+		{"between the bounds from the start", []float64{3, 3}, []bool{false, false}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var d demand
+			now := time.Now()
+			var got []bool
+			for _, r := range tt.rates {
+				holds := false
+				for range int(r * 16) {
+					now = now.Add(time.Duration(float64(time.Second) / r))
+					holds = d.note(clerks, now)
+				}
+				got = append(got, holds)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("holds (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// While a busy router's own money is still on its way, it borrows.
+func TestBusyRouterBorrowsAtFirst(t *testing.T) {
+	rs := hall(t, 100_000, 0)
+	busy := rs[1]
+	for i := range 40 {
+		m, err := busy.Borrower.Reserve(t.Context(), clerks, 100, soon(), 0)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		m.Settle(100)
+	}
+	if r := busy.Lender.Wallet.Report(time.Now(), false); len(r.GetPositions()) == 0 || r.GetPositions()[0].GetRate() == 0 {
+		t.Error("the ledger is not told of the router's demand")
+	}
+	busy.give(1000)
+	busy.Flush(t.Context())
+	before := rs[0].Lender.Wallet.Sum()
+	m, err := busy.Borrower.Reserve(t.Context(), clerks, 100, soon(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Settle(100)
+	if diff := cmp.Diff(before, rs[0].Lender.Wallet.Sum()); diff != "" {
+		t.Errorf("borrowed although its own money was there (-before +after):\n%s", diff)
+	}
+}
