--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/gauge"
@@ -35,6 +35,9 @@
 	// noteTimeout bounds a call with notes, and notesAtOnce their number.
 	noteTimeout = 300 * time.Millisecond
 	notesAtOnce = 64
+	// lifeBase is the base in which a process's life is written: short, since it goes
+	// with each message over links that are small.
+	lifeBase = 36
 )
 
 // gauges asks the gauges beside engines for what is under way there, and tells them what
@@ -64,7 +67,7 @@
 
 // prepare makes what the other methods need.
 func (g *gauges) prepare() {
-	g.life = uuid.NewString()
+	g.life = strconv.FormatUint(rand.Uint64(), lifeBase)
 	g.usual = firstAsk
 	g.restTo = make(map[string]time.Time)
 	g.notes.Most, g.notes.Send = notesAtOnce, g.sendNotes
