--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -71,9 +71,7 @@
 		if err == nil || !keeperclient.IsNotLeader(err) {
 			return reply, err
 		}
-		select {
-		case <-time.After(retryPause):
-		case <-ctx.Done():
+		if !loop.Sleep(ctx, retryPause) {
 			return nil, err
 		}
 	}
@@ -118,10 +116,7 @@
 			pause = copyAgain
 		}
 		failures++
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
+		loop.Sleep(ctx, pause)
 	}
 	return nil
 }
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/go-hclog"
 
+	"sumachead/internal/loop"
 	"sumachead/internal/wal"
 )
 
@@ -49,9 +50,7 @@
 			pause = reopenFirst
 		}
 		h.Log.Error("The keeper's disk has failed; it is read again.", "error", err, "pause", pause)
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if !loop.Sleep(ctx, pause) {
 			return nil
 		}
 		pause = min(2*pause, reopenMost)
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -11,6 +11,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/loop"
 	"sumachead/internal/raft"
 )
 
@@ -224,9 +225,7 @@
 		if l := k.node.Status().GetLeader(); l != "" {
 			return l, nil
 		}
-		select {
-		case <-time.After(pollEvery):
-		case <-ctx.Done():
+		if !loop.Sleep(ctx, pollEvery) {
 			return "", sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonLedgerUnreached, "no keeper leads", time.Now())
 		}
 	}
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -159,19 +159,11 @@
 		if c.search(ctx) {
 			continue
 		}
-		pause(ctx, searchPause+searchEach*time.Duration(c.Routers()))
+		loop.Sleep(ctx, searchPause+searchEach*time.Duration(c.Routers()))
 	}
 	return nil
 }
 
-// pause returns after d, or once ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // request is the question that tells what this node has.
 func (c *Client) request(wait time.Duration) *wire.FollowRequest {
 	history, version := c.Servers.Position()
@@ -216,7 +208,7 @@
 	if err == nil {
 		c.take(reply)
 		c.heard(w, reply)
-		pause(ctx, time.Duration(reply.GetPauseMillis())*time.Millisecond)
+		loop.Sleep(ctx, time.Duration(reply.GetPauseMillis())*time.Millisecond)
 		return true
 	}
 	if ctx.Err() != nil {
--- a/internal/fleetclient/search.go
+++ b/internal/fleetclient/search.go
@@ -8,6 +8,7 @@
 
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/loop"
 )
 
 const (
@@ -144,9 +145,7 @@
 // ask asks a keeper, and the one that it names if it does not lead; nil when
 // neither answered as the leader, or that one has been asked already.
 func (s *searching) ask(ctx context.Context, d delayedWay) *answer {
-	select {
-	case <-time.After(d.after):
-	case <-ctx.Done():
+	if !loop.Sleep(ctx, d.after) {
 		return nil
 	}
 	w := d.Way
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -18,6 +18,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/config"
+	"sumachead/internal/loop"
 	"sumachead/internal/rpc"
 	"sumachead/internal/settings"
 )
@@ -94,10 +95,7 @@
 			continue
 		}
 		f.next++
-		select {
-		case <-time.After(retryPause):
-		case <-ctx.Done():
-		}
+		loop.Sleep(ctx, retryPause)
 	}
 	return nil
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"sumachead/internal/loop"
 )
 
 const (
@@ -28,8 +30,5 @@
 func (g *Gateway) TurnAway(ctx context.Context, turn time.Duration) {
 	g.stopping.Store(true)
 	g.lender.Stop()
-	select {
-	case <-time.After(turn):
-	case <-ctx.Done():
-	}
+	loop.Sleep(ctx, turn)
 }
--- a/internal/keeper/founding.go
+++ b/internal/keeper/founding.go
@@ -12,6 +12,7 @@
 
 	"sumachead/api/wire"
 	"sumachead/internal/keeperclient"
+	"sumachead/internal/loop"
 	"sumachead/internal/raft"
 	"sumachead/internal/rpc"
 	"sumachead/internal/wal"
@@ -123,12 +124,8 @@
 		k.identity.Founders = founders
 		return k.saveIdentity()
 	}
-	select {
-	case <-time.After(probeEvery):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	loop.Sleep(ctx, probeEvery)
+	return ctx.Err()
 }
 
 // enter takes part in a system that runs: as a founder if this very folder was
@@ -176,9 +173,7 @@
 		if !missing {
 			return nil
 		}
-		select {
-		case <-time.After(joinEvery):
-		case <-ctx.Done():
+		if !loop.Sleep(ctx, joinEvery) {
 			return nil
 		}
 	}
--- a/internal/keeperclient/client.go
+++ b/internal/keeperclient/client.go
@@ -16,6 +16,7 @@
 
 	"sumachead"
 	"sumachead/internal/config"
+	"sumachead/internal/loop"
 	"sumachead/internal/raft"
 	"sumachead/internal/rpc"
 )
@@ -117,12 +118,8 @@
 
 // pause separates two tries; it returns the error of a ctx that has ended.
 func pause(ctx context.Context) error {
-	select {
-	case <-time.After(retryPause):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	loop.Sleep(ctx, retryPause)
+	return ctx.Err()
 }
 
 func callKeeperWithin[R any](ctx context.Context, c *Client, try time.Duration, k config.Keeper, method string, args proto.Message) (*R, error) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -34,14 +34,17 @@
 	return true
 }
 
+// Sleep returns true after d, and false when ctx ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	return Pause(ctx, nil, time.Now().Add(d))
+}
+
 // Until polls done at an interval until it holds or ctx ends; it reports whether
 // it held.
 func Until(ctx context.Context, interval time.Duration, done func() bool) bool {
 	for !done() {
-		select {
-		case <-ctx.Done():
+		if !Sleep(ctx, interval) {
 			return false
-		case <-time.After(interval):
 		}
 	}
 	return true
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"sumachead/internal/loop"
 )
 
 // replicaSlots is how many requests a replica says that it works on at a time; it
@@ -243,12 +245,7 @@
 
 // pause waits; it reports whether the caller is still there.
 func (r *Replica) pause(q *http.Request, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-q.Context().Done():
-		return false
-	}
+	return loop.Sleep(q.Context(), d)
 }
 
 // stream sends as many events as the request allows tokens, one each, after the
