Soak: faults between routers, and seeds that are exchanged

Routers lend each other money: the soak cuts, delays and resets them among themselves, one way as well, and exchanges the seeds that processes are told while they run.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -40,9 +40,11 @@
 	ctx    context.Context
 	server map[string]*standin.Replica
 
-	mu       sync.Mutex // guards the fields below
-	callers  []*caller
-	requests int
+	mu      sync.Mutex // guards the fields below
+	callers []*caller
+	// firstSeed is the number of the first keeper that processes are told as a seed.
+	firstSeed int
+	requests  int
 }
 
 func newFleet(dir, node string, s fleetShape) *fleet {
@@ -114,9 +116,12 @@
 }
 
 func (f *fleet) writeSettings(i int, p *process, serves string, first bool) error {
+	f.mu.Lock()
+	seed := f.firstSeed
+	f.mu.Unlock()
 	var seeds []string
 	for k := range min(f.shape.keepers, 3) {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", f.advertised(k), f.ctl))
+		seeds = append(seeds, fmt.Sprintf("%s:%d", f.advertised((seed+k)%f.shape.keepers), f.ctl))
 	}
 	lines := []string{
 		"node_name=" + p.name, "serves=" + serves, "ip=" + f.advertised(i), "zone=" + p.hall,
@@ -126,7 +131,12 @@
 		"data_dir=" + p.data, "limits.memory_mb=200", "limits.max_fds=2000", "heartbeat_ms=300", "bounds.grace_s=6",
 		"bounds.retry_budget_ratio=0.2", "bounds.budget_extra=50", "bounds.budget_window_s=10", "a.later=field",
 	}
-	return os.WriteFile(f.path(p.name+".conf"), []byte(strings.Join(lines, "\n")+"\n"), 0o600)
+	// A process may read the file at any moment: it is replaced whole.
+	path := f.path(p.name + ".conf")
+	if err := os.WriteFile(path+".new", []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
 }
 
 // founded tells all processes that the system is not new any more.
--- a/internal/scenario/fleetsoak_faults_test.go
+++ b/internal/scenario/fleetsoak_faults_test.go
@@ -67,6 +67,36 @@
 	k.do()
 }
 
+// peerFault causes a fault among routers, which lend each other money, or exchanges the
+// seeds that processes are told.
+func (s *fleetSoak) peerFault(r *rand.Rand) {
+	lasts := time.Duration(300+r.IntN(2500)) * time.Millisecond
+	kinds := []struct {
+		name string
+		do   func()
+	}{
+		{"cut routers from each other", func() { s.cut("router", "router", lasts) }},
+		{"cut routers from each other one way", func() { s.cutOneWay("router", "router-1", lasts) }},
+		{"delay routers to each other", func() { s.delay("router", "router", r, lasts) }},
+		{"reset connections of routers to each other", func() { s.f.net.reset("router", "router") }},
+		{"exchange the seeds", func() { s.exchangeSeeds(r) }},
+	}
+	k := kinds[r.IntN(len(kinds))]
+	s.note(s.faults, k.name)
+	k.do()
+}
+
+// exchangeSeeds tells all processes other keepers as seeds; those that run read it by
+// themselves.
+func (s *fleetSoak) exchangeSeeds(r *rand.Rand) {
+	s.f.mu.Lock()
+	s.f.firstSeed = r.IntN(s.f.shape.keepers)
+	s.f.mu.Unlock()
+	if err := s.f.founded(); err != nil {
+		s.breaks("%v", err)
+	}
+}
+
 // bounce ends a process and starts it again after a time.
 func (s *fleetSoak) bounce(p *process, end func(*process), after time.Duration) {
 	if !s.claim(p) {
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -103,6 +103,13 @@
 			}
 		})
 	}
+	peers := rand.New(rand.NewPCG(s.rand.Uint64(), series)) // drawn last: the other series stay what they were
+	all.Go(func() {
+		for time.Now().Before(until) {
+			s.peerFault(peers)
+			time.Sleep(time.Duration(500+peers.IntN(2500)) * time.Millisecond)
+		}
+	})
 	all.Wait()
 }
 
