Routers report a workspace only once they have requests of it

A position without demand is granted nothing (escrow.Sizer.hold), so that the early report has brought nothing.

Change: Reporter does not report what has had no request; Wallet.Watch is gone.

--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -25,7 +25,7 @@
 func newHolder(node sumachead.NodeID, boot sumachead.BootID) *holder {
 	h := &holder{&Wallet{Node: node, Kick: func() {}}, boot}
 	h.Open(boot)
-	h.Watch([]sumachead.WorkspaceID{clerks})
+	h.purse(clerks)
 	return h
 }
 
--- a/internal/escrow/shares_test.go
+++ b/internal/escrow/shares_test.go
@@ -104,7 +104,9 @@
 	d.boots[i]++
 	d.wallets[i] = &Wallet{Node: sumachead.NodeID(fmt.Sprint("r", i)), Kick: func() { d.kicked[i] = true }}
 	d.wallets[i].Open(sumachead.BootID(fmt.Sprint(d.boots[i])))
-	d.wallets[i].Watch(d.names)
+	for _, w := range d.names {
+		d.wallets[i].purse(w)
+	}
 }
 
 func (d *byDemand) reserve(router int, w sumachead.WorkspaceID, bound sumachead.Tokens, now time.Time, _ bool) (func(sumachead.Tokens), bool) {
--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -60,15 +60,6 @@
 	return p
 }
 
-// Watch makes sure that the next report asks for money of a workspace.
-func (w *Wallet) Watch(ids []sumachead.WorkspaceID) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, id := range ids {
-		w.purse(id)
-	}
-}
-
 // Report returns what is to be told to the ledger; nil when there is nothing new.
 func (w *Wallet) Report(now time.Time, closing bool) *wire.EscrowReport {
 	w.mu.Lock()
--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -26,9 +26,6 @@
 	reportTimeout = 700 * time.Millisecond
 	// closingTimeout bounds the last report of a holder that stops.
 	closingTimeout = 1500 * time.Millisecond
-	// watchMost is how many workspaces are asked for before their first request;
-	// with more, the others wait for it.
-	watchMost = 256
 )
 
 // Reporter takes a wallet's reports to the ledger and its grants back. Set the
@@ -80,7 +77,6 @@
 func (r *Reporter) Run(ctx context.Context) error {
 	t := time.NewTicker(reportEvery)
 	defer t.Stop()
-	var watched uint64
 	for {
 		select {
 		case <-ctx.Done():
@@ -89,11 +85,6 @@
 		case <-r.kick:
 			time.Sleep(r.gap)
 		}
-		if v := r.Client.View(); v != nil && v.Number != watched {
-			watched = v.Number
-			ids := v.Workspaces()
-			r.Wallet.Watch(ids[:min(len(ids), watchMost)])
-		}
 		r.report(ctx)
 	}
 }
