--- /dev/null
+++ b/internal/gateway/gauges_test.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/gauge"
+	"sumachead/internal/rpc"
+)
+
+// withPrompt gives a request a prompt, so that it matters which engine it goes to.
+func withPrompt(r *sumachead.CallerRequest) { r.PromptTokens, r.AnswerTokens = 9000, 100 }
+
+// answerAndWait answers, and closes once the router has.
+func answerAndWait(c net.Conn, r *http.Request) {
+	answerWith(200, "Connection: close\r\n", "ok")(c, r)
+	_, _ = c.Read(make([]byte, 1))
+}
+
+// A gauge that takes connections and answers nothing, or is gone, holds a request up for a
+// moment at most, and the next ones not at all.
+func TestGaugeThatDoesNotAnswerHoldsNobodyUp(t *testing.T) {
+	tests := []struct {
+		name   string
+		silent bool
+	}{
+		{"silent", true},
+		{"gone", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			address := lis.Addr().String()
+			defer func() { _ = lis.Close() }()
+			if !tt.silent {
+				_ = lis.Close() // refuses from now on
+			}
+			a := &backend{id: "a"}
+			g := newGateway(t, wire.RouteKind_ROUTE_KIND_SINGLE, false, map[string]string{"a": a.listen(t, answerAndWait)})
+			g.gauges.Address = func(*wire.ServerRecord) string { return address }
+			for i, most := range []time.Duration{askMost + 200*time.Millisecond, askMost + 200*time.Millisecond} {
+				begun := time.Now()
+				if _, _, err := ask(g, "1", withPrompt); err != nil {
+					t.Fatal(err)
+				}
+				if took := time.Since(begun); took > most {
+					t.Errorf("request %d took %v", i, took)
+				}
+			}
+			time.Sleep(askTimeout + 50*time.Millisecond)
+			if !g.gauges.rests(address) {
+				t.Error("a gauge that has not answered is asked again at once")
+			}
+		})
+	}
+}
+
+// A gauge that answers is believed: of two engines the one with less to read is chosen; and
+// it is told of the request.
+func TestGaugesDecide(t *testing.T) {
+	var noted atomic.Int32
+	gaugeAt := func(read int64) string {
+		s := &rpc.Server{Address: "127.0.0.1:0"}
+		lis, err := net.Listen("tcp", s.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Address = lis.Addr().String()
+		_ = lis.Close() // only its port is wanted
+		if err := errors.Join(s.Register(gauge.Name, &fixedGauge{read: read, noted: &noted}), s.Listen()); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = s.Run() }() // ends with Close
+		t.Cleanup(s.Close)
+		return s.Address
+	}
+	busy, idle := &backend{id: "busy"}, &backend{id: "idle"}
+	g := newGateway(t, wire.RouteKind_ROUTE_KIND_SINGLE, false, map[string]string{
+		"busy": busy.listen(t, answerAndWait), "idle": idle.listen(t, answerWith(200, "", "ok")),
+	})
+	addresses := map[string]string{"busy": gaugeAt(5000), "idle": gaugeAt(0)}
+	g.gauges.Address = func(r *wire.ServerRecord) string { return addresses[r.GetId()] }
+	for range 6 {
+		if _, _, err := ask(g, "1", withPrompt); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The first may come before the connections are there.
+	if diff := cmp.Diff(true, idle.runs.Load() >= 5); diff != "" {
+		t.Errorf("%d of 6 requests at the idle engine, %d at the busy one", idle.runs.Load(), busy.runs.Load())
+	}
+	if noted.Load() == 0 {
+		t.Error("no gauge was told of a request")
+	}
+}
+
+// fixedGauge always has the same to read.
+type fixedGauge struct {
+	read  int64
+	noted *atomic.Int32
+}
+
+// Ask answers a router.
+func (f *fixedGauge) Ask(_ *wire.GaugeQuestion, a *wire.GaugeAnswer) error {
+	a.Load, a.FactorThousandths = &wire.ServerLoad{ReadMillis: f.read}, 1000
+	return nil
+}
+
+// Note counts notes.
+func (f *fixedGauge) Note(*wire.GaugeNotes, *wire.Empty) error {
+	f.noted.Add(1)
+	return nil
+}
