--- a/internal/gateway/gauges_test.go
+++ b/internal/gateway/gauges_test.go
@@ -97,7 +97,7 @@
 			t.Fatal(err)
 		}
 	}
-	// Without the gauges' word half of them would be; answers that come late are not waited
+	// Without the gauges' word all of them are there; answers that come late are not waited
 	// for, as those to the first request, which has no connections yet.
 	if n := busy.runs.Load(); n > most {
 		t.Errorf("%d of %d requests at the engine that has prompts to read, %d at the idle one", n, requests, idle.runs.Load())
