A gauge that knows too many lives of its engine forgot the newest

Found by reading the change again: a life that is new was compared before its time of use was set, so that beside four others it could be the one that is forgotten, by the order of a map; what a router had just told of it was lost. The test fails before (50 orders are tried).

--- a/internal/place/gauge.go
+++ b/internal/place/gauge.go
@@ -92,9 +92,9 @@
 	if s == nil {
 		s = &gauged{newServer(id), make(map[runKey]*Placement), make(map[partKey][]holder)}
 		g.servers[id] = s
-		g.trim()
 	}
 	s.usedAt = now
+	g.trim()
 	return s
 }
 
@@ -106,7 +106,7 @@
 	}
 	var oldest *gauged
 	for _, s := range g.servers {
-		if oldest == nil || s.usedAt.Before(oldest.usedAt) && !s.usedAt.IsZero() {
+		if oldest == nil || s.usedAt.Before(oldest.usedAt) {
 			oldest = s
 		}
 	}
--- a/internal/place/gauge_test.go
+++ b/internal/place/gauge_test.go
@@ -195,3 +195,24 @@
 		t.Errorf("%d requests after their deadlines", a.GetLoad().GetRunning())
 	}
 }
+
+// Of more lives than are kept, the one that was not used for longest is forgotten, never the
+// one that is told of just now.
+func TestGaugeKeepsTheLifeInUse(t *testing.T) {
+	now := time.Now()
+	for range 50 { // the lives are in a map, in no order
+		g := &Gauge{}
+		for i := range keptServers + 1 {
+			id := fmt.Sprint("life-", i)
+			now = now.Add(time.Second)
+			run := &wire.GaugeRun{Number: 1, DeadlineMicros: time.Minute.Microseconds()}
+			g.Note(&wire.GaugeNotes{Router: "one", Server: id, Notes: []*wire.GaugeNote{{Note: &wire.GaugeNote_Run{Run: run}}}}, now)
+			if n := g.Answer(&wire.GaugeQuestion{Router: "two", Server: id}, now).GetLoad().GetRunning(); n != 1 {
+				t.Fatalf("%s was forgotten as it was told of", id)
+			}
+		}
+		if g.servers["life-0"] != nil || len(g.servers) != keptServers {
+			t.Fatalf("%d lives are kept, the oldest: %t", len(g.servers), g.servers["life-0"] != nil)
+		}
+	}
+}
