Dead code: what the exchange of loads and the early reports left behind

fleetclient.CallOnce and catalog.View.Workspaces have no caller since routers exchange no loads and report a workspace only once it has requests. Behaviour is unchanged.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -28,8 +28,7 @@
 	// keys are the workspaces by each of their keys.
 	keys map[string]*wire.WorkspaceAccess
 	// services are by name.
-	services   map[string]*wire.Service
-	workspaces []sumachead.WorkspaceID
+	services map[string]*wire.Service
 }
 
 // Check reports what makes a catalogue unusable as a [trace.BadParameter] error.
@@ -121,7 +120,6 @@
 		v.services[s.GetName()] = s
 	}
 	for _, w := range v.Catalog.GetWorkspaces() {
-		v.workspaces = append(v.workspaces, sumachead.WorkspaceID(w.GetName()))
 		for _, k := range w.GetKeys() {
 			v.keys[k] = w
 		}
@@ -145,9 +143,6 @@
 // Service returns a service; nil for none.
 func (v *View) Service(name string) *wire.Service { return v.services[name] }
 
-// Workspaces lists the workspaces.
-func (v *View) Workspaces() []sumachead.WorkspaceID { return v.workspaces }
-
 // Pick draws one of a route's services by the weights of its shares.
 func Pick(r *wire.Route) string {
 	shares := r.GetShares()
--- a/internal/fleetclient/call.go
+++ b/internal/fleetclient/call.go
@@ -14,15 +14,6 @@
 // it: several times what a commit takes.
 const hedgeAfter = 60 * time.Millisecond
 
-// CallOnce runs a method at the leader, over the known way only.
-func CallOnce[R any](ctx context.Context, c *Client, method string, args proto.Message) (*R, error) {
-	w, err := c.knownWay()
-	if err != nil {
-		return nil, err
-	}
-	return rpc.Call[R](ctx, c.through(w), method, args)
-}
-
 // Call runs a method at the leader. When the reply is late, it looks for another
 // way and calls there as well, so the method must be idempotent. An error leaves
 // open whether it was carried out.
