Data halls can be vacated: an order in the log, in force at all routers

Ruled out: the order as part of the declaration (operators send it by itself, and a declaration with a higher number would undo it); soft state of the leader (lost with it); comparing what an order asks for with what holds (a late copy can't be told from a new order): an order names the hall's revision that its keeper has read, while its operator waits, and is void against an older one.

All halls vacated: refused at once, finally.

Tests: fleet/vacated_kept fails with the filter off (engine-4 gets requests 2.0 to 3.2 s after the acknowledgement).

--- a/ids.go
+++ b/ids.go
@@ -13,6 +13,8 @@
 	ServerID string
 	// HallID names a data hall.
 	HallID string
+	// RegionID names a region: data halls that are near each other.
+	RegionID string
 	// NodeID names one process of the system.
 	NodeID string
 	// BootID names one life of a process; a restart draws a new one.
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -33,7 +33,9 @@
 	// same.
 	leaving   []string
 	isLeaving map[string]bool
-	// changed is closed when another declaration is put in force.
+	halls     halls
+	// changed is closed when another declaration is put in force, or an order for a data
+	// hall is taken.
 	changed chan struct{}
 }
 
@@ -65,6 +67,10 @@
 		return replies
 	case c.GetLeaving() != nil:
 		m.leave(c.GetLeaving().GetId())
+	case c.GetHall() != nil:
+		reply := m.halls.order(c.GetHall())
+		m.notify()
+		return reply
 	}
 	return nil
 }
@@ -86,6 +92,11 @@
 func (m *Machine) put(d *wire.Declaration, p *wire.PackedDeclaration) {
 	m.declaration, m.packed = d, p
 	m.book.SetTotals(catalog.Totals(d.GetCatalog()))
+	m.notify()
+}
+
+// notify wakes up those who wait for a change. The caller holds mu.
+func (m *Machine) notify() {
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -113,6 +124,7 @@
 	defer m.mu.Unlock()
 	s := &wire.FleetSnapshot{
 		Declaration: m.packed, Accounts: m.book.Snapshot(), Leaving: append([]string(nil), m.leaving...),
+		Halls: m.halls.snapshot(),
 	}
 	return func() ([]byte, error) {
 		data, err := proto.Marshal(s)
@@ -137,6 +149,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.book.Restore(s.GetAccounts())
+	m.halls.restore(s.GetHalls())
 	m.put(d, p)
 	m.leaving, m.isLeaving = nil, make(map[string]bool)
 	for _, id := range s.GetLeaving() {
@@ -146,7 +159,7 @@
 }
 
 // Declaration returns the declaration in force, and a channel that is closed
-// when another is. Its number is 0 before the first.
+// when another is, or an order for a data hall is taken. Its number is 0 before the first.
 func (m *Machine) Declaration() (*wire.Declaration, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -46,6 +46,7 @@
 		return float64(d.GetNumber())
 	})
 	gauge("sumachead_servers", "Registered backend servers that are not leaving.", func() float64 { return float64(k.servers.Count()) })
+	gauge("sumachead_vacated_halls", "Data halls that are vacated.", func() float64 { return float64(k.machine.VacatedHalls()) })
 	gauge("sumachead_followers_routers", "Routers that follow this keeper.", func() float64 { return float64(k.followers.count(RoleRouter)) })
 	return m
 }
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -127,6 +127,9 @@
 	if p := k.machine.Packed(); p.GetNumber() > r.GetNumber() {
 		reply.Declaration = &wire.PackedDeclaration{Number: p.GetNumber(), Catalog: p.GetCatalog()}
 	}
+	if n, _ := k.machine.HallsRevision(); n > r.GetHallsRevision() {
+		reply.Halls = k.machine.Halls(time.Now())
+	}
 	reply.Lacking, _ = k.sizer.Lacking(time.Now())
 	return nil
 }
@@ -170,10 +173,11 @@
 // hold waits while there is nothing new for the node, as long as it allows.
 func (s *service) hold(r *wire.FollowRequest) {
 	k := s.keeper
-	d, declared := k.machine.Declaration()
+	d, _ := k.machine.Declaration()
+	halls, changed := k.machine.HallsRevision()
 	news, servers := k.servers.Since(r.GetHistory(), r.GetVersion())
 	wait := min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxFollowWait)
-	if d.GetNumber() > r.GetNumber() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
+	if d.GetNumber() > r.GetNumber() || halls > r.GetHallsRevision() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
 		return
 	}
 	_, lacking := k.sizer.Lacking(time.Now())
@@ -181,7 +185,7 @@
 	defer t.Stop()
 	select {
 	case <-lacking:
-	case <-declared:
+	case <-changed:
 	case <-servers:
 		// Changes come in series; what follows at once goes along.
 		time.Sleep(min(gatherServer*time.Duration(k.servers.Count()), gatherServers))
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -171,6 +171,7 @@
 		Node: string(c.Node), Role: c.Role, Hall: string(c.Hall), RelayAddress: c.RelayAddress,
 		History: history, Version: version, WaitMillis: wait.Milliseconds(),
 	}
+	r.HallsRevision = c.Servers.HallsRevision()
 	if v := c.View(); v != nil {
 		r.Number = v.Number
 	}
@@ -236,6 +237,8 @@
 // take puts an answer in force. What is known never goes back: a declaration
 // with a lower number is passed over.
 func (c *Client) take(r *wire.FollowReply) {
+	// Halls come before the declaration, with which a router begins to take callers.
+	c.takeHalls(r.GetHalls())
 	c.Servers.Take(r, time.Now())
 	c.routers.Store(r.GetRouters())
 	if p := r.GetDeclaration(); p != nil {
@@ -244,6 +247,14 @@
 	c.tellLacking(r.GetLacking())
 }
 
+// takeHalls puts the states of data halls in force; nil changes nothing.
+func (c *Client) takeHalls(s *wire.HallStates) {
+	for _, x := range c.Servers.TakeHalls(s, time.Now()) {
+		c.Log.Info("A data hall's state is in force.", "hall", x.GetHall(), "vacated", x.GetVacated(), "revision", x.GetRevision(),
+			"age", time.Duration(x.GetAgeMillis())*time.Millisecond)
+	}
+}
+
 // tellLacking passes on of which workspaces another node lacks escrow.
 func (c *Client) tellLacking(names []string) {
 	if len(names) == 0 || c.OnLacking == nil {
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -104,6 +104,8 @@
 		p := patience.Usual{Since: since, By: since.Add(d.Heartbeat)}
 		again, wait := patience.Wait(p, d.x.use(), now)
 		switch {
+		case len(all) == 0 && d.servers.OnlyVacated(service):
+			return nil, refuseFinally(sumachead.ReasonNoServer, "all data halls with servers of the service are vacated")
 		case !wait && len(all) > 0:
 			return all, nil
 		case !wait:
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -65,6 +65,10 @@
 	lists map[string][]*wire.ServerRecord
 	// lives are the ids of the lives at each address.
 	lives map[string][]string
+	// halls are the data halls for which there was an order, and hallsRevision is that of
+	// the newest order.
+	halls         map[string]hallView
+	hallsRevision uint64
 }
 
 // change says which record got a version.
@@ -360,7 +364,8 @@
 	return t.history, t.version
 }
 
-// Servers lists the records of a service, in no order. Neither the list, which is the same
+// Servers lists the records of a service to which requests may be sent, in no order: those
+// that leave and those in vacated data halls are left out. Neither the list, which is the same
 // until something changes, nor the records must be changed.
 func (t *Table) Servers(service string) []*wire.ServerRecord {
 	t.lock()
@@ -370,7 +375,7 @@
 	}
 	var out []*wire.ServerRecord
 	for _, e := range t.entries {
-		if e.record.GetService() == service && e.record.GetState() != wire.ServerState_SERVER_STATE_LEAVING {
+		if e.record.GetService() == service && e.record.GetState() != wire.ServerState_SERVER_STATE_LEAVING && !t.halls[e.record.GetHall()].vacated {
 			out = append(out, e.record)
 		}
 	}
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -42,6 +42,8 @@
 
 	mu      sync.Mutex // guards the fields below
 	callers []*caller
+	// vacated are the times within which data halls were vacated, by the operator's acknowledgements.
+	vacated []vacatedSpan
 	// firstSeed is the number of the first keeper that processes are told as a seed.
 	firstSeed int
 	requests  int
@@ -127,7 +129,7 @@
 		"node_name=" + p.name, "serves=" + serves, "ip=" + f.advertised(i), "zone=" + p.hall,
 		fmt.Sprintf("listen.front=%s:%d", f.advertised(i), f.front), fmt.Sprintf("listen.ready=%s:%d", f.advertised(i), f.ready),
 		fmt.Sprintf("listen.control=%s:%d", f.advertised(i), f.ctl), fmt.Sprintf("port_range=%d,%d", f.inner, f.inner+15),
-		"listen.inner=" + p.rpc, "seeds=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%t", first),
+		"zones.hall-1=r", "zones.hall-2=r", "zones.hall-3=r", "listen.inner=" + p.rpc, "seeds=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%t", first),
 		"data_dir=" + p.data, "limits.memory_mb=200", "limits.max_fds=2000", "heartbeat_ms=300", "bounds.grace_s=6",
 		"bounds.retry_budget_ratio=0.2", "bounds.budget_extra=50", "bounds.budget_window_s=10", "a.later=field",
 	}
--- a/internal/scenario/fleetcall_test.go
+++ b/internal/scenario/fleetcall_test.go
@@ -178,6 +178,9 @@
 			if acked := r.DrainAcked(); !acked.IsZero() && x.At.After(acked.Add(drainWithin)) {
 				broken = append(broken, fmt.Sprintf("%s got %s %v after it said that it leaves", name, x.ID, x.At.Sub(acked)))
 			}
+			if v := f.vacatedAt(r.Hall, x.At); v != nil {
+				broken = append(broken, fmt.Sprintf("%s got %s %v after its hall was vacated", name, x.ID, x.At.Sub(v.acked)))
+			}
 		}
 	}
 	received := 0
--- a/internal/scenario/fleetcmds_test.go
+++ b/internal/scenario/fleetcmds_test.go
@@ -29,7 +29,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fleet": cmdFleet, "start": cmdStart, "shutdown": cmdShutdown, "crash": cmdFleetCrash, "freeze": cmdFreeze, "thaw": cmdThaw,
 			"wipe-disk": cmdWipe, "cut": cmdCut, "heal": cmdHeal, "sleep": cmdSleep, "declare": cmdDeclare, "document": cmdDocument,
-			"ask": cmdAsk, "server": cmdServer, "promises": cmdPromises, "logged": cmdLogged,
+			"ask": cmdAsk, "server": cmdServer, "promises": cmdPromises, "logged": cmdLogged, "vacate": cmdVacate,
 		},
 	})
 }
