Cold engines get no more than they bear: grants of the process beside each

Ruled out: shares of the rate by the number of routers alone (the model breaks the bound at 102 and 410 routers with whole rates, and wastes half without); only some routers by a hash (they don't know each other); counting at the leader (one call a request there).

Change: heartbeats and health answers tell for how long an engine is cold; the registry keeps the moment, tells followers, and passes over what was overtaken or repeated. A hall that was opened again is taken for cold. A router asks the gauge beside a cold engine for a grant (internal/warmup: the declared rate, a burst of half of what is left to the bound, the more urgent first); without one it goes elsewhere, waits while that is of use, or refuses with a time (reason cold). Servers without a gauge: shares.

--- a/callers.go
+++ b/callers.go
@@ -79,13 +79,21 @@
 	IdleUntil time.Time
 }
 
+// HealthAnswer is what a backend server answers to a health check.
+type HealthAnswer struct {
+	// Server is which life of it has answered; empty where it is not well or does not
+	// say.
+	Server ServerID
+	// ColdUntil is until when it is cold; zero for a warm one.
+	ColdUntil time.Time
+}
+
 // Dialect translates between the product and what backend servers speak.
 type Dialect interface {
 	// Encode sets what the server is told on the header of a request.
 	Encode(h http.Header, r *CallerRequest, a *Attempt)
 	// Decode reads the head of an answer that came at now.
 	Decode(status int, h http.Header, now time.Time) AnswerHead
-	// Identity returns which life of a server has answered a health check; empty where
-	// it is not well or does not say.
-	Identity(status int, h http.Header) ServerID
+	// Health reads the answer to a health check that came at now.
+	Health(status int, h http.Header, now time.Time) HealthAnswer
 }
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -133,14 +133,14 @@
 	tasks, work := errgroup.WithContext(ctx)
 	for _, r := range records {
 		tasks.Go(func() error {
-			id, err := g.upstream.Check(work, r.GetAddress(), path)
+			a, err := g.upstream.Check(work, r.GetAddress(), path)
 			switch {
 			case err != nil:
 				g.failures.Info(g.Log, "A silent server did not answer.", "server", r.GetId(), "error", err)
-			case string(id) == r.GetId():
-				g.servers.Confirm(r.GetId(), time.Now())
+			case string(a.Server) == r.GetId():
+				g.servers.Confirm(r.GetId(), a.ColdUntil, time.Now())
 			default:
-				g.failures.Info(g.Log, "A silent server's life is over.", "server", r.GetId(), "answered", id)
+				g.failures.Info(g.Log, "A silent server's life is over.", "server", r.GetId(), "answered", a.Server)
 				g.servers.Leave(r.GetId(), time.Now())
 			}
 			return nil // one that does not answer ends no other check
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"sumachead"
+	"sumachead/api/wire"
+	"sumachead/internal/loop"
+	"sumachead/internal/patience"
+	"sumachead/internal/place"
+	"sumachead/internal/warmup"
+)
+
+const (
+	// admitsMost is how many cold servers a request asks for a grant before it waits for
+	// one: where so many are cold and have none left, most others are like them.
+	admitsMost = 6
+	// noGrantFor is when a cold server is asked again that could not be asked.
+	noGrantFor = 200 * time.Millisecond
+)
+
+// choose picks a server for the request and counts the request there. A cold server is
+// taken only with a grant; without one the request goes to another server, and waits
+// while that is of use where all that it has looked at are cold and have none left.
+func (d *dispatch) choose() (*place.Placement, error) {
+	held := &heldUp{}
+	for {
+		servers, err := d.candidates()
+		if err != nil {
+			return nil, err
+		}
+		l := d.placeAmong(servers, slices.Concat(d.tried, held.servers))
+		switch {
+		case l != nil && d.admitted(l, held):
+			return l, nil
+		case l != nil && len(held.servers) < admitsMost:
+			continue
+		case len(held.servers) == 0 && d.last != nil:
+			return nil, d.giveUp(d.last.Reason, "no backend server is left: "+d.last.Err.Error())
+		case len(held.servers) == 0:
+			return nil, d.refuse(sumachead.ReasonNoServer, "no backend server is left")
+		}
+		if err := d.awaitGrant(held); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// placeAmong asks the gauges of the likely servers and places the request at the best one;
+// nil where all are passed over.
+func (d *dispatch) placeAmong(servers []*wire.ServerRecord, passed []sumachead.ServerID) *place.Placement {
+	w := d.x.work()
+	few := d.chooser.Candidates(servers, passed, w, time.Now())
+	d.gauges.ask(d.ctx, few, w)
+	if more := d.chooser.Further(servers, few, passed, w, time.Now()); len(more) > 0 {
+		d.gauges.ask(d.ctx, more, w)
+		few = slices.Concat(few, more)
+	}
+	return d.chooser.Place(few, passed, w, time.Now())
+}
+
+// heldUp are the cold servers that had no grant for a request.
+type heldUp struct {
+	servers []sumachead.ServerID
+	// since is when the first of them had none, and next when one should have.
+	since time.Time
+	next  time.Time
+}
+
+// note adds a server that may have a grant again after a time.
+func (h *heldUp) note(id sumachead.ServerID, again time.Duration, now time.Time) {
+	if h.since.IsZero() {
+		h.since = now
+	}
+	if at := now.Add(again); len(h.servers) == 0 || at.Before(h.next) {
+		h.next = at
+	}
+	h.servers = append(h.servers, id)
+}
+
+// admitted reports whether the request may be sent where it was placed: the server is
+// warm, or there is a grant. Otherwise the placement is cancelled.
+func (d *dispatch) admitted(l *place.Placement, held *heldUp) bool {
+	b := d.coldBound(l.Record)
+	if b.Rate == 0 {
+		return true
+	}
+	l.Cold = true
+	granted, again := d.admit(l.Record, b)
+	d.metrics.noteAdmit(granted)
+	if granted {
+		return true
+	}
+	now := time.Now()
+	held.note(sumachead.ServerID(l.Record.GetId()), again, now)
+	l.Cancel(now)
+	return false
+}
+
+// coldBound returns what a server may be sent if it is cold; nothing bounds a warm one.
+func (d *dispatch) coldBound(r *wire.ServerRecord) warmup.Bound {
+	s := d.x.service
+	if s.GetColdRate() == 0 {
+		return warmup.Bound{}
+	}
+	// A hall that was opened again is known to be so some time after the order.
+	coldTime := time.Duration(s.GetColdMillis())*time.Millisecond + d.Heartbeat
+	if !time.Now().Before(d.servers.ColdUntil(r.GetId(), coldTime)) {
+		return warmup.Bound{}
+	}
+	return warmup.BoundOf(s.GetColdRate(), d.ColdOverage, d.ColdSlack)
+}
+
+// admit asks for a grant: of the process beside an engine, or of this router's share where
+// there is none.
+func (d *dispatch) admit(r *wire.ServerRecord, b warmup.Bound) (granted bool, again time.Duration) {
+	if d.x.service.GetEngine() == nil || !d.gauges.counts(r) {
+		return d.cold.take(r.GetId(), b, d.client.Routers())
+	}
+	return d.gauges.admit(r, b, d.x.urgency())
+}
+
+// awaitGrant waits until a server should have a grant, while that is of use, and forgets
+// which ones had none.
+func (d *dispatch) awaitGrant(held *heldUp) error {
+	now := time.Now()
+	p := patience.Usual{Since: held.since, By: held.next}
+	again, wait := patience.Wait(p, d.x.use(), now)
+	if !wait {
+		const detail = "the servers that are left are cold and get no more at present"
+		if d.mayHaveRun {
+			return d.giveUp(d.last.Reason, detail)
+		}
+		return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonCold, detail, patience.ComeBack(p, d.x.use(), d.x.urgency(), now))
+	}
+	if !loop.Sleep(d.ctx, again.Sub(now)) {
+		return d.ended()
+	}
+	held.servers = nil
+	return nil
+}
+
+// coldShares is this router's part of what cold servers bear that have no gauge. The zero
+// value is ready.
+type coldShares struct {
+	mu     sync.Mutex // guards shares
+	shares warmup.Shares
+}
+
+// take reports whether a request may be sent to a server, and otherwise when to ask again.
+func (c *coldShares) take(id string, b warmup.Bound, routers int) (granted bool, again time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.shares.Take(id, b, routers, time.Now()), noGrantFor
+}
+
+// counts reports whether there is a gauge beside a server, which counts what all routers
+// send there.
+func (g *gauges) counts(r *wire.ServerRecord) bool { return g.Address != nil && g.Address(r) != "" }
+
+// admit asks the gauge of a cold engine for a grant, and otherwise returns when it may have
+// one. A gauge that does not answer grants nothing, and neither does a grant that comes too
+// late: it would be used beside those of later times.
+func (g *gauges) admit(r *wire.ServerRecord, b warmup.Bound, urgency uint32) (granted bool, again time.Duration) {
+	address := g.Address(r)
+	if g.rests(address) {
+		return false, noGrantFor
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), warmup.GrantLives)
+	defer cancel()
+	begun := time.Now()
+	reply, err := callGauge[wire.AdmitReply](ctx, g, address, "Admit",
+		&wire.AdmitRequest{Server: r.GetId(), Rate: b.Rate, Burst: b.Burst, Urgency: urgency})
+	if err != nil || time.Since(begun) > warmup.GrantLives {
+		return false, noGrantFor
+	}
+	return reply.GetGranted(), time.Duration(reply.GetAgainMicros()) * time.Microsecond
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"sumachead"
@@ -132,24 +131,10 @@
 // attempt sends the request to one server and relays what it answers. A
 // [*upstream.Failure] says that another attempt may be made.
 func (d *dispatch) attempt() error {
-	servers, err := d.candidates()
+	l, err := d.choose()
 	if err != nil {
 		return err
 	}
-	w := d.x.work()
-	few := d.chooser.Candidates(servers, d.tried, w, time.Now())
-	d.gauges.ask(d.ctx, few, w)
-	if more := d.chooser.Further(servers, few, d.tried, w, time.Now()); len(more) > 0 {
-		d.gauges.ask(d.ctx, more, w)
-		few = slices.Concat(few, more)
-	}
-	l := d.chooser.Place(few, d.tried, w, time.Now())
-	if l == nil {
-		if d.last != nil {
-			return d.giveUp(d.last.Reason, "no backend server is left: "+d.last.Err.Error())
-		}
-		return d.refuse(sumachead.ReasonNoServer, "no backend server is left")
-	}
 	id := sumachead.ServerID(l.Record.GetId())
 	d.tried = append(d.tried, id)
 	d.x.placement = l
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -189,7 +189,7 @@
 	if l := x.placement; l != nil {
 		first, backlog := l.Expected()
 		fields = append(fields, "server", l.Record.GetId(), "home", l.Home, "prompt", x.request.PromptTokens,
-			"unread", l.Unread(), "backlog", backlog, "expected", first.Sub(x.arrived), "running", l.Running, "told", l.Told)
+			"unread", l.Unread(), "backlog", backlog, "expected", first.Sub(x.arrived), "running", l.Running, "told", l.Told, "cold", l.Cold)
 	}
 	return fields
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,10 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// ColdOverage and ColdSlack bound what a cold backend server is sent in any second:
+	// so many times the rate that is declared for it, and so many more.
+	ColdOverage float64
+	ColdSlack   float64
 	// LinesPerSecond and FailuresPerSecond bound the log lines of one kind, of
 	// requests that are served and of those that are not; 0 for the usual bounds.
 	LinesPerSecond    int
@@ -73,6 +77,7 @@
 	gauges   *gauges
 	retries  *retryAllowance
 	checks   checks
+	cold     coldShares
 	metrics  *Metrics
 	// handle is the filters around dispatch.
 	handle handler
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -44,11 +44,11 @@
 	}
 }
 
-func (testDialect) Identity(status int, h http.Header) sumachead.ServerID {
+func (testDialect) Health(status int, h http.Header, _ time.Time) sumachead.HealthAnswer {
 	if status != http.StatusOK {
-		return ""
+		return sumachead.HealthAnswer{}
 	}
-	return sumachead.ServerID(h.Get("X-Server"))
+	return sumachead.HealthAnswer{Server: sumachead.ServerID(h.Get("X-Server"))}
 }
 
 // backend is a server that answers by hand; runs counts what reached it.
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/gauge"
@@ -115,13 +117,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	begun := time.Now()
-	a, err := rpc.Call[wire.GaugeAnswer](ctx, g.Pool.Get(address), gauge.Name+".Ask",
+	a, err := callGauge[wire.GaugeAnswer](ctx, g, address, "Ask",
 		&wire.GaugeQuestion{Router: g.life, Server: r.GetId(), Parts: keys})
-	now := time.Now()
 	if err != nil {
-		g.rest(address, now)
 		return
 	}
+	now := time.Now()
 	g.took(now.Sub(begun))
 	g.Chooser.Told(sumachead.ServerID(r.GetId()), w, a, now)
 }
@@ -181,10 +182,17 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), noteTimeout)
 	defer cancel()
-	_, err := rpc.Call[wire.Empty](ctx, g.Pool.Get(to.address), gauge.Name+".Note",
+	// One that fails is dropped, as said above; the gauge then rests.
+	_, _ = callGauge[wire.Empty](ctx, g, to.address, "Note",
 		&wire.GaugeNotes{Router: g.life, Server: string(to.server), Notes: batch})
+	return nil, 0
+}
+
+// callGauge calls the gauge at an address; one that fails is not asked for a while.
+func callGauge[R any](ctx context.Context, g *gauges, address, method string, args proto.Message) (*R, error) {
+	reply, err := rpc.Call[R](ctx, g.Pool.Get(address), gauge.Name+"."+method, args)
 	if err != nil {
-		g.rest(to.address, time.Now())
+		g.rest(address, time.Now())
 	}
-	return nil, 0
+	return reply, err
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -32,6 +32,8 @@
 	pause prometheus.Histogram
 	// ledger is of reports of escrow.
 	ledger prometheus.Histogram
+	// admits are of requests for cold servers, by whether there was a grant.
+	admits *prometheus.CounterVec
 	// overdue is of escrow lent to other routers.
 	overdue prometheus.Counter
 }
@@ -65,6 +67,9 @@
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sumachead_gateway_dials_total", Help: "New connections to backend servers.",
 		}),
+		admits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sumachead_gateway_cold_admits_total", Help: "Requests that were to be sent to a cold backend server, by whether there was a grant.",
+		}, []string{"granted"}),
 		overdue: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sumachead_gateway_overdue_loan_tokens_total", Help: "Escrow lent to other routers that counts as spent since no bill came.",
 		}),
@@ -82,7 +87,10 @@
 		m.waits.WithLabelValues(what, "true")
 		m.waits.WithLabelValues(what, "false")
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.overdue, rpc.Traffic{})
+	for _, granted := range []string{"true", "false"} {
+		m.admits.WithLabelValues(granted)
+	}
+	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.overdue, rpc.Traffic{})
 	m.gauges(g)
 	return m
 }
@@ -142,6 +150,11 @@
 	m.outcomes.WithLabelValues(x.route.GetName(), outcomeNotWhole).Inc()
 }
 
+// noteAdmit takes in whether there was a grant for a cold server.
+func (m *Metrics) noteAdmit(granted bool) {
+	m.admits.WithLabelValues(strconv.FormatBool(granted)).Inc()
+}
+
 // The outcomes of requests.
 const (
 	outcomeInTime    = "in_time"
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -1,9 +1,10 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
+
+	"sumachead/internal/bucket"
 )
 
 // retryShare is the part of the fleet's allowance that routers use. The rest is for
@@ -20,11 +21,8 @@
 	extra  float64
 	window time.Duration
 
-	mu sync.Mutex // guards the fields below
-	// tokens is how many repeats may be sent now, filled when that was last
-	// brought up to date.
-	tokens float64
-	filled time.Time
+	mu     sync.Mutex // guards bucket
+	bucket bucket.Bucket
 }
 
 // most returns how many repeats the bucket holds with so many routers. With many
@@ -33,18 +31,16 @@
 	return a.extra * retryShare / float64(routers)
 }
 
+// rate returns how many repeats a second come back: half of what the bucket holds in a
+// window, so that with a full one at its start it is one and a half times retryShare of
+// the fixed number.
+func (a *retryAllowance) rate(routers int) float64 {
+	return a.most(routers) / a.window.Seconds() / 2
+}
+
 // refill earns what the time since the last call is worth. The caller holds mu.
 func (a *retryAllowance) refill(now time.Time, routers int) {
-	most := a.most(routers)
-	if a.filled.IsZero() {
-		a.tokens = most
-	} else {
-		// Half of what the bucket holds comes back in a window: with a full one
-		// at its start, one and a half times retryShare of the fixed number.
-		a.tokens += most * now.Sub(a.filled).Seconds() / a.window.Seconds() / 2
-	}
-	a.filled = now
-	a.tokens = min(a.tokens, most)
+	a.bucket.Fill(a.rate(routers), a.most(routers), now)
 }
 
 // note takes in a request that is sent for the first time.
@@ -52,21 +48,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refill(now, routers)
-	a.tokens = min(a.tokens+a.ratio*retryShare, a.most(routers))
+	a.bucket.Add(a.ratio*retryShare, a.most(routers))
 }
 
 // take reports whether a request may be sent again, and uses up the allowance
-// for it. A bucket that can't hold a whole repeat lends one by chance, with the
-// probability of the part that it holds, and earns it back.
+// for it.
 func (a *retryAllowance) take(now time.Time, routers int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refill(now, routers)
-	if a.tokens < 1 && (a.most(routers) >= 1 || rand.Float64() >= a.tokens) {
-		return false
-	}
-	a.tokens--
-	return true
+	return a.bucket.Take(a.most(routers))
 }
 
 // nextAt returns when the allowance should hold another repeat.
@@ -74,9 +65,5 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refill(now, routers)
-	perSecond := a.most(routers) / a.window.Seconds() / 2
-	if perSecond <= 0 || a.tokens >= 1 {
-		return now
-	}
-	return now.Add(time.Duration((1 - a.tokens) / perSecond * float64(time.Second)))
+	return now.Add(a.bucket.Until(1, a.rate(routers)))
 }
--- a/internal/place/placement.go
+++ b/internal/place/placement.go
@@ -22,6 +22,8 @@
 	// old that knowledge was; negative where the server's gauge told nothing.
 	Running int
 	Told    time.Duration
+	// Cold: the server was cold, and the request had a grant. Its caller sets it.
+	Cold bool
 
 	chooser *Chooser
 	server  *server
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -34,6 +34,8 @@
 	record *wire.ServerRecord // replaced, never changed
 	// seen is when the last heartbeat came, or at a follower the record.
 	seen time.Time
+	// coldUntil is until when the server is cold, as far as is known.
+	coldUntil time.Time
 	// replaced: another life at the address goes on, and this one does not.
 	replaced bool
 }
@@ -152,13 +154,15 @@
 	before := e.seen
 	e.seen = now
 	next := proto.CloneOf(r)
+	cold := e.takeCold(r, now)
+	next.ColdMillis = 0
 	if e.record != nil {
 		next.Version = e.record.GetVersion()
 		if e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING {
 			next.State = wire.ServerState_SERVER_STATE_LEAVING
 		}
 	}
-	news = e.record == nil || !sameForFollowers(e.record, next)
+	news = e.record == nil || cold || !sameForFollowers(e.record, next)
 	t.set(e, next)
 	if news {
 		t.bump(next)
@@ -179,7 +183,7 @@
 	t.lock()
 	defer t.mu.Unlock()
 	e := t.entries[r.GetId()]
-	if e == nil || r.GetState() != wire.ServerState_SERVER_STATE_READY || !sameForFollowers(e.record, r) {
+	if e == nil || r.GetState() != wire.ServerState_SERVER_STATE_READY || !sameForFollowers(e.record, r) || e.coldNews(r, now) {
 		return false
 	}
 	t.alive(e, r.GetSequence(), now)
@@ -226,11 +230,13 @@
 }
 
 // Confirm takes in that a server which was silent has answered as the life that this
-// table knows. The leader says otherwise once it knows more.
-func (t *Table) Confirm(id string, now time.Time) {
+// table knows, and until when it says that it is cold; zero for a warm one. The leader
+// says otherwise once it knows more.
+func (t *Table) Confirm(id string, coldUntil, now time.Time) {
 	t.lock()
 	defer t.mu.Unlock()
 	if e := t.entries[id]; e != nil {
+		e.coldUntil = coldUntil
 		t.alive(e, e.record.GetSequence(), now)
 		t.notify()
 	}
@@ -300,7 +306,7 @@
 	r = &wire.FollowReply{History: t.history, Version: t.version, Whole: history != t.history || version > t.version || version < t.trimmed}
 	if r.Whole {
 		for _, e := range t.entries {
-			r.Servers = append(r.Servers, e.record)
+			r.Servers = append(r.Servers, e.told(time.Now()))
 		}
 		return r, t.changed
 	}
@@ -309,7 +315,7 @@
 			break
 		}
 		if e := t.entries[c.id]; e != nil && e.record.GetVersion() == c.version {
-			r.Servers = append(r.Servers, e.record)
+			r.Servers = append(r.Servers, e.told(time.Now()))
 		}
 	}
 	return r, t.changed
@@ -339,6 +345,11 @@
 		return
 	}
 	next := &entry{seen: now}
+	if left := s.GetColdMillis(); left > 0 {
+		next.coldUntil = now.Add(time.Duration(left) * time.Millisecond)
+		s = proto.CloneOf(s)
+		s.ColdMillis = 0
+	}
 	t.entries[s.GetId()] = next
 	t.set(next, s)
 }
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -81,10 +81,12 @@
 		}
 	}
 	for i := range f.shape.engines {
-		f.addServer(fmt.Sprintf("engine-%d", i+1), "pool", hallName(i))
+		// An engine shares the host of a process that relays and counts beside it.
+		beside := f.indexOf(fmt.Sprintf("side-%d", i%max(f.shape.relays, 1)+1))
+		f.addServer(fmt.Sprintf("engine-%d", i+1), "pool", hallName(i), f.bound(beside))
 	}
 	for i := range f.shape.desks {
-		f.addServer(fmt.Sprintf("desk-%d", i+1), "desk", hallName(i))
+		f.addServer(fmt.Sprintf("desk-%d", i+1), "desk", hallName(i), "127.0.0.1")
 	}
 	return nil
 }
@@ -132,6 +134,7 @@
 		"zones.hall-1=r", "zones.hall-2=r", "zones.hall-3=r", "listen.inner=" + p.rpc, "seeds=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%t", first),
 		"data_dir=" + p.data, "limits.memory_mb=200", "limits.max_fds=2000", "heartbeat_ms=300", "bounds.grace_s=6",
 		"bounds.retry_budget_ratio=0.2", "bounds.budget_extra=50", "bounds.budget_window_s=10", "a.later=field",
+		fmt.Sprintf("bounds.cold_overage=%g", coldOverage), fmt.Sprintf("bounds.cold_slack=%d", coldSlack),
 	}
 	// A process may read the file at any moment: it is replaced whole.
 	path := f.path(p.name + ".conf")
@@ -153,10 +156,10 @@
 	return nil
 }
 
-// addServer starts a backend server's stand-in.
-func (f *fleet) addServer(name, service, hall string) {
+// addServer starts a backend server's stand-in on a host.
+func (f *fleet) addServer(name, service, hall, host string) {
 	r := &standin.Replica{
-		ID: "i-" + name, Service: service, Hall: hall, Address: loopback(freePort()), Control: f.controls,
+		ID: "i-" + name, Service: service, Hall: hall, Address: fmt.Sprintf("%s:%d", host, freePort()), Control: f.controls,
 		Every: 300 * time.Millisecond, EventEvery: 3 * time.Millisecond, Work: 20 * time.Millisecond,
 	}
 	f.mu.Lock()
@@ -286,7 +289,13 @@
 	for i := range d.routes {
 		add("safe", fmt.Sprintf("idle-%d", i), "desk", false, 1)
 	}
-	services := []any{object{"name": "pool", "max_conns": 200, "engine": object{"slots": 8, "stride": 1}}, object{"name": "desk", "max_conns": 200}}
+	services := []any{
+		object{
+			"name": "pool", "max_conns": 200, "engine": object{"slots": 8, "stride": 1},
+			"cold_start_s": coldTime.Seconds(), "cold_per_s": coldRate,
+		},
+		object{"name": "desk", "max_conns": 200},
+	}
 	if d.bad {
 		services = services[:1]
 	}
--- a/internal/scenario/fleetcall_test.go
+++ b/internal/scenario/fleetcall_test.go
@@ -178,6 +178,9 @@
 			if acked := r.DrainAcked(); !acked.IsZero() && x.At.After(acked.Add(drainWithin)) {
 				broken = append(broken, fmt.Sprintf("%s got %s %v after it said that it leaves", name, x.ID, x.At.Sub(acked)))
 			}
+			if n := r.ColdRuns(x.At); float64(n) > coldRate*coldOverage+coldSlack {
+				broken = append(broken, fmt.Sprintf("%s got %d requests in the second before %s, while it was cold", name, n, x.ID))
+			}
 			if v := f.vacatedAt(r.Hall, x.At); v != nil {
 				broken = append(broken, fmt.Sprintf("%s got %s %v after its hall was vacated", name, x.ID, x.At.Sub(v.acked)))
 			}
--- a/internal/scenario/fleetcmds_test.go
+++ b/internal/scenario/fleetcmds_test.go
@@ -195,7 +195,8 @@
 	}
 }
 
-// server NAME drain|leave|FAULTS-AS-JSON acts on a backend server's stand-in.
+// server NAME drain|leave|cold|FAULTS-AS-JSON acts on a backend server's stand-in; a cold
+// one has started anew.
 func cmdServer(ts *testscript.TestScript, _ bool, args []string) {
 	r := fleetOf(ts).server[args[0]]
 	if r == nil {
@@ -208,6 +209,8 @@
 		if !r.Drain(ctx) {
 			ts.Fatalf("nobody acknowledged")
 		}
+	case "cold":
+		r.StartAnew(coldTime)
 	case "leave":
 		if !r.Leave(ctx) {
 			ts.Fatalf("nobody acknowledged")
--- a/internal/scenario/halls_test.go
+++ b/internal/scenario/halls_test.go
@@ -13,6 +13,15 @@
 // something new.
 const vacateWithin = 2 * time.Second
 
+// What a cold engine bears, and what it may be sent in any second: as the users' platform
+// has it.
+const (
+	coldTime    = 3 * time.Second
+	coldRate    = 6.6
+	coldOverage = 1.5
+	coldSlack   = 5
+)
+
 // vacatedSpan is a time within which a data hall was vacated.
 type vacatedSpan struct {
 	hall string
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,10 +67,61 @@
 	// sequence counts the heartbeats of this life.
 	sequence int
 	draining bool
+	// lives counts the starts after the first, and cold are the times within which the
+	// replica was cold.
+	lives int
+	cold  []coldSpan
 	// acked is when leaving was acknowledged.
 	acked time.Time
 }
 
+// coldSpan is a time within which a replica was cold.
+type coldSpan struct{ from, until time.Time }
+
+// StartAnew makes the replica another life with an id of its own, cold for a time.
+func (r *Replica) StartAnew(cold time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	r.lives++
+	r.sequence, r.draining, r.acked = 0, false, time.Time{}
+	r.cold = append(r.cold, coldSpan{now, now.Add(cold)})
+}
+
+// life returns the id of the life that runs. The caller holds mu.
+func (r *Replica) life() string {
+	if r.lives == 0 {
+		return r.ID
+	}
+	return fmt.Sprintf("%s-%d", r.ID, r.lives)
+}
+
+// coldLeft returns for how much longer the replica is cold. The caller holds mu.
+func (r *Replica) coldLeft(now time.Time) time.Duration {
+	if len(r.cold) == 0 {
+		return 0
+	}
+	return max(r.cold[len(r.cold)-1].until.Sub(now), 0)
+}
+
+// ColdRuns counts the runs that began in the second up to a time, while the replica was
+// cold all along; 0 for a time at which it was warm.
+func (r *Replica) ColdRuns(at time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := slices.IndexFunc(r.cold, func(c coldSpan) bool { return !at.Before(c.from) && !at.After(c.until) })
+	if i < 0 {
+		return 0
+	}
+	n := 0
+	for _, x := range r.runs {
+		if x.At.After(r.cold[i].from) && x.At.After(at.Add(-time.Second)) && !x.At.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
 // Run serves and sends heartbeats until ctx ends.
 func (r *Replica) Run(ctx context.Context) error {
 	lis, err := (&net.ListenConfig{}).Listen(ctx, "tcp", r.Address)
@@ -108,12 +160,14 @@
 	}
 	body, err := json.Marshal(map[string]any{
 		"backend": r.Service, "address": r.Address, "zone": r.Hall, "slots": replicaSlots, "state": state, "call_seq": r.sequence,
+		"cold_left_ms": r.coldLeft(time.Now()).Milliseconds(),
 	})
+	id := r.life()
 	r.mu.Unlock()
 	if err != nil {
 		return false
 	}
-	ok := r.post(ctx, "/v1/Replicas.Heartbeat/"+r.ID, body)
+	ok := r.post(ctx, "/v1/Replicas.Heartbeat/"+id, body)
 	if ok && draining {
 		r.mu.Lock()
 		r.acked = time.Now()
@@ -125,7 +179,10 @@
 // Leave tells that the replica is about to end; it reports whether some node
 // acknowledged it.
 func (r *Replica) Leave(ctx context.Context) bool {
-	return r.post(ctx, "/v1/Replicas.Leave/"+r.ID, nil)
+	r.mu.Lock()
+	id := r.life()
+	r.mu.Unlock()
+	return r.post(ctx, "/v1/Replicas.Leave/"+id, nil)
 }
 
 // post calls the control addresses in turn until one acknowledges.
@@ -190,20 +247,25 @@
 
 // serve takes a request if it is meant for this life, and records its run.
 func (r *Replica) serve(w http.ResponseWriter, q *http.Request) {
-	if expected := q.Header.Get("Expect-Replica"); expected != r.ID {
-		w.Header().Set("Served-By", r.ID)
+	r.mu.Lock()
+	f, id, cold := r.faults, r.life(), r.coldLeft(time.Now())
+	r.mu.Unlock()
+	if q.URL.Path == "/health" {
+		w.Header().Set("Served-By", id)
+		w.Header().Set("Cold-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
+		return
+	}
+	if expected := q.Header.Get("Expect-Replica"); expected != id {
+		w.Header().Set("Served-By", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	r.mu.Lock()
-	f := r.faults
-	r.mu.Unlock()
 	if f.Refuse {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	run := &ReplicaRun{ID: q.Header.Get("Request-Id"), Workspace: q.Header.Get("Tenant"), Replica: r.ID, At: time.Now()}
+	run := &ReplicaRun{ID: q.Header.Get("Request-Id"), Workspace: q.Header.Get("Tenant"), Replica: id, At: time.Now()}
 	r.mu.Lock()
 	r.runs = append(r.runs, run)
 	r.mu.Unlock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -22,8 +22,8 @@
 	h.Set("X-Request", string(r.ID))
 }
 
-func (plainDialect) Identity(_ int, h http.Header) sumachead.ServerID {
-	return sumachead.ServerID(h.Get("X-Server"))
+func (plainDialect) Health(_ int, h http.Header, _ time.Time) sumachead.HealthAnswer {
+	return sumachead.HealthAnswer{Server: sumachead.ServerID(h.Get("X-Server"))}
 }
 
 func (plainDialect) Decode(status int, h http.Header, _ time.Time) sumachead.AnswerHead {
--- a/verdict.go
+++ b/verdict.go
@@ -43,6 +43,7 @@
 	ReasonNoServer         Reason = "no_server"
 	ReasonRouterFull       Reason = "router_full"
 	ReasonBusy             Reason = "busy"
+	ReasonCold             Reason = "cold"
 	ReasonShed             Reason = "shed"
 	ReasonLeaving          Reason = "leaving"
 	ReasonFenced           Reason = "fenced"
@@ -64,7 +65,7 @@
 		ReasonBadRequest, ReasonUnauthorized, ReasonTooLarge, ReasonHeadersTooLarge, ReasonDeadlinePassed,
 		ReasonUnknownPool, ReasonUnknownRoute, ReasonPoolForbidden, ReasonKeyConflict, ReasonBudgetExhausted,
 		ReasonNoBudget, ReasonLedgerUnreached, ReasonClaimUnavailable, ReasonSettingsStale,
-		ReasonNoServer, ReasonRouterFull, ReasonBusy, ReasonShed, ReasonLeaving, ReasonFenced,
+		ReasonNoServer, ReasonRouterFull, ReasonBusy, ReasonCold, ReasonShed, ReasonLeaving, ReasonFenced,
 		ReasonServerUnreached, ReasonServerFailed, ReasonBadAnswer, ReasonStuck,
 		ReasonInterrupted, ReasonAnswerGone, ReasonRunning, ReasonRetryBudget,
 		ReasonStopping, ReasonInternal,
