Requests stay in the regions at which their route and workspace are at home

Cause: declarations may name regions (homes) for routes and workspaces; nothing read them, so that a fleet of two regions would send requests anywhere.

Ruled out: a filter in the choice (checks of silent servers, fetches, retries and refusals would each need it): the list of servers that a request knows is cut to the halls of the regions at which both are at home, so that all of these obey.

Before: all of TestHomes but its first case failed to build. After: they pass; tried again, continued, fetched and refused requests stay at home; a request at home nowhere is refused at once, finally.

--- a/internal/fleet/alive_test.go
+++ b/internal/fleet/alive_test.go
@@ -29,7 +29,7 @@
 }
 
 // known counts the servers of a service that a keeper knows.
-func known(k *member) int { return len(k.servers.Servers("chat")) }
+func known(k *member) int { return len(k.servers.Servers("chat", nil)) }
 
 // A heartbeat of a ready server is acknowledged by any keeper that was in contact
 // lately, also while nobody leads, and reaches the next leader.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -264,7 +264,7 @@
 	c.eventually("a leader without the server", func() bool {
 		for _, m := range c.members {
 			if m != nil && m.node.Leading() {
-				return len(m.servers.Servers("pool")) == 0
+				return len(m.servers.Servers("pool", nil)) == 0
 			}
 		}
 		return false
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -92,7 +92,7 @@
 	service := d.x.service.GetName()
 	for {
 		changed := d.servers.Changed()
-		all := d.servers.Servers(service)
+		all := d.known()
 		now := time.Now()
 		since := d.checks.lacking(service, !slices.ContainsFunc(all, isHeard), now)
 		if since.IsZero() || d.last != nil {
@@ -104,8 +104,10 @@
 		p := patience.Usual{Since: since, By: since.Add(d.Heartbeat)}
 		again, wait := patience.Wait(p, d.x.use(), now)
 		switch {
-		case len(all) == 0 && d.servers.OnlyVacated(service):
-			return nil, refuseFinally(sumachead.ReasonNoServer, "all data halls with servers of the service are vacated")
+		case len(all) == 0 && d.homes != nil && len(d.homes) == 0:
+			return nil, refuseFinally(sumachead.ReasonNoServer, "the route and the workspace are at home in no region that there is")
+		case len(all) == 0 && d.servers.OnlyVacated(service, d.homes):
+			return nil, refuseFinally(sumachead.ReasonNoServer, "all data halls with servers that the request may be sent to are vacated")
 		case !wait && len(all) > 0:
 			return all, nil
 		case !wait:
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -23,7 +23,7 @@
 	s.ColdMillis, s.ColdRate = 3000, 6.6
 	g.ColdOverage, g.ColdSlack = 1.5, 5
 	for _, id := range cold {
-		for _, r := range g.servers.Servers("pool") {
+		for _, r := range g.servers.Servers("pool", nil) {
 			if r.GetId() == id {
 				g.servers.Beat(&wire.ServerRecord{
 					Id: id, Service: "pool", Address: r.GetAddress(), Hall: r.GetHall(), Slots: 4, Sequence: 2, ColdMillis: 3000,
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -30,6 +30,8 @@
 	mayHaveRun bool
 	// last is why the last attempt failed.
 	last *upstream.Failure
+	// homes are the data halls that the request may be sent to; nil for all.
+	homes []string
 	// stream is the state of an answer of events; nil for a plain answer.
 	stream *eventStream
 }
@@ -39,7 +41,7 @@
 	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
 	defer cancel()
 	x.service = x.view.Service(catalog.Pick(x.route))
-	d := &dispatch{Gateway: g, x: x, ctx: ctx}
+	d := &dispatch{Gateway: g, x: x, ctx: ctx, homes: g.homeHalls(x)}
 	if x.route.GetKind() == wire.RouteKind_ROUTE_KIND_STREAM {
 		d.stream = newEventStream(x)
 	}
@@ -107,7 +109,7 @@
 // be served.
 func (d *dispatch) refuse(reason sumachead.Reason, detail string) error {
 	now := time.Now()
-	at := d.chooser.FreeAt(d.servers.Servers(d.x.service.GetName()), now)
+	at := d.chooser.FreeAt(d.known(), now)
 	switch {
 	case reason == sumachead.ReasonRetryBudget:
 		at = d.retries.nextAt(now, d.client.Routers())
@@ -211,5 +213,5 @@
 
 // mayTryElsewhere reports whether there is another server and an attempt left.
 func (d *dispatch) mayTryElsewhere() bool {
-	return d.attemptLeft() && len(d.servers.Servers(d.x.service.GetName())) > len(d.tried)
+	return d.attemptLeft() && len(d.known()) > len(d.tried)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,8 @@
 type Gateway struct {
 	Node sumachead.NodeID
 	Hall sumachead.HallID
+	// Regions are the regions of the data halls that there are.
+	Regions map[sumachead.HallID]sumachead.RegionID
 	// Seeds returns addresses of some keepers.
 	Seeds func() []string
 	// Heartbeat is the interval at which backend servers register.
--- /dev/null
+++ b/internal/gateway/homes.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"slices"
+
+	"sumachead/api/wire"
+)
+
+// homeHalls returns the data halls that a request may be sent to, sorted: those in regions
+// at which both its route and its workspace are at home. It is nil where neither names
+// regions, and empty where there is no such hall.
+func (g *Gateway) homeHalls(x *exchange) []string {
+	route, workspace := x.route.GetHomes(), x.access.GetHomes()
+	if len(route)+len(workspace) == 0 {
+		return nil
+	}
+	halls := []string{}
+	for hall, region := range g.Regions {
+		if atHome(route, string(region)) && atHome(workspace, string(region)) {
+			halls = append(halls, string(hall))
+		}
+	}
+	slices.Sort(halls)
+	return halls
+}
+
+// atHome reports whether a region is among homes; none are all.
+func atHome(homes []string, region string) bool {
+	return len(homes) == 0 || slices.Contains(homes, region)
+}
+
+// known lists the servers that the request may be sent to, as far as they are known. The
+// list must not be changed.
+func (d *dispatch) known() []*wire.ServerRecord {
+	return d.servers.Servers(d.x.service.GetName(), d.homes)
+}
--- /dev/null
+++ b/internal/gateway/homes_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"sumachead"
+	"sumachead/api/wire"
+)
+
+// twoRegions returns a gateway of a fleet with two data halls in each of two regions, a
+// server in each hall, and the servers by hall.
+func twoRegions(t *testing.T, kind wire.RouteKind, routeHomes, workspaceHomes []string, serve func(net.Conn, *http.Request)) (*Gateway, map[string]*backend) {
+	t.Helper()
+	g := newGateway(t, kind, true, nil)
+	g.Regions = map[sumachead.HallID]sumachead.RegionID{"hall-1": "north", "hall-2": "north", "hall-3": "south", "hall-4": "south"}
+	servers := make(map[string]*backend)
+	for hall := range g.Regions {
+		b := &backend{id: string(hall)}
+		servers[string(hall)] = b
+		g.servers.Beat(&wire.ServerRecord{
+			Id: b.id, Service: "pool", Address: b.listen(t, serve), Hall: b.id, Slots: 4, Sequence: 1,
+		}, time.Now())
+	}
+	d := proto.CloneOf(g.client.View().Catalog)
+	d.GetRoutes()[0].Homes = routeHomes
+	d.GetRoutes()[0].MaxAttempts = 4
+	d.GetWorkspaces()[0].Homes = workspaceHomes
+	g.client.Adopt(&wire.Declaration{Number: 2, Catalog: d})
+	return g, servers
+}
+
+// Requests reach servers in the regions at which both route and workspace are at home, and
+// no others, whether served at once, tried again, or refused.
+func TestHomes(t *testing.T) {
+	const requests = 40
+	tests := []struct {
+		name             string
+		route, workspace []string
+		// fails: each server fails, so that requests are tried again elsewhere.
+		fails bool
+		want  []string
+	}{
+		{"no homes", nil, nil, true, []string{"hall-1", "hall-2", "hall-3", "hall-4"}},
+		{"of the route, tried again", []string{"south"}, nil, true, []string{"hall-3", "hall-4"}},
+		{"of the workspace", nil, []string{"north"}, true, []string{"hall-1", "hall-2"}},
+		{"of both", []string{"north", "south"}, []string{"south"}, true, []string{"hall-3", "hall-4"}},
+		{"none in common", []string{"north"}, []string{"south"}, false, nil},
+		{"a region that there is not", []string{"east"}, nil, false, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			serve := answerWith(200, "", "ok")
+			if tt.fails {
+				serve = closes
+			}
+			g, servers := twoRegions(t, wire.RouteKind_ROUTE_KIND_REPEATABLE, tt.route, tt.workspace, serve)
+			for range requests {
+				_, _, err := ask(g, "1", nil)
+				if len(tt.want) > 0 {
+					continue
+				}
+				if f := refusalOf(t, err); f.Reason != sumachead.ReasonNoServer || !f.RetryAt.IsZero() {
+					t.Fatalf("refused with %v, to come back at %v", f, f.RetryAt)
+				}
+			}
+			var reached []string
+			for _, hall := range []string{"hall-1", "hall-2", "hall-3", "hall-4"} {
+				if servers[hall].runs.Load() > 0 {
+					reached = append(reached, hall)
+				}
+			}
+			if d := cmp.Diff(tt.want, reached); d != "" {
+				t.Errorf("halls reached (-want +got):\n%s", d)
+			}
+		})
+	}
+}
+
+// A request that is served at the first try is served at home too, wherever its caller came
+// in.
+func TestServedAtHome(t *testing.T) {
+	for _, region := range []string{"north", "south"} {
+		t.Run(region, func(t *testing.T) {
+			g, servers := twoRegions(t, wire.RouteKind_ROUTE_KIND_REPEATABLE, []string{region}, nil, answerWith(200, "", "ok"))
+			for range 20 {
+				if _, _, err := ask(g, "1", nil); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for hall, at := range g.Regions {
+				if n := servers[string(hall)].runs.Load(); n > 0 && string(at) != region {
+					t.Errorf("%d requests at %s", n, hall)
+				}
+			}
+		})
+	}
+}
+
+// A stream that breaks off goes on in a region at which it is at home.
+func TestStreamGoesOnAtHome(t *testing.T) {
+	g, servers := twoRegions(t, wire.RouteKind_ROUTE_KIND_STREAM, []string{"south"}, nil, events(1, 3, false))
+	_, started, err := ask(g, "1", nil)
+	if err == nil || !started {
+		t.Fatalf("started %t, error %v; all servers break off", started, err)
+	}
+	for _, hall := range []string{"hall-1", "hall-2"} {
+		if n := servers[hall].runs.Load(); n > 0 {
+			t.Errorf("%d requests at %s", n, hall)
+		}
+	}
+	if servers["hall-3"].runs.Load()+servers["hall-4"].runs.Load() < 2 {
+		t.Error("the stream was not tried elsewhere")
+	}
+}
--- a/internal/registry/cold_test.go
+++ b/internal/registry/cold_test.go
@@ -84,7 +84,7 @@
 	if off := follower.ColdUntil("a", 0).Sub(now.Add(3 * time.Second)).Abs(); off > 10*time.Millisecond {
 		t.Errorf("the end of the cold time is off by %v", off)
 	}
-	for _, s := range follower.Servers("pool") {
+	for _, s := range follower.Servers("pool", nil) {
 		if s.GetColdMillis() != 0 {
 			t.Errorf("a span is kept: %d ms", s.GetColdMillis())
 		}
--- a/internal/registry/halls.go
+++ b/internal/registry/halls.go
@@ -63,13 +63,14 @@
 	return n
 }
 
-// OnlyVacated reports whether a service has servers, and all of them are in vacated halls.
-func (t *Table) OnlyVacated(service string) bool {
+// OnlyVacated reports whether a service has servers in some halls, nil for all, and all of
+// them are in vacated halls.
+func (t *Table) OnlyVacated(service string, halls []string) bool {
 	t.lock()
 	defer t.mu.Unlock()
 	found := false
 	for _, e := range t.entries {
-		if e.record.GetService() != service || e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING {
+		if !e.of(service, halls) {
 			continue
 		}
 		if !t.halls[e.record.GetHall()].vacated {
--- a/internal/registry/halls_test.go
+++ b/internal/registry/halls_test.go
@@ -48,7 +48,7 @@
 			if d := cmp.Diff(tt.want, ids(table)); d != "" {
 				t.Errorf("servers (-want +got):\n%s", d)
 			}
-			if d := cmp.Diff(tt.only, table.OnlyVacated("pool")); d != "" {
+			if d := cmp.Diff(tt.only, table.OnlyVacated("pool", nil)); d != "" {
 				t.Errorf("all are in vacated halls (-want +got):\n%s", d)
 			}
 		})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -12,6 +12,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -64,7 +65,7 @@
 	trimmed uint64
 	// lists are the records of services as they were last asked for; nil once a record
 	// has changed. Requests ask some hundred times between changes.
-	lists map[string][]*wire.ServerRecord
+	lists map[listKey][]*wire.ServerRecord
 	// lives are the ids of the lives at each address.
 	lives map[string][]string
 	// halls are the data halls for which there was an order, and hallsRevision is that of
@@ -73,6 +74,14 @@
 	hallsRevision uint64
 }
 
+// listKey names a list of records.
+type listKey struct {
+	service string
+	// some: only servers of the halls named are listed.
+	some  bool
+	halls string
+}
+
 // change says which record got a version.
 type change struct {
 	version uint64
@@ -376,27 +385,37 @@
 }
 
 // Servers lists the records of a service to which requests may be sent, in no order: those
-// that leave and those in vacated data halls are left out. Neither the list, which is the same
-// until something changes, nor the records must be changed.
-func (t *Table) Servers(service string) []*wire.ServerRecord {
+// that leave and those in vacated data halls are left out. Where halls are named, by their
+// sorted names, only their servers are listed; nil is for all. Neither the list, which is
+// the same until something changes, nor the records must be changed.
+func (t *Table) Servers(service string, halls []string) []*wire.ServerRecord {
 	t.lock()
 	defer t.mu.Unlock()
-	if out, ok := t.lists[service]; ok {
+	key := listKey{service, halls != nil, strings.Join(halls, ",")}
+	if out, ok := t.lists[key]; ok {
 		return out
 	}
 	var out []*wire.ServerRecord
 	for _, e := range t.entries {
-		if e.record.GetService() == service && e.record.GetState() != wire.ServerState_SERVER_STATE_LEAVING && !t.halls[e.record.GetHall()].vacated {
+		if e.of(service, halls) && !t.halls[e.record.GetHall()].vacated {
 			out = append(out, e.record)
 		}
 	}
 	if t.lists == nil {
-		t.lists = make(map[string][]*wire.ServerRecord)
+		t.lists = make(map[listKey][]*wire.ServerRecord)
 	}
-	t.lists[service] = out
+	t.lists[key] = out
 	return out
 }
 
+// of reports whether a server is of a service and in one of some halls, nil for all, and
+// is not known to leave.
+func (e *entry) of(service string, halls []string) bool {
+	r := e.record
+	return r.GetService() == service && r.GetState() != wire.ServerState_SERVER_STATE_LEAVING &&
+		(halls == nil || slices.Contains(halls, r.GetHall()))
+}
+
 // Known lists the servers that are not known to leave, in no order; the records must
 // not be changed.
 func (t *Table) Known() []*wire.ServerRecord {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -22,7 +22,7 @@
 
 func ids(t *Table) []string {
 	var out []string
-	for _, s := range t.Servers("pool") {
+	for _, s := range t.Servers("pool", nil) {
 		out = append(out, s.GetId())
 	}
 	slices.Sort(out)
@@ -59,11 +59,11 @@
 	now := time.Now()
 	table.Beat(record("a", 1, ready), now)
 	table.Sweep(now.Add(silentBeats*time.Second + time.Millisecond))
-	if s := table.Servers("pool")[0].GetState(); s != silent {
+	if s := table.Servers("pool", nil)[0].GetState(); s != silent {
 		t.Fatalf("state %s after silence", s)
 	}
 	table.Beat(record("a", 2, ready), now.Add(time.Minute))
-	if s := table.Servers("pool")[0].GetState(); s != ready {
+	if s := table.Servers("pool", nil)[0].GetState(); s != ready {
 		t.Fatalf("state %s after a heartbeat", s)
 	}
 }
@@ -143,7 +143,7 @@
 	late := now.Add(silentBeats*time.Second + time.Millisecond)
 	leader.Alive(&wire.AliveReport{Ids: []string{"a", "none"}, Sequences: []uint64{2, 1}}, late)
 	leader.Sweep(late)
-	if s := leader.Servers("pool")[0].GetState(); s != ready {
+	if s := leader.Servers("pool", nil)[0].GetState(); s != ready {
 		t.Fatalf("state %s although it is alive", s)
 	}
 }
@@ -217,7 +217,7 @@
 	leader.Beat(&wire.ServerRecord{Id: "c", Service: "chat", Sequence: 1}, now)
 	follow()
 	var got []string
-	for _, r := range follower.Servers("chat") {
+	for _, r := range follower.Servers("chat", nil) {
 		got = append(got, r.GetId())
 	}
 	slices.Sort(got)
@@ -235,7 +235,7 @@
 	table.Lead("h", now)
 	table.Beat(&wire.ServerRecord{Id: "a", Service: "chat", Sequence: 4}, now)
 	got := make(map[string]wire.ServerState)
-	for _, r := range table.Servers("chat") {
+	for _, r := range table.Servers("chat", nil) {
 		got[r.GetId()] = r.GetState()
 	}
 	want := map[string]wire.ServerState{"a": wire.ServerState_SERVER_STATE_READY, "b": wire.ServerState_SERVER_STATE_SILENT}
