--- a/internal/registry/cold.go
+++ b/internal/registry/cold.go
@@ -11,6 +11,8 @@
 // A server that has just started is cold for a while, and may become cold again at any
 // moment; its heartbeats tell for how much longer. The table keeps the moment at which
 // that ends, so that what passes through several processes grows no older on its way.
+// Within a life of a server that moment only moves later: whoever says that a server is
+// warm may not have heard of it yet, as a leader that has just started.
 
 // coldSlack is by how much the end of the cold time may differ between heartbeats that
 // tell the same: they take some time to come, and differently long.
@@ -25,17 +27,14 @@
 	return now.Add(time.Duration(r.GetColdMillis()) * time.Millisecond)
 }
 
-// coldNews reports whether a heartbeat tells something else of being cold than is known. A
-// server that becomes warm when it was expected to is no news.
+// coldNews reports whether followers are to learn what a heartbeat tells of being cold: that
+// a server is which was taken for warm, or that it is for much longer.
 func (e *entry) coldNews(r *wire.ServerRecord, now time.Time) bool {
-	known, told := e.coldUntil, coldEnd(r, now)
-	if known.Before(now) {
-		known = now
+	told := coldEnd(r, now)
+	if e.coldUntil.After(now) {
+		return told.Sub(e.coldUntil) > coldSlack
 	}
-	if told.Before(now) {
-		told = now
-	}
-	return told.Sub(known).Abs() > coldSlack
+	return told.After(now)
 }
 
 // takeCold takes in what a heartbeat tells of being cold, and reports whether it is news.
@@ -45,12 +44,18 @@
 		return false
 	}
 	news = e.coldNews(r, now)
-	if news {
-		e.coldUntil = coldEnd(r, now)
-	}
+	e.coldUntil = later(e.coldUntil, coldEnd(r, now))
 	return news
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // told returns the record as followers are told it. It must not be changed.
 func (e *entry) told(now time.Time) *wire.ServerRecord {
 	left := e.coldUntil.Sub(now)
@@ -73,9 +78,9 @@
 	if e == nil {
 		return time.Time{}
 	}
-	until := e.coldUntil
-	if opened := t.halls[e.record.GetHall()].openedAt; !opened.IsZero() && opened.Add(coldTime).After(until) {
-		until = opened.Add(coldTime)
+	opened := t.halls[e.record.GetHall()].openedAt
+	if opened.IsZero() {
+		return e.coldUntil
 	}
-	return until
+	return later(e.coldUntil, opened.Add(coldTime))
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -245,7 +245,7 @@
 	t.lock()
 	defer t.mu.Unlock()
 	if e := t.entries[id]; e != nil {
-		e.coldUntil = coldUntil
+		e.coldUntil = later(e.coldUntil, coldUntil)
 		t.alive(e, e.record.GetSequence(), now)
 		t.notify()
 	}
@@ -353,9 +353,11 @@
 	if e != nil && e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING && s.GetState() != wire.ServerState_SERVER_STATE_LEAVING {
 		return
 	}
-	next := &entry{seen: now}
-	if left := s.GetColdMillis(); left > 0 {
-		next.coldUntil = now.Add(time.Duration(left) * time.Millisecond)
+	next := &entry{seen: now, coldUntil: coldEnd(s, now)}
+	if e != nil {
+		next.coldUntil = later(e.coldUntil, next.coldUntil)
+	}
+	if s.GetColdMillis() > 0 {
 		s = proto.CloneOf(s)
 		s.ColdMillis = 0
 	}
--- a/internal/scenario/fleetsoak_faults_test.go
+++ b/internal/scenario/fleetsoak_faults_test.go
@@ -86,6 +86,42 @@
 	k.do()
 }
 
+// hallFault vacates a data hall for a time, or has an engine start anew and cold.
+func (s *fleetSoak) hallFault(r *rand.Rand) {
+	kinds := []struct {
+		name string
+		do   func()
+	}{
+		{"vacate a hall", func() { s.vacate(r) }},
+		{"an engine starts anew", func() { s.startAnew(r) }},
+	}
+	k := kinds[r.IntN(len(kinds))]
+	s.note(s.faults, k.name)
+	k.do()
+}
+
+// vacate vacates a data hall for some seconds, longer than it may take to be in force. An
+// order is sent until it is acknowledged, to one keeper after the other.
+func (s *fleetSoak) vacate(r *rand.Rand) {
+	hall := hallName(r.IntN(3))
+	lasts := vacateWithin + time.Duration(r.IntN(2000))*time.Millisecond
+	for _, vacated := range []bool{true, false} {
+		if err := s.f.vacate(hall, vacated, settle); err != nil {
+			s.breaks("%v", err)
+			return
+		}
+		if vacated {
+			time.Sleep(lasts)
+		}
+	}
+}
+
+// startAnew makes an engine another life, which is cold at first.
+func (s *fleetSoak) startAnew(r *rand.Rand) {
+	names := slices.DeleteFunc(slices.Sorted(maps.Keys(s.servers())), func(n string) bool { return !strings.HasPrefix(n, "engine-") })
+	s.servers()[names[r.IntN(len(names))]].StartAnew(coldTime)
+}
+
 // exchangeSeeds tells all processes other keepers as seeds; those that run read it by
 // themselves.
 func (s *fleetSoak) exchangeSeeds(r *rand.Rand) {
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -110,6 +110,13 @@
 			time.Sleep(time.Duration(500+peers.IntN(2500)) * time.Millisecond)
 		}
 	})
+	halls := rand.New(rand.NewPCG(s.rand.Uint64(), series+1)) // as above
+	all.Go(func() {
+		for time.Now().Before(until) {
+			s.hallFault(halls)
+			time.Sleep(time.Duration(500+halls.IntN(2500)) * time.Millisecond)
+		}
+	})
 	all.Wait()
 }
 
--- a/scripts/days.py
+++ b/scripts/days.py
@@ -64,6 +64,12 @@
     "big_config": ("count = 350", True, [""]),
     "revoke": ("count = 2, gap_s = 1.0", True, ["", "last"]),
     "ack_lost": ("x = 0.6, for_s = 5.0", False, [""]),
+    "srv_lying_health": ("share = 0.15, for_s = 5.0", False, ["", "hang", "reset", "bad"]),
+    "srv_flap": ("share = 0.15, gap_s = 1.4, for_s = 6.0", False, [""]),
+    "cold_return": ("for_s = 3.0", False, ["", "dark"]),
+    "evacuate": ("for_s = 6.0", True, ["", "warm"]),
+    "zone_loss": ("for_s = 3.0", False, [""]),
+    "zone_cut": ("for_s = 4.0", False, [""]),
 }
 
 
@@ -97,6 +103,20 @@
     (("srv_crash", "dark"), ("srv_grey", "errors")),
     (("srv_cut", "fronts"), ("release", "")),
     (("give_up", ""), ("hot_tenant", "")),
+    (("evacuate", ""), ("core_cut", "")),
+    (("evacuate", ""), ("node_cut", "all")),
+    (("evacuate", ""), ("ack_lost", "")),
+    (("evacuate", ""), ("node_kill_core", "leader race drain")),
+    (("evacuate", ""), ("roll_term", "")),
+    (("evacuate", ""), ("scale_in", "")),
+    (("evacuate", ""), ("after_ack_wipe", "")),
+    (("cold_return", ""), ("burst", "")),
+    (("cold_return", "dark"), ("retry_abuse", "")),
+    (("cold_return", ""), ("node_kill", "")),
+    (("cold_return", ""), ("srv_cut", "")),
+    (("zone_loss", ""), ("evacuate", "")),
+    (("zone_loss", ""), ("node_cut", "")),
+    (("zone_cut", ""), ("evacuate", "")),
 ]
 
 
--- a/scripts/days.sh
+++ b/scripts/days.sh
@@ -1,14 +1,21 @@
 #!/usr/bin/env bash
 # Plays all days of a folder of deploy/days (kinds, pairs) on a site and prints a
-# table. BENCH is the bench's program, SITE a site file:
-# BENCH=... scripts/days.sh SITE [FOLDER] [JOBS].
+# table. BENCH is the bench's program, SITE a site file; each day is played with the seed
+# that it names, or with each of SEEDS. Days whose names match ONLY are played:
+# BENCH=... [SEEDS="1 2 3"] [ONLY='evacuate*'] scripts/days.sh SITE [FOLDER] [JOBS].
 set -euo pipefail
 cd "$(dirname "$0")/.."
 site=$1 folder=${2:-kinds} jobs=${3:-4}
 out=$(mktemp -d)
 "$BENCH" build >/dev/null
-find "deploy/days/$folder" -name '*.toml' | sort | xargs -P "$jobs" -I{} sh -c \
-  "\"$BENCH\" run \"$site\" {} --why \"days of deploy/days/$folder\" >\"$out\"/\$(basename {} .toml) 2>&1 || true"
+for day in $(find "deploy/days/$folder" -name "${ONLY:-*}.toml" | sort); do
+  for seed in ${SEEDS:-own}; do
+    echo "$day $seed"
+  done
+done | xargs -P "$jobs" -L1 sh -c '
+  [ "$4" = own ] || given="--seed $4"
+  "$0" run "$1" "$3" $given --why "days of deploy/days" >"$2/$(basename "$3" .toml)-$4" 2>&1 || true
+' "$BENCH" "$site" "$out"
 for f in "$out"/*; do
   grep -A1 '^day  ' "$f" | tail -1 || echo "$(basename "$f"): $(tail -1 "$f")"
   grep -A3 '^rules broken' "$f" || true
