Keepers' questions are held after an order for a data hall as before

Ruled out: routers' and relays' questions (they tell the revision, or are answered by time alone).

Change: the keeper's question says that the states come by the log, as it does of the declaration.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -129,8 +129,9 @@
 	history, version := k.servers.Position()
 	r := &wire.FollowRequest{
 		Node: string(k.Node), Role: RoleKeeper, Hall: string(k.Hall),
-		// The declaration comes by the log.
-		Number: math.MaxUint64, History: history, Version: version, WaitMillis: copyWait.Milliseconds(),
+		// The declaration and the states of data halls come by the log.
+		Number: math.MaxUint64, HallsRevision: math.MaxUint64,
+		History: history, Version: version, WaitMillis: copyWait.Milliseconds(),
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyWithin)
 	defer cancel()
--- a/internal/fleet/halls_test.go
+++ b/internal/fleet/halls_test.go
@@ -173,3 +173,19 @@
 		t.Errorf("told again: %v", again.GetHalls())
 	}
 }
+
+// A keeper, which knows the states of halls by its log, is not told of them: its questions
+// for server records are held as long as nothing is new, also after an order.
+func TestKeepersQuestionsAreHeldAfterAnOrder(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	leader, follower := c.leader()
+	if err := leader.Vacate(context.Background(), "hall-a", true); err != nil {
+		t.Fatal(err)
+	}
+	c.eventually("an answer", func() bool { return follower.copyOnce(context.Background()) })
+	begun := time.Now()
+	c.eventually("an answer", func() bool { return follower.copyOnce(context.Background()) })
+	if took := time.Since(begun); took < copyWait/2 {
+		t.Errorf("answered after %v, with nothing new", took)
+	}
+}
