--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -311,9 +312,14 @@
 
 // put sends a document to one keeper and returns the status; 0 for none.
 func (f *fleet) put(address string, body []byte) int {
+	return f.post("http://"+address+"/v1/Config.Put", bytes.NewReader(body))
+}
+
+// post makes one call of the operator and returns the status; 0 for none.
+func (f *fleet) post(url string, body io.Reader) int {
 	ctx, cancel := context.WithTimeout(f.ctx, time.Second)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/Config.Put", strings.NewReader(string(body)))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
 	if err != nil {
 		return 0
 	}
--- a/internal/scenario/halls_test.go
+++ b/internal/scenario/halls_test.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -64,22 +63,11 @@
 
 // orderAt sends an order to one keeper and returns the status; 0 for none.
 func (f *fleet) orderAt(address, hall string, vacated bool) int {
-	ctx, cancel := context.WithTimeout(f.ctx, time.Second)
-	defer cancel()
 	verb := "End"
 	if vacated {
 		verb = "Start"
 	}
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/Evacuate.%s/%s", address, verb, hall), http.NoBody)
-	if err != nil {
-		return 0
-	}
-	resp, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return 0
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode
+	return f.post(fmt.Sprintf("http://%s/v1/Evacuate.%s/%s", address, verb, hall), http.NoBody)
 }
 
 // vacatedAt returns the span in which nothing new may come to a data hall at a time; nil
