What the ledger said of the end of a budget holds until it says otherwise

Change: escrow.ends keeps the word on the smallest request and the last one, each for a second; an answer to a report that asked for nothing changes neither. Money that comes, or an answer that does not repeat the word, ends both.

TestEndOfABudgetIsSaidUntilMoneyComes fails with the word cleared by any answer.

--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -45,11 +45,10 @@
 	low sumachead.Tokens
 	// dirty: something changed since the last report.
 	dirty bool
-	// exhaustedAt is when the ledger said that the budget does not hold a request,
-	// and exhaustedBy the smallest bound of which it said so; zero after an answer
-	// that did not.
-	exhaustedAt time.Time
-	exhaustedBy sumachead.Tokens
+	// asking: requests lacked something as of the last report.
+	asking bool
+	// ends is what the ledger has said lately of the end of the budget.
+	ends ends
 }
 
 // atHand returns what may be reserved.
@@ -98,6 +97,7 @@
 	p.dirty = false
 	needed, wanted := p.lacks()
 	p.asked = needed + p.atHand()
+	p.asking = needed > 0
 	p.left = p.left[:0]
 	spent := p.spent
 	if closing {
--- a/internal/escrow/reservation.go
+++ b/internal/escrow/reservation.go
@@ -10,9 +10,6 @@
 	"sumachead/internal/patience"
 )
 
-// exhaustedFor is how long a ledger's word that a budget is used up is believed.
-const exhaustedFor = time.Second
-
 // Reservation is the upper bound of one request's cost, held until its bill is
 // known.
 type Reservation struct {
@@ -115,7 +112,7 @@
 	if p.atHand() >= bound {
 		return w.reserve(p, id, bound), admitted, nil
 	}
-	if now.Sub(p.exhaustedAt) < exhaustedFor && bound >= p.exhaustedBy {
+	if p.ends.covers(bound, now) {
 		return nil, exhausted, nil
 	}
 	if first {
--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -123,12 +123,15 @@
 // takeOne puts the answer on one workspace in force. The caller holds mu.
 func (w *Wallet) takeOne(a *wire.EscrowAnswer, now time.Time) {
 	p := w.purse(sumachead.WorkspaceID(a.GetWorkspace()))
+	more := sumachead.Tokens(a.GetGranted()) > p.granted
 	p.granted = max(p.granted, sumachead.Tokens(a.GetGranted()))
 	const lowShare = 2 // a report is due once half of this is gone
 	p.low = p.atHand() / lowShare
-	p.exhaustedAt = time.Time{}
-	if a.GetExhausted() {
-		p.exhaustedAt, p.exhaustedBy = now, p.asked
+	switch {
+	case a.GetExhausted():
+		p.ends.note(p.asked, now)
+	case more || p.asking:
+		p.ends = ends{}
 	}
 	if keep := sumachead.Tokens(a.GetKeep()); keep >= 0 && p.atHand() > keep {
 		p.returned += p.atHand() - keep
