--- a/internal/fleet/halls.go
+++ b/internal/fleet/halls.go
@@ -133,7 +133,7 @@
 
 // Vacate takes an operator's order to vacate a data hall, or to open it again, and returns
 // once it is committed. After an error it is open whether it will be in force; an order
-// whose operator no longer waits, as ctx tells, is not proposed.
+// whose operator has gone, as ctx tells, is not proposed.
 func (k *Keeper) Vacate(ctx context.Context, hall string, vacated bool) error {
 	err := k.vacate(ctx, hall, vacated)
 	k.Log.Info("A data hall is ordered to be vacated or open.", "hall", hall, "vacated", vacated, "error", err)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -156,26 +155,3 @@
 	defer c.mu.Unlock()
 	return c.shares.Take(id, b, routers, time.Now()), noGrantFor
 }
-
-// counts reports whether there is a gauge beside a server, which counts what all routers
-// send there.
-func (g *gauges) counts(r *wire.ServerRecord) bool { return g.Address != nil && g.Address(r) != "" }
-
-// admit asks the gauge of a cold engine for a grant, and otherwise returns when it may have
-// one. A gauge that does not answer grants nothing, and neither does a grant that comes too
-// late: it would be used beside those of later times.
-func (g *gauges) admit(r *wire.ServerRecord, b warmup.Bound, urgency uint32) (granted bool, again time.Duration) {
-	address := g.Address(r)
-	if g.rests(address) {
-		return false, noGrantFor
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), warmup.GrantLives)
-	defer cancel()
-	begun := time.Now()
-	reply, err := callGauge[wire.AdmitReply](ctx, g, address, "Admit",
-		&wire.AdmitRequest{Server: r.GetId(), Rate: b.Rate, Burst: b.Burst, Urgency: urgency})
-	if err != nil || time.Since(begun) > warmup.GrantLives {
-		return false, noGrantFor
-	}
-	return reply.GetGranted(), time.Duration(reply.GetAgainMicros()) * time.Microsecond
-}
--- /dev/null
+++ b/internal/moment/moment.go
@@ -0,0 +1,12 @@
+// Package moment compares points in time.
+package moment
+
+import "time"
+
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/place/chooser.go
+++ b/internal/place/chooser.go
@@ -7,6 +7,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/moment"
 )
 
 const (
@@ -139,7 +140,7 @@
 	defer c.mu.Unlock()
 	var free time.Time
 	for _, r := range records {
-		at := laterOf(c.server(sumachead.ServerID(r.GetId())).suspectTo, now)
+		at := moment.Later(c.server(sumachead.ServerID(r.GetId())).suspectTo, now)
 		if free.IsZero() || at.Before(free) {
 			free = at
 		}
@@ -204,7 +205,7 @@
 		l.Told = now.Sub(s.others.at)
 	}
 	s.runs = append(s.runs, l)
-	s.busyUntil = laterOf(s.busyUntil, now).Add(l.read)
+	s.busyUntil = moment.Later(s.busyUntil, now).Add(l.read)
 	l.readBy = s.busyUntil
 	l.long = latePause(l.backlog+l.read, l.work.Pause) - latePause(l.backlog, l.work.Pause)
 	s.long.add(l.long, now, longMemory)
@@ -291,11 +292,3 @@
 	}
 	return out
 }
-
-// laterOf returns the later of two times.
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -9,6 +9,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/moment"
 )
 
 // playedFleet is many routers before many engines, without a network: each engine reads
@@ -97,7 +98,7 @@
 		e.kept[shared.ID] = true
 	}
 	const base, rate = 25 * time.Millisecond, 50 // tokens in a millisecond
-	e.free = laterOf(e.free, f.now).Add(base + time.Duration(unread)*time.Millisecond/rate)
+	e.free = moment.Later(e.free, f.now).Add(base + time.Duration(unread)*time.Millisecond/rate)
 	return e.free
 }
 
--- a/internal/place/gauge.go
+++ b/internal/place/gauge.go
@@ -7,6 +7,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/moment"
 )
 
 // keptServers is how many lives of servers a gauge knows: that of the engine beside it, the
@@ -172,7 +173,7 @@
 	}
 	s.told[runKey{router, r.GetNumber()}] = l
 	s.runs = append(s.runs, l)
-	s.busyUntil = laterOf(s.busyUntil, now).Add(l.read)
+	s.busyUntil = moment.Later(s.busyUntil, now).Add(l.read)
 	s.long.add(float64(r.GetLongThousandths())/thousand, now, longMemory)
 	for _, k := range r.GetParts() {
 		s.bring(partKey(k), now)
--- a/internal/registry/cold.go
+++ b/internal/registry/cold.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sumachead/api/wire"
+	"sumachead/internal/moment"
 )
 
 // A server that has just started is cold for a while, and may become cold again at any
@@ -44,18 +45,10 @@
 		return false
 	}
 	news = e.coldNews(r, now)
-	e.coldUntil = later(e.coldUntil, coldEnd(r, now))
+	e.coldUntil = moment.Later(e.coldUntil, coldEnd(r, now))
 	return news
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // told returns the record as followers are told it. It must not be changed.
 func (e *entry) told(now time.Time) *wire.ServerRecord {
 	left := e.coldUntil.Sub(now)
@@ -82,5 +75,5 @@
 	if opened.IsZero() {
 		return e.coldUntil
 	}
-	return later(e.coldUntil, opened.Add(coldTime))
+	return moment.Later(e.coldUntil, opened.Add(coldTime))
 }
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sumachead/api/wire"
+	"sumachead/internal/moment"
 )
 
 // What a node does whose table follows a leader's.
@@ -36,7 +37,7 @@
 	}
 	next := &entry{seen: now, coldUntil: coldEnd(s, now)}
 	if e != nil {
-		next.coldUntil = later(e.coldUntil, next.coldUntil)
+		next.coldUntil = moment.Later(e.coldUntil, next.coldUntil)
 	}
 	if s.GetColdMillis() > 0 {
 		s = proto.CloneOf(s)
@@ -85,7 +86,7 @@
 	t.lock()
 	defer t.mu.Unlock()
 	if e := t.entries[id]; e != nil {
-		e.coldUntil = later(e.coldUntil, coldUntil)
+		e.coldUntil = moment.Later(e.coldUntil, coldUntil)
 		t.alive(e, e.record.GetSequence(), now)
 		t.notify()
 	}
