--- a/internal/escrow/ends.go
+++ b/internal/escrow/ends.go
@@ -26,9 +26,9 @@
 // it. An answer to a report that asked for nothing says nothing of the end.
 //
 // At the end of a budget requests of all sizes come, and each that is not covered is told
-// to come back: on a day with 24 budgets, most of which end, 1,237 tries were told so, and
-// after the first word of an end three of some 1,300 tries were served in the long run
-// (shifted work, one play with all lines).
+// to come back: on a day with 24 budgets, 20 of which ended, 1,237 tries were told so, and
+// of some 1,300 that came later than ten seconds after the first word of an end three were
+// served (counted in the lines of all routers).
 type ends struct{ smallest, last end }
 
 // note takes in a word.
--- a/internal/warmup/warmup_test.go
+++ b/internal/warmup/warmup_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// The bound of the shifted work: 6.6 requests a second, and 14.9 in any second.
+// The bound of an engine of the users: 6.6 requests a second, and 14.9 in any second.
 const (
 	rate, overage, slack = 6.6, 1.5, 5.0
 	most                 = rate*overage + slack
