Read again: a lost wake-up, and since when servers are lacking, by homes

Found by reading the change: - hold read the declaration before it took the channel that a change closes, so that one that came between the two was told only when the hold ended (0.6 s). No test: the window is some nanoseconds. - since when a service lacks servers was kept by the service alone; with homes, requests that have servers made others wait anew for theirs. It is kept by service and halls now; TestLackingIsToldApartByHomes fails with the service alone. A request that is at home nowhere is refused before that. - HallOrderReply.revision was read by nobody, and is gone.

Behaviour without homes is the same but for the wake-up.

--- a/internal/fleet/halls.go
+++ b/internal/fleet/halls.go
@@ -34,7 +34,7 @@
 // order takes an order, unless another one for the hall came first.
 func (h *halls) order(o *wire.HallOrder) *wire.HallOrderReply {
 	if h.states[o.GetHall()].GetRevision() != o.GetAgainst() {
-		return &wire.HallOrderReply{Revision: h.revision}
+		return &wire.HallOrderReply{}
 	}
 	h.revision++
 	old := h.states[o.GetHall()]
@@ -43,7 +43,7 @@
 		next.SinceUnixMillis = old.GetSinceUnixMillis()
 	}
 	h.put(next)
-	return &wire.HallOrderReply{Taken: true, Revision: h.revision}
+	return &wire.HallOrderReply{Taken: true}
 }
 
 // put replaces a hall's state.
@@ -104,12 +104,11 @@
 	return n
 }
 
-// HallsRevision returns how many orders for data halls were taken, and a channel that is
-// closed at the next one, or at the next declaration.
-func (m *Machine) HallsRevision() (uint64, <-chan struct{}) {
+// HallsRevision returns how many orders for data halls were taken.
+func (m *Machine) HallsRevision() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.halls.revision, m.changed
+	return m.halls.revision
 }
 
 // Halls returns the states of data halls; the answer is linearizable.
--- a/internal/fleet/halls_test.go
+++ b/internal/fleet/halls_test.go
@@ -97,7 +97,7 @@
 	if (hallOrder{"b", true, 2}).apply(t, restored) {
 		t.Error("an order against an older revision was taken after the restore")
 	}
-	if n, _ := restored.HallsRevision(); n != 3 {
+	if n := restored.HallsRevision(); n != 3 {
 		t.Errorf("revision %d, want 3", n)
 	}
 }
@@ -134,7 +134,7 @@
 	if err := k.Vacate(gone, "hall-a", true); !errors.Is(err, context.Canceled) {
 		t.Fatalf("error %v, want that the operator has gone", err)
 	}
-	if n, _ := k.machine.HallsRevision(); n != 0 {
+	if n := k.machine.HallsRevision(); n != 0 {
 		t.Fatalf("%d orders were taken", n)
 	}
 }
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -127,7 +127,7 @@
 	if p := k.machine.Packed(); p.GetNumber() > r.GetNumber() {
 		reply.Declaration = &wire.PackedDeclaration{Number: p.GetNumber(), Catalog: p.GetCatalog()}
 	}
-	if n, _ := k.machine.HallsRevision(); n > r.GetHallsRevision() {
+	if k.machine.HallsRevision() > r.GetHallsRevision() {
 		reply.Halls = k.machine.Halls(time.Now())
 	}
 	reply.Lacking, _ = k.sizer.Lacking(time.Now())
@@ -173,8 +173,9 @@
 // hold waits while there is nothing new for the node, as long as it allows.
 func (s *service) hold(r *wire.FollowRequest) {
 	k := s.keeper
-	d, _ := k.machine.Declaration()
-	halls, changed := k.machine.HallsRevision()
+	// The channel comes first: what changes after it was taken closes it.
+	d, changed := k.machine.Declaration()
+	halls := k.machine.HallsRevision()
 	news, servers := k.servers.Since(r.GetHistory(), r.GetVersion())
 	wait := min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxFollowWait)
 	if d.GetNumber() > r.GetNumber() || halls > r.GetHallsRevision() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -36,8 +36,9 @@
 	mu sync.Mutex // guards the fields below
 	// at is when servers were last checked.
 	at map[string]time.Time
-	// lackingSince is since when a service has had no server that may be sent to.
-	lackingSince map[string]time.Time
+	// lackingSince is since when there has been no server that may be sent to, by the
+	// service and the data halls that a request may be sent to.
+	lackingSince map[scope]time.Time
 }
 
 // due picks the servers that may be checked now, and notes that they are.
@@ -57,21 +58,21 @@
 	return out
 }
 
-// lacking notes whether a service lacks servers, and returns since when it does.
-func (c *checks) lacking(service string, lacks bool, now time.Time) time.Time {
+// lacking notes whether servers of a scope are lacking, and returns since when they are.
+func (c *checks) lacking(of scope, lacks bool, now time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !lacks {
-		delete(c.lackingSince, service)
+		delete(c.lackingSince, of)
 		return time.Time{}
 	}
 	if c.lackingSince == nil {
-		c.lackingSince = make(map[string]time.Time)
+		c.lackingSince = make(map[scope]time.Time)
 	}
-	if c.lackingSince[service].IsZero() {
-		c.lackingSince[service] = now
+	if c.lackingSince[of].IsZero() {
+		c.lackingSince[of] = now
 	}
-	return c.lackingSince[service]
+	return c.lackingSince[of]
 }
 
 // forget drops the checks of servers that are not known any more.
@@ -89,12 +90,14 @@
 // known are silent, they are checked, and the request waits for one while that is of
 // use; after that it may be sent to a silent one, whose health may lie.
 func (d *dispatch) candidates() ([]*wire.ServerRecord, error) {
-	service := d.x.service.GetName()
+	if d.homes != nil && len(d.homes) == 0 {
+		return nil, refuseFinally(sumachead.ReasonNoServer, "the route and the workspace are at home in no region that there is")
+	}
 	for {
 		changed := d.servers.Changed()
 		all := d.known()
 		now := time.Now()
-		since := d.checks.lacking(service, !slices.ContainsFunc(all, isHeard), now)
+		since := d.checks.lacking(d.scope(), !slices.ContainsFunc(all, isHeard), now)
 		if since.IsZero() || d.last != nil {
 			return all, nil
 		}
@@ -104,9 +107,7 @@
 		p := patience.Usual{Since: since, By: since.Add(d.Heartbeat)}
 		again, wait := patience.Wait(p, d.x.use(), now)
 		switch {
-		case len(all) == 0 && d.homes != nil && len(d.homes) == 0:
-			return nil, refuseFinally(sumachead.ReasonNoServer, "the route and the workspace are at home in no region that there is")
-		case len(all) == 0 && d.servers.OnlyVacated(service, d.homes, now):
+		case len(all) == 0 && d.servers.OnlyVacated(d.x.service.GetName(), d.homes, now):
 			return nil, refuseFinally(sumachead.ReasonNoServer, "all data halls with servers that the request may be sent to are vacated")
 		case !wait && len(all) > 0:
 			return all, nil
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"sumachead/api/wire"
 )
@@ -29,6 +30,18 @@
 	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
+// scope is what servers a request may be sent to: those of a service in some data halls.
+type scope struct {
+	service string
+	// halls are their names, joined; empty for all.
+	halls string
+}
+
+// scope returns the request's.
+func (d *dispatch) scope() scope {
+	return scope{d.x.service.GetName(), strings.Join(d.homes, ",")}
+}
+
 // known lists the servers that the request may be sent to, as far as they are known. The
 // list must not be changed.
 func (d *dispatch) known() []*wire.ServerRecord {
--- a/internal/gateway/homes_test.go
+++ b/internal/gateway/homes_test.go
@@ -118,3 +118,17 @@
 		t.Error("the stream was not tried elsewhere")
 	}
 }
+
+// Since when servers are lacking is told apart by where requests are at home: others that
+// have servers do not make a request wait anew for its own.
+func TestLackingIsToldApartByHomes(t *testing.T) {
+	x := &exchange{service: &wire.Service{Name: "pool"}}
+	north, anywhere := &dispatch{x: x, homes: []string{"hall-1", "hall-2"}}, &dispatch{x: x}
+	var c checks
+	start := time.Now()
+	c.lacking(north.scope(), true, start)
+	c.lacking(anywhere.scope(), false, start.Add(time.Second))
+	if since := c.lacking(north.scope(), true, start.Add(2*time.Second)); !since.Equal(start) {
+		t.Errorf("lacking since %v after the first request, want since that", since.Sub(start))
+	}
+}
