Sight: what tells requests apart, and servers that ended from connections that broke

Change: a fingerprint of what a request is (keyed, so that lines don't give bodies away; the key comes with the first declaration and stays), the question whether a server still takes connections after one broke, a line and a counter. Nothing is decided by it yet. Ruled out: health checks in place of the question (they wait for a slot and are priced).

--- a/ids.go
+++ b/ids.go
@@ -1,6 +1,9 @@
 package sumachead
 
-import "strconv"
+import (
+	"encoding/hex"
+	"strconv"
+)
 
 type (
 	// WorkspaceID names a workspace: one customer of the system.
@@ -27,6 +30,13 @@
 	SessionID string
 )
 
+// Fingerprint tells requests apart by what they ask for and who asks: the workspace, the
+// path and the body. All tries of one request have the same.
+type Fingerprint [16]byte
+
+// String returns the form that lines and operators' calls have.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
 // Tokens is an amount of budget. One model token costs one; a plain service's
 // call costs what its pool says.
 type Tokens int64
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -22,6 +22,8 @@
 	// Number is the declaration's.
 	Number  uint64
 	Catalog *wire.Catalog
+	// FingerprintKey is the fleet's key for fingerprints of requests.
+	FingerprintKey []byte
 
 	// routes of each host in lower case, longest prefix first.
 	routes map[string][]*wire.Route
@@ -103,7 +105,7 @@
 // NewView prepares a declaration that passed [Check].
 func NewView(d *wire.Declaration) *View {
 	v := &View{
-		Number: d.GetNumber(), Catalog: d.GetCatalog(),
+		Number: d.GetNumber(), Catalog: d.GetCatalog(), FingerprintKey: d.GetFingerprintKey(),
 		routes: make(map[string][]*wire.Route), keys: make(map[string]*wire.WorkspaceAccess),
 		services: make(map[string]*wire.Service),
 	}
--- a/internal/catalog/pack.go
+++ b/internal/catalog/pack.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &wire.Declaration{Number: p.GetNumber(), Catalog: &wire.Catalog{}}
+	d := &wire.Declaration{Number: p.GetNumber(), Catalog: &wire.Catalog{}, FingerprintKey: p.GetFingerprintKey()}
 	return d, trace.Wrap(proto.Unmarshal(data, d.GetCatalog()), "decoding declaration %d", p.GetNumber())
 }
 
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -79,6 +79,9 @@
 // holds mu.
 func (m *Machine) declare(p *wire.PackedDeclaration) *wire.DeclareReply {
 	if p.GetNumber() > m.declaration.GetNumber() {
+		if key := m.packed.GetFingerprintKey(); len(key) > 0 {
+			p.FingerprintKey = key // the first one holds
+		}
 		d, err := catalog.Unpack(p)
 		if err != nil {
 			panic("fleet: a declaration does not unpack: " + err.Error()) // as above
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -10,6 +10,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/blame"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/loop"
 	"sumachead/internal/raft"
@@ -51,6 +52,7 @@
 
 // Declare commits a declaration.
 func (s *service) Declare(p *wire.PackedDeclaration, reply *wire.DeclareReply) error {
+	p.FingerprintKey = blame.NewKey()
 	result, err := s.keeper.propose(&wire.FleetCommand{Command: &wire.FleetCommand_Declare{Declare: p}})
 	if err != nil {
 		return err
@@ -125,7 +127,7 @@
 	// The records are shared with the table, which never changes them.
 	reply.History, reply.Version, reply.Whole, reply.Servers = answer.GetHistory(), answer.GetVersion(), answer.GetWhole(), answer.GetServers()
 	if p := k.machine.Packed(); p.GetNumber() > r.GetNumber() {
-		reply.Declaration = &wire.PackedDeclaration{Number: p.GetNumber(), Catalog: p.GetCatalog()}
+		reply.Declaration = &wire.PackedDeclaration{Number: p.GetNumber(), Catalog: p.GetCatalog(), FingerprintKey: p.GetFingerprintKey()}
 	}
 	if k.machine.HallsRevision() > r.GetHallsRevision() {
 		reply.Halls = k.machine.Halls(time.Now())
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -32,6 +32,8 @@
 	last *upstream.Failure
 	// homes are the data halls that the request may be sent to; nil for all.
 	homes []string
+	// sentAt is when the last attempt began.
+	sentAt time.Time
 	// stream is the state of an answer of events; nil for a plain answer.
 	stream *eventStream
 }
@@ -56,6 +58,7 @@
 			return err
 		}
 		d.last = f
+		d.noteBroken(f)
 		if f.Verdict != sumachead.NotRun {
 			d.mayHaveRun = true
 		}
@@ -161,6 +164,7 @@
 		t.LastEvent = d.stream.lastID
 	}
 	x.attempts++
+	d.sentAt = time.Now()
 	a, err := d.upstream.Send(d.ctx, upstream.Server{ID: id, Address: l.Record.GetAddress()}, d.connBound(), x.request, t)
 	var f *upstream.Failure
 	if errors.As(err, &f) && f.Verdict == sumachead.NotRun {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -41,6 +41,9 @@
 	placement *place.Placement
 	// events counts the events handed out to the caller.
 	events int64
+	// print is the request's fingerprint once printed is set; most requests need none.
+	print   sumachead.Fingerprint
+	printed bool
 	// billed is what the request has cost its workspace, once that is known.
 	billed sumachead.Tokens
 	// eventAt is when the last of them was, and pause the longest time between
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	gauges   *gauges
 	retries  *retryAllowance
 	checks   checks
+	ends     ends
 	cold     coldShares
 	metrics  *Metrics
 	// handle is the filters around dispatch.
@@ -118,6 +119,7 @@
 	}
 	g.borrower.Prepare()
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, OnDial: g.metrics.dials.Inc}
+	g.ends.Refuses = g.upstream.Refuses
 	g.chooser = place.NewChooser(g.Hall)
 	g.gauges = &gauges{Address: g.GaugeAddress, Pool: g.Pool, Chooser: g.chooser}
 	g.gauges.prepare()
@@ -142,6 +144,7 @@
 			g.chooser.Tidy(time.Now())
 			g.servers.Forget(time.Now())
 			g.checks.forget(time.Now())
+			g.ends.forget(time.Now())
 		})
 	})
 	follow, stop := context.WithCancel(context.Background())
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -56,6 +56,23 @@
 	id   string
 	runs atomic.Int32
 	last atomic.Pointer[http.Request]
+	// before is called when a request has been read; nil for nothing.
+	before func()
+}
+
+// read reads a request; nil where none came whole.
+func (b *backend) read(c net.Conn) *http.Request {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	b.runs.Add(1)
+	b.last.Store(r)
+	if b.before != nil {
+		b.before()
+	}
+	return r
 }
 
 func (b *backend) listen(t *testing.T, serve func(c net.Conn, r *http.Request)) string {
@@ -73,14 +90,9 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				r, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
+				if r := b.read(c); r != nil {
+					serve(c, r)
 				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				b.runs.Add(1)
-				b.last.Store(r)
-				serve(c, r)
 			}()
 		}
 	}()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,8 @@
 	ledger prometheus.Histogram
 	// admits are of requests for cold servers, by whether there was a grant.
 	admits *prometheus.CounterVec
+	// underEnds counts requests under which a server has ended.
+	underEnds prometheus.Counter
 	// overdue is of escrow lent to other routers.
 	overdue prometheus.Counter
 }
@@ -70,6 +72,9 @@
 		admits: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sumachead_gateway_cold_admits_total", Help: "Requests that were to be sent to a cold backend server, by whether there was a grant.",
 		}, []string{"granted"}),
+		underEnds: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sumachead_gateway_under_ends_total", Help: "Requests that a backend server may have been running when it ended.",
+		}),
 		overdue: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sumachead_gateway_overdue_loan_tokens_total", Help: "Escrow lent to other routers that counts as spent since no bill came.",
 		}),
@@ -90,7 +95,7 @@
 	for _, granted := range []string{"true", "false"} {
 		m.admits.WithLabelValues(granted)
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.overdue, rpc.Traffic{})
+	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.underEnds, m.overdue, rpc.Traffic{})
 	m.gauges(g)
 	return m
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -163,6 +163,14 @@
 	t.setState(e, wire.ServerState_SERVER_STATE_LEAVING)
 }
 
+// Leaving reports whether a server's life is known to leave.
+func (t *Table) Leaving(id string) bool {
+	t.lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	return e != nil && e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING
+}
+
 // setState replaces a record by one in another state. The caller holds mu.
 func (t *Table) setState(e *entry, s wire.ServerState) {
 	next := proto.CloneOf(e.record)
