Requests that end servers are suspected, run on trial one at a time, and barred

Cause: what is known of a request ended with its attempt. Its caller's next try has another id and goes to any router; servers that fail were remembered, requests not. Class: evidence that is kept by attempt and by process, where what it is evidence of outlives both. Ruled out: load (no ends without the request in the reproduction, which hardly has load), repeats beyond the allowance (it held). Change: routers tell ends of servers, told apart from lost connections, to the leading keeper by the fingerprints of what was under way; after two ends a request runs on trial, one at a time in the fleet; an end on trial bars it, a whole answer clears it; how requests stand is in the log and pushed to routers.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -92,12 +92,14 @@
 	return rpc.Call[R](ctx, k.Pool.Get(leader), method, args)
 }
 
-// sweepLoop looks for servers that went silent, where this keeper leads.
+// sweepLoop looks for servers that went silent, and for suspects that have stood as they do
+// for long, where this keeper leads.
 func (k *Keeper) sweepLoop(ctx context.Context) error {
 	return loop.Every(ctx, sweepEvery, func() {
 		if k.node.Leading() && k.leading() == nil {
 			k.servers.Lead(k.history(), time.Now())
 			k.servers.Sweep(time.Now())
+			k.sweepSuspects(time.Now())
 		}
 	})
 }
@@ -129,8 +131,8 @@
 	history, version := k.servers.Position()
 	r := &wire.FollowRequest{
 		Node: string(k.Node), Role: RoleKeeper, Hall: string(k.Hall),
-		// The declaration and the states of data halls come by the log.
-		Number: math.MaxUint64, HallsRevision: math.MaxUint64,
+		// The declaration, the states of data halls and suspects come by the log.
+		Number: math.MaxUint64, HallsRevision: math.MaxUint64, SuspectsRevision: math.MaxUint64,
 		History: history, Version: version, WaitMillis: copyWait.Milliseconds(),
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyWithin)
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -12,6 +12,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/blame"
 	"sumachead/internal/escrow"
 	"sumachead/internal/raft"
 	"sumachead/internal/registry"
@@ -64,6 +65,7 @@
 	servers   *registry.Table
 	sizer     *escrow.Sizer
 	followers *followers
+	docket    blame.Docket
 	metrics   *metrics
 	// lines bounds what is logged of grants and of server records.
 	lines *telemetry.Lines
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -9,6 +9,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/blame"
 	"sumachead/internal/catalog"
 	"sumachead/internal/escrow"
 )
@@ -34,8 +35,9 @@
 	leaving   []string
 	isLeaving map[string]bool
 	halls     halls
-	// changed is closed when another declaration is put in force, or an order for a data
-	// hall is taken.
+	suspects  blame.List
+	// changed is closed when another declaration is put in force, an order for a data hall
+	// is taken, or a suspect stands otherwise.
 	changed chan struct{}
 }
 
@@ -71,6 +73,9 @@
 		reply := m.halls.order(c.GetHall())
 		m.notify()
 		return reply
+	case c.GetSuspects() != nil:
+		m.suspects.Apply(c.GetSuspects())
+		m.notify()
 	}
 	return nil
 }
@@ -127,7 +132,7 @@
 	defer m.mu.Unlock()
 	s := &wire.FleetSnapshot{
 		Declaration: m.packed, Accounts: m.book.Snapshot(), Leaving: append([]string(nil), m.leaving...),
-		Halls: m.halls.snapshot(),
+		Halls: m.halls.snapshot(), Suspects: m.suspects.Since(0),
 	}
 	return func() ([]byte, error) {
 		data, err := proto.Marshal(s)
@@ -153,6 +158,7 @@
 	defer m.mu.Unlock()
 	m.book.Restore(s.GetAccounts())
 	m.halls.restore(s.GetHalls())
+	m.suspects.Restore(s.GetSuspects())
 	m.put(d, p)
 	m.leaving, m.isLeaving = nil, make(map[string]bool)
 	for _, id := range s.GetLeaving() {
@@ -161,8 +167,9 @@
 	return nil
 }
 
-// Declaration returns the declaration in force, and a channel that is closed
-// when another is, or an order for a data hall is taken. Its number is 0 before the first.
+// Declaration returns the declaration in force, and a channel that is closed when another
+// is, an order for a data hall is taken, or a suspect stands otherwise. Its number is 0
+// before the first.
 func (m *Machine) Declaration() (*wire.Declaration, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"sumachead/api/wire"
 	"sumachead/internal/rpc"
 )
 
@@ -47,6 +48,12 @@
 	})
 	gauge("sumachead_servers", "Registered backend servers that are not leaving.", func() float64 { return float64(k.servers.Count()) })
 	gauge("sumachead_vacated_halls", "Data halls that are vacated.", func() float64 { return float64(k.machine.VacatedHalls()) })
+	gauge("sumachead_suspected_requests", "Requests that run on trial only, since servers have ended under them.", func() float64 {
+		return float64(k.machine.CountSuspects(wire.Standing_STANDING_SUSPECTED))
+	})
+	gauge("sumachead_barred_requests", "Requests that are not run, since servers end under them.", func() float64 {
+		return float64(k.machine.CountSuspects(wire.Standing_STANDING_BARRED))
+	})
 	gauge("sumachead_followers_routers", "Routers that follow this keeper.", func() float64 { return float64(k.followers.count(RoleRouter)) })
 	return m
 }
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -132,6 +132,9 @@
 	if k.machine.HallsRevision() > r.GetHallsRevision() {
 		reply.Halls = k.machine.Halls(time.Now())
 	}
+	if k.machine.SuspectsRevision() > r.GetSuspectsRevision() {
+		reply.Suspects = k.machine.Suspects(r.GetSuspectsRevision())
+	}
 	reply.Lacking, _ = k.sizer.Lacking(time.Now())
 	return nil
 }
@@ -178,9 +181,10 @@
 	// The channel comes first: what changes after it was taken closes it.
 	d, changed := k.machine.Declaration()
 	halls := k.machine.HallsRevision()
+	suspects := k.machine.SuspectsRevision()
 	news, servers := k.servers.Since(r.GetHistory(), r.GetVersion())
 	wait := min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxFollowWait)
-	if d.GetNumber() > r.GetNumber() || halls > r.GetHallsRevision() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
+	if d.GetNumber() > r.GetNumber() || halls > r.GetHallsRevision() || suspects > r.GetSuspectsRevision() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
 		return
 	}
 	_, lacking := k.sizer.Lacking(time.Now())
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -19,12 +19,14 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/blame"
 	"sumachead/internal/catalog"
 	"sumachead/internal/fleet"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/loop"
 	"sumachead/internal/registry"
 	"sumachead/internal/rpc"
+	"sumachead/internal/telemetry"
 )
 
 const (
@@ -73,7 +75,10 @@
 	Pool  *rpc.Pool
 	// Servers takes in the server records that the leader tells.
 	Servers *registry.Table
-	Log     hclog.Logger
+	// Suspects takes in how requests stand that end servers; nil for a node that sends
+	// none.
+	Suspects *blame.Table
+	Log      hclog.Logger
 	// OnLacking is told of workspaces of which another node lacks escrow; nil
 	// for a node that holds none.
 	OnLacking func([]sumachead.WorkspaceID)
@@ -84,6 +89,8 @@
 	routers atomic.Uint32
 	// known is open once there is a declaration.
 	known loop.Gate
+	// lines bounds what is logged of suspects.
+	lines telemetry.Lines
 	// searching makes one of searches that are wanted at the same time.
 	searching singleflight.Group
 
@@ -172,6 +179,9 @@
 		History: history, Version: version, WaitMillis: wait.Milliseconds(),
 	}
 	r.HallsRevision = c.Servers.HallsRevision()
+	if c.Suspects != nil {
+		r.SuspectsRevision = c.Suspects.Revision()
+	}
 	if v := c.View(); v != nil {
 		r.Number = v.Number
 	}
@@ -237,8 +247,10 @@
 // take puts an answer in force. What is known never goes back: a declaration
 // with a lower number is passed over.
 func (c *Client) take(r *wire.FollowReply) {
-	// Halls come before the declaration, with which a router begins to take callers.
+	// Halls and suspects come before the declaration, with which a router begins to take
+	// callers.
 	c.takeHalls(r.GetHalls())
+	c.TakeSuspects(r.GetSuspects())
 	c.Servers.Take(r, time.Now())
 	c.routers.Store(r.GetRouters())
 	if p := r.GetDeclaration(); p != nil {
@@ -255,6 +267,17 @@
 	}
 }
 
+// TakeSuspects puts how requests stand in force that end servers; nil changes nothing.
+func (c *Client) TakeSuspects(s *wire.Suspects) {
+	if c.Suspects == nil || s == nil {
+		return
+	}
+	for _, x := range c.Suspects.Take(s) {
+		c.lines.Info(c.Log, "How a request stands is in force.", "fingerprint", sumachead.Fingerprint(x.GetFingerprint()).String(),
+			"standing", x.GetStanding().String(), "servers", x.GetServers(), "revision", x.GetRevision())
+	}
+}
+
 // tellLacking passes on of which workspaces another node lacks escrow.
 func (c *Client) tellLacking(names []string) {
 	if len(names) == 0 || c.OnLacking == nil {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -34,6 +34,10 @@
 	homes []string
 	// sentAt is when the last attempt began.
 	sentAt time.Time
+	// learned is what is found out about the server of the last attempt; nil for nothing.
+	learned *learning
+	// onTrial: the request is suspected, and nowhere else in the fleet it runs.
+	onTrial bool
 	// stream is the state of an answer of events; nil for a plain answer.
 	stream *eventStream
 }
@@ -48,7 +52,17 @@
 		d.stream = newEventStream(x)
 	}
 	g.retries.note(time.Now(), g.client.Routers())
+	err := d.run()
+	d.settleTrial(err)
+	return err
+}
+
+// run makes attempts until one brings the answer or no other may be made.
+func (d *dispatch) run() error {
 	for {
+		if stop := d.mayRun(); stop != nil {
+			return stop
+		}
 		err := d.attempt()
 		if err == nil {
 			return nil
@@ -58,14 +72,15 @@
 			return err
 		}
 		d.last = f
-		d.noteBroken(f)
+		d.learned = d.learn(f)
 		if f.Verdict != sumachead.NotRun {
 			d.mayHaveRun = true
 		}
 		if stop := d.mayRetry(); stop != nil {
 			return stop
 		}
-		g.noteRetry(x, f)
+		d.await(d.learned)
+		d.noteRetry(d.x, f)
 	}
 }
 
--- a/internal/gateway/ends.go
+++ b/internal/gateway/ends.go
@@ -9,17 +9,15 @@
 
 	"sumachead"
 	"sumachead/api/wire"
-	"sumachead/internal/blame"
-	"sumachead/internal/upstream"
 )
 
 const (
 	// refusalTimeout bounds the question whether a server still takes connections: some
 	// round trips between data halls. A host that is down says nothing.
 	refusalTimeout = 150 * time.Millisecond
-	// overKept is for how long it is known that a server's life is over: requests that
-	// broke with it are dealt with by then.
-	overKept = 10 * time.Second
+	// overKept is for how long it is known that a server has ended: requests that broke with
+	// it are dealt with by then, and a server may start again under its id.
+	overKept = 400 * time.Millisecond
 )
 
 // ends tells servers that have ended from those of which only a connection was lost: at the
@@ -64,8 +62,8 @@
 func (e *ends) isOver(id sumachead.ServerID) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, ok := e.over[id]
-	return ok
+	at, ok := e.over[id]
+	return ok && time.Since(at) < overKept
 }
 
 // forget drops what was found out long ago.
@@ -78,29 +76,3 @@
 		}
 	}
 }
-
-// noteBroken finds out whether the server of the last attempt has ended under the request,
-// which it may have begun to run, and logs and counts that. One that was leaving has ended
-// as planned.
-func (d *dispatch) noteBroken(f *upstream.Failure) {
-	l := d.x.placement
-	if !f.Broke() || f.Verdict == sumachead.NotRun || d.ctx.Err() != nil || d.servers.Leaving(l.Record.GetId()) {
-		return
-	}
-	fields := append(d.x.fields(), "fingerprint", d.x.fingerprint().String(), "ran", time.Since(d.sentAt))
-	go func() {
-		if !d.ends.ended(l.Record) {
-			return
-		}
-		d.metrics.underEnds.Inc()
-		d.failures.Info(d.Log, "A backend server has ended under a request.", fields...)
-	}()
-}
-
-// fingerprint returns the request's.
-func (x *exchange) fingerprint() sumachead.Fingerprint {
-	if !x.printed {
-		x.print, x.printed = blame.Fingerprint(x.view.FingerprintKey, x.workspace(), x.request), true
-	}
-	return x.print
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/blame"
 	"sumachead/internal/chain"
 	"sumachead/internal/escrow"
 	"sumachead/internal/fleet"
@@ -80,6 +81,7 @@
 	retries  *retryAllowance
 	checks   checks
 	ends     ends
+	suspects suspects
 	cold     coldShares
 	metrics  *Metrics
 	// handle is the filters around dispatch.
@@ -103,8 +105,10 @@
 	g.failures = &telemetry.Lines{PerSecond: cmp.Or(g.FailuresPerSecond, failuresASecond)}
 	g.client = &fleetclient.Client{
 		Node: g.Node, Role: fleet.RoleRouter, Hall: g.Hall, Seeds: g.Seeds, Pool: g.Pool,
-		Servers: g.servers, Log: g.Log.Named("follow"), LendingAddress: g.lendingAddress,
+		Servers: g.servers, Log: g.Log.Named("follow"), LendingAddress: g.lendingAddress, Suspects: &blame.Table{},
 	}
+	g.suspects.Node, g.suspects.Table, g.suspects.Take = g.Node, g.client.Suspects, g.client.TakeSuspects
+	g.suspects.Report, g.suspects.Try = g.client.ReportEnds, g.client.Try
 	g.wallet = &escrow.Wallet{Node: g.Node}
 	g.reporter = &fleetclient.Reporter{Client: g.client, Wallet: g.wallet, Log: g.Log.Named("escrow")}
 	g.reporter.Taken = func(d time.Duration) { g.metrics.ledger.Observe(d.Seconds()) }
@@ -145,6 +149,7 @@
 			g.servers.Forget(time.Now())
 			g.checks.forget(time.Now())
 			g.ends.forget(time.Now())
+			g.suspects.expire(time.Now())
 		})
 	})
 	follow, stop := context.WithCancel(context.Background())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -114,6 +114,7 @@
 	gauge("sumachead_gateway_open_requests", "Requests under way.", func() float64 { return float64(g.Open()) })
 	gauge("sumachead_gateway_servers", "Backend servers known that are not leaving.", func() float64 { return float64(g.servers.Count()) })
 	gauge("sumachead_gateway_vacated_halls", "Data halls known to be vacated.", func() float64 { return float64(g.servers.Vacated()) })
+	gauge("sumachead_gateway_suspects", "Requests of which it is known that something is held against them.", func() float64 { return float64(g.client.Suspects.Held()) })
 	gauge("sumachead_gateway_relayed", "1 while the leading keeper is reached through a relay.", func() float64 {
 		if w, _ := g.client.Way(); w.Relay != "" {
 			return 1
--- a/internal/scenario/endsservers_test.go
+++ b/internal/scenario/endsservers_test.go
@@ -160,3 +160,56 @@
 		})
 	}
 }
+
+// What is held against a request is known to routers that start, under another leader, and
+// after everything was killed.
+func TestBarredRequestStaysBarred(t *testing.T) {
+	f := endsFleet(t, standin.ReplicaFaults{})
+	f.insist(time.Now().Add(time.Second))
+	if f.ended() != mostEnds {
+		t.Fatalf("%d servers ended, want %d", f.ended(), mostEnds)
+	}
+	all := func(role string) (names []string) {
+		for _, n := range f.order {
+			if p := f.processes[n]; role == "" || p.role == role {
+				names = append(names, n)
+			}
+		}
+		return names
+	}
+	tests := []struct {
+		name  string
+		kills func() []string
+	}{
+		{"the leader", func() []string { return []string{f.leaderOf()} }},
+		{"a router", func() []string { return []string{"router-1"} }},
+		{"all keepers", func() []string { return all("keeper") }},
+		{"everything", func() []string { return all("") }},
+	}
+	for _, tt := range tests {
+		names := tt.kills()
+		var killed sync.WaitGroup
+		for _, n := range names {
+			killed.Go(f.processes[n].kill)
+		}
+		killed.Wait()
+		for _, n := range names {
+			if err := f.start(f.processes[n]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f.insist(time.Now().Add(1500 * time.Millisecond))
+		if err := eventually(startTimeout, "a request is served", func() bool {
+			return f.ask(fleetRequest{kind: "stream", router: "router-1", events: 2}).whole
+		}); err != nil {
+			t.Fatal(err)
+		}
+		f.insist(time.Now().Add(time.Second / 2))
+		if f.ended() != mostEnds {
+			t.Errorf("%s killed: %d servers ended, want %d", tt.name, f.ended(), mostEnds)
+		}
+	}
+	if broken := f.promises(f.shape.prepaid); len(broken) > 0 {
+		t.Errorf("broken:\n%s", strings.Join(broken, "\n"))
+	}
+}
--- a/verdict.go
+++ b/verdict.go
@@ -50,6 +50,8 @@
 	ReasonServerUnreached  Reason = "server_unreached"
 	ReasonServerFailed     Reason = "server_failed"
 	ReasonBadAnswer        Reason = "bad_answer"
+	ReasonEndsServers      Reason = "ends_servers"
+	ReasonSuspected        Reason = "suspected"
 	ReasonStuck            Reason = "stuck"
 	ReasonInterrupted      Reason = "interrupted"
 	ReasonAnswerGone       Reason = "answer_gone"
@@ -66,7 +68,7 @@
 		ReasonUnknownPool, ReasonUnknownRoute, ReasonPoolForbidden, ReasonKeyConflict, ReasonBudgetExhausted,
 		ReasonNoBudget, ReasonLedgerUnreached, ReasonClaimUnavailable, ReasonSettingsStale,
 		ReasonNoServer, ReasonRouterFull, ReasonBusy, ReasonCold, ReasonShed, ReasonLeaving, ReasonFenced,
-		ReasonServerUnreached, ReasonServerFailed, ReasonBadAnswer, ReasonStuck,
+		ReasonServerUnreached, ReasonServerFailed, ReasonBadAnswer, ReasonEndsServers, ReasonSuspected, ReasonStuck,
 		ReasonInterrupted, ReasonAnswerGone, ReasonRunning, ReasonRetryBudget,
 		ReasonStopping, ReasonInternal,
 	}
@@ -95,7 +97,7 @@
 		return http.StatusGone
 	case ReasonBusy, ReasonShed, ReasonRetryBudget:
 		return http.StatusTooManyRequests
-	case ReasonServerFailed, ReasonBadAnswer, ReasonStuck, ReasonInterrupted:
+	case ReasonServerFailed, ReasonBadAnswer, ReasonEndsServers, ReasonStuck, ReasonInterrupted:
 		return http.StatusBadGateway
 	case ReasonDeadlinePassed:
 		return http.StatusGatewayTimeout
