sumachead suspects: operators see what is held against requests, and lift it

Cause: a verdict on a request was in lines and metrics only, and lasted its ten minutes. Test: TestOperatorClearsARequest (before, barred with its three servers, cleared, and counted anew).

--- a/internal/scenario/endsservers_test.go
+++ b/internal/scenario/endsservers_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sumachead/internal/standin"
+	"sumachead/internal/tool"
 )
 
 // What users saw: within ten seconds 29 starts of twelve engines ended one after the other,
@@ -213,3 +214,39 @@
 		t.Errorf("broken:\n%s", strings.Join(broken, "\n"))
 	}
 }
+
+// Operators see what is held against requests, and lift it.
+func TestOperatorClearsARequest(t *testing.T) {
+	f := endsFleet(t, standin.ReplicaFaults{})
+	var keepers []string
+	for i, name := range f.order {
+		if f.processes[name].role == "keeper" {
+			keepers = append(keepers, fmt.Sprintf("--keeper=%s:%d", f.advertised(i), f.inner))
+		}
+	}
+	run := func(args ...string) string {
+		t.Helper()
+		var out, errOut strings.Builder
+		if code := tool.Run(append(append([]string{"suspects"}, keepers...), args...), &out, &errOut); code != tool.ExitOK {
+			t.Fatalf("exit code %d: %s", code, errOut.String())
+		}
+		return out.String()
+	}
+	if got := run(); !strings.Contains(got, "nothing is held") {
+		t.Errorf("before: %s", got)
+	}
+	f.insist(time.Now().Add(time.Second))
+	fingerprint, rest, _ := strings.Cut(run(), ":")
+	if !strings.HasPrefix(rest, " barred since ") || strings.Count(rest, "i-engine-") != mostEnds {
+		t.Errorf("after three ends: %s:%s", fingerprint, rest)
+	}
+	run("--clear", fingerprint)
+	if got := run(); !strings.Contains(got, fingerprint+": cleared") {
+		t.Errorf("cleared: %s", got)
+	}
+	time.Sleep(time.Second) // servers are back
+	f.insist(time.Now().Add(time.Second))
+	if f.ended() != 2*mostEnds {
+		t.Errorf("%d servers ended, want %d", f.ended(), 2*mostEnds)
+	}
+}
