A server that starts again under its id is another life; what other writers tell is refused

Cause: a life was an id. After a restart under the same id its heartbeats counted as older than those of before, and one that had said that it leaves was held as leaving for good: not served within 30 s. Every state but draining was ready, and an empty service or an address that is none was a server to use (24 of 36 rows of TestHeartbeatsOfOtherWriters were acknowledged, the fleet knew 3 servers of 2). Ruled out: the log (leaving is by life already, what was missing is its name).

--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -76,12 +76,16 @@
 	}
 	t.Lead("one", time.Now())
 	for i := range designReplicas {
-		t.Beat(record(i, 1), time.Now())
+		if _, err := t.Beat(record(i, 1), time.Now()); err != nil {
+			b.Fatal(err)
+		}
 	}
 	whole, _ := t.Since("", 0)
 	i := 0
 	for b.Loop() {
-		t.Beat(record(i%designReplicas, 2+i/designReplicas), time.Now())
+		if _, err := t.Beat(record(i%designReplicas, 2+i/designReplicas), time.Now()); err != nil {
+			b.Fatal(err)
+		}
 		i++
 	}
 	b.ReportMetric(float64(proto.Size(whole)), "bytes/whole")
--- a/internal/fleet/alive.go
+++ b/internal/fleet/alive.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"sumachead/api/wire"
 	"sumachead/internal/rpc"
 )
@@ -83,8 +85,12 @@
 }
 
 // Beat takes in a backend server's heartbeat or notice. One of a ready server need
-// not wait for the leader, which hears of it with others.
+// not wait for the leader, which hears of it with others. A [trace.BadParameter] error says
+// that it is no server's.
 func (k *Keeper) Beat(ctx context.Context, r *wire.ServerRecord) error {
+	if err := k.servers.Check(r); err != nil {
+		return err
+	}
 	if r.GetState() == wire.ServerState_SERVER_STATE_READY && !k.node.Leading() && k.inContact() {
 		if k.copyFresh() && k.servers.Refresh(r, time.Now()) {
 			k.alive.add(r)
@@ -144,16 +150,26 @@
 	now := time.Now()
 	k.servers.Alive(report, now)
 	for _, r := range report.GetRecords() {
-		k.noteBeat(r, now)
+		if err := k.noteBeat(r, now); err != nil {
+			k.NoteForeign(r.GetId(), "another keeper", err)
+		}
 	}
 }
 
+// NoteForeign counts and logs what some writer has told that is no server's.
+func (k *Keeper) NoteForeign(id, from string, err error) {
+	k.metrics.foreign.Inc()
+	k.lines.Info(k.Log, "What is told of a backend server is passed over.", "server", id, "from", from, "error", trace.UserMessage(err))
+}
+
 // noteBeat takes in a record at the leader, and logs what is new in it.
-func (k *Keeper) noteBeat(r *wire.ServerRecord, now time.Time) {
-	if k.servers.Beat(r, now) {
+func (k *Keeper) noteBeat(r *wire.ServerRecord, now time.Time) error {
+	news, err := k.servers.Beat(r, now)
+	if news {
 		k.lines.Info(k.Log, "A backend server's record has changed.", "server", r.GetId(), "service", r.GetService(),
 			"address", r.GetAddress(), "state", r.GetState().String(), "sequence", r.GetSequence())
 	}
+	return err
 }
 
 // Alive takes in heartbeats that another keeper has passed on.
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -16,6 +16,8 @@
 	// took.
 	syncs   prometheus.Histogram
 	commits prometheus.Histogram
+	// foreign counts what was told of backend servers that is no server's.
+	foreign prometheus.Counter
 }
 
 // newMetrics registers the figures of a keeper.
@@ -28,7 +30,10 @@
 		syncs:    histogram("sumachead_keeper_sync_seconds", "Time of a synced write to the log."),
 		commits:  histogram("sumachead_keeper_commit_seconds", "Time from a command to its result at the leader."),
 	}
-	m.Registry.MustRegister(m.syncs, m.commits)
+	m.foreign = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "sumachead_foreign_records_total", Help: "Heartbeats and notices that are no backend server's: fields missing or of another kind, or no start told where it should be.",
+	})
+	m.Registry.MustRegister(m.syncs, m.commits, m.foreign)
 	m.Registry.MustRegister(rpc.Traffic{})
 	gauge := func(name, help string, f func() float64) {
 		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -82,6 +83,9 @@
 	if err := k.leading(); err != nil {
 		return err
 	}
+	if r.GetAddress() == "" && r.GetBornUnixMillis() == 0 {
+		r.Id = k.servers.Last(cmp.Or(r.GetName(), r.GetId())) // a bare notice is of the life that is known
+	}
 	if r.GetState() == wire.ServerState_SERVER_STATE_LEAVING && !k.machine.Leaving(r.GetId()) {
 		c := &wire.FleetCommand{Command: &wire.FleetCommand_Leaving{Leaving: &wire.ServerLeaving{Id: r.GetId()}}}
 		if _, err := k.propose(c); err != nil {
@@ -92,8 +96,7 @@
 	if r.GetAddress() == "" {
 		return nil // a bare notice of leaving
 	}
-	k.noteBeat(r, time.Now())
-	return nil
+	return k.noteBeat(r, time.Now())
 }
 
 // Follow tells a node what it lacks; it is held until there is something. A node that
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -140,7 +141,7 @@
 			switch {
 			case err != nil:
 				g.failures.Info(g.Log, "A silent server did not answer.", "server", r.GetId(), "error", err)
-			case string(a.Server) == r.GetId():
+			case string(a.Server) == cmp.Or(r.GetName(), r.GetId()):
 				g.servers.Confirm(r.GetId(), a.ColdUntil, time.Now())
 			default:
 				g.failures.Info(g.Log, "A silent server's life is over.", "server", r.GetId(), "answered", a.Server)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -124,6 +124,9 @@
 	g.borrower.Prepare()
 	g.upstream = &upstream.Pool{Dialect: g.Dialect, OnDial: g.metrics.dials.Inc}
 	g.ends.Refuses = g.upstream.Refuses
+	g.servers.OnOver = func(r *wire.ServerRecord) {
+		g.upstream.End(upstream.Server{ID: sumachead.ServerID(r.GetId()), Address: r.GetAddress()})
+	}
 	g.chooser = place.NewChooser(g.Hall)
 	g.gauges = &gauges{Address: g.GaugeAddress, Pool: g.Pool, Chooser: g.chooser}
 	g.gauges.prepare()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -170,7 +170,9 @@
 		Workspaces: []*wire.WorkspaceAccess{{Name: "clerks", Keys: []string{"k"}}, {Name: "nurses", Keys: []string{"n"}, Prepaid: proto.Int64(1000)}},
 	}})
 	for id, address := range servers {
-		g.servers.Beat(&wire.ServerRecord{Id: id, Service: "pool", Address: address, Hall: "hall-1", Slots: 4, Sequence: 1}, time.Now())
+		if _, err := g.servers.Beat(&wire.ServerRecord{Id: id, Service: "pool", Address: address, Hall: "hall-1", Slots: 4, Sequence: 1}, time.Now()); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return g
 }
--- a/internal/gateway/homes_test.go
+++ b/internal/gateway/homes_test.go
@@ -23,9 +23,11 @@
 	for hall := range g.Regions {
 		b := &backend{id: string(hall)}
 		servers[string(hall)] = b
-		g.servers.Beat(&wire.ServerRecord{
+		if _, err := g.servers.Beat(&wire.ServerRecord{
 			Id: b.id, Service: "pool", Address: b.listen(t, serve), Hall: b.id, Slots: 4, Sequence: 1,
-		}, time.Now())
+		}, time.Now()); err != nil {
+			t.Fatal(err)
+		}
 	}
 	d := proto.CloneOf(g.client.View().Catalog)
 	d.GetRoutes()[0].Homes = routeHomes
--- a/internal/keeper/hallservice.go
+++ b/internal/keeper/hallservice.go
@@ -55,12 +55,23 @@
 	if err == nil {
 		got, err = k.reserveWithRoom(r, got)
 	}
+	if got.GetCode() == wire.LedgerCode_LEDGER_CODE_BUDGET_EXHAUSTED {
+		k.noteShort(r)
+	}
 	if err == nil {
 		err = k.mergeClaim()
 	}
 	return k.hallReply("reserve", got, err, reply)
 }
 
+// noteShort logs why the hall's account does not hold a reservation.
+func (k *Keeper) noteShort(r *wire.ReserveRequest) {
+	id := sumachead.BudgetID(r.GetBudget())
+	available, reserved := k.journal.Available(id)
+	k.Log.Debug("The hall's account does not hold a reservation.", "budget", id, "amount", r.GetAmount(), "available", available,
+		"reserved", reserved, "granted", k.ledger.Granted(id, k.Config.Hall, k.identity.GetIncarnation()))
+}
+
 // mergeClaim brings a claim to the ledger before it is answered, so that a disk
 // that is lost takes no claim with it. An error means that the caller should try
 // again: a leader may soon be there. Once the hall has been cut off for long,
@@ -118,6 +129,7 @@
 		return keeperclient.EncodeError(&raft.NotLeaderError{})
 	}
 	if reply.GetCode() != wire.LedgerCode_LEDGER_CODE_GRANTED {
+		k.Log.Debug("The ledger grants the hall nothing.", "budget", budget, "code", reply.GetCode().String())
 		return nil
 	}
 	// The copy may still be replaying its log after a restart: it is waited for
--- a/internal/registry/cold_test.go
+++ b/internal/registry/cold_test.go
@@ -47,7 +47,7 @@
 			leader := &Table{Heartbeat: time.Second}
 			leader.Lead("one", start)
 			for _, b := range tt.beats {
-				leader.Beat(b.record(), start.Add(b.at))
+				mustBeat(t, leader, b.record(), start.Add(b.at))
 			}
 			for _, at := range tt.cold {
 				if !leader.ColdUntil("a", 0).After(start.Add(at)) {
@@ -69,7 +69,7 @@
 	now := time.Now()
 	leader, follower := &Table{Heartbeat: time.Second}, &Table{Heartbeat: time.Second}
 	leader.Lead("one", now)
-	leader.Beat(coldBeat{0, 1, 0}.record(), now)
+	mustBeat(t, leader, coldBeat{0, 1, 0}.record(), now)
 	take := func() {
 		r, _ := leader.Since(follower.Position())
 		follower.Take(r, time.Now())
@@ -79,7 +79,7 @@
 	if follower.Refresh(cold, now) {
 		t.Error("a server that has become cold is taken for unchanged")
 	}
-	leader.Beat(cold, now)
+	mustBeat(t, leader, cold, now)
 	time.Sleep(20 * time.Millisecond) // the way to the follower
 	take()
 	if off := follower.ColdUntil("a", 0).Sub(now.Add(3 * time.Second)).Abs(); off > 10*time.Millisecond {
@@ -97,7 +97,7 @@
 func TestServersOfAnOpenedHallAreTakenForCold(t *testing.T) {
 	now := time.Now()
 	table := &Table{Heartbeat: time.Second}
-	table.Beat(coldBeat{0, 1, 0}.record(), now)
+	mustBeat(t, table, coldBeat{0, 1, 0}.record(), now)
 	table.TakeHalls(states(1, []string{"h"}, nil), now)
 	opened := states(2, nil, []string{"h"})
 	opened.Halls[0].AgeMillis = 1000
@@ -113,7 +113,7 @@
 	now := time.Now()
 	first, next, follower := &Table{Heartbeat: time.Second}, &Table{Heartbeat: time.Second}, &Table{Heartbeat: time.Second}
 	first.Lead("one", now)
-	first.Beat(coldBeat{0, 1, 3 * time.Second}.record(), now)
+	mustBeat(t, first, coldBeat{0, 1, 3 * time.Second}.record(), now)
 	r, _ := first.Since(follower.Position())
 	follower.Take(r, now)
 	next.Load(first.Known(), now)
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -35,7 +35,10 @@
 	if e != nil && e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING && s.GetState() != wire.ServerState_SERVER_STATE_LEAVING {
 		return
 	}
-	next := &entry{seen: now, coldUntil: coldEnd(s, now)}
+	if e != nil && e.ended {
+		return
+	}
+	next := &entry{seen: now, coldUntil: coldEnd(s, now), ended: s.GetOver()}
 	if e != nil {
 		next.coldUntil = moment.Later(e.coldUntil, next.coldUntil)
 	}
@@ -45,6 +48,9 @@
 	}
 	t.entries[s.GetId()] = next
 	t.set(next, s)
+	if s.GetOver() && t.OnOver != nil && (e == nil || !e.ended) {
+		t.OnOver(s)
+	}
 }
 
 // dropMissing forgets what a whole answer does not hold, but for lives that are
--- a/internal/registry/halls_test.go
+++ b/internal/registry/halls_test.go
@@ -39,7 +39,7 @@
 			now := time.Now()
 			table := &Table{Heartbeat: time.Second}
 			for id, hall := range map[string]string{"s1": "a", "s2": "b"} {
-				table.Beat(&wire.ServerRecord{Id: id, Service: "pool", Hall: hall, Address: id + ":80", Sequence: 1}, now)
+				mustBeat(t, table, &wire.ServerRecord{Id: id, Service: "pool", Hall: hall, Address: id + ":80", Sequence: 1}, now)
 			}
 			ids(table) // a list that was asked for before must not stay
 			for _, s := range tt.told {
--- a/internal/registry/leader.go
+++ b/internal/registry/leader.go
@@ -26,17 +26,26 @@
 	}
 }
 
-// Beat takes in a heartbeat; one that is older than what is known changes
-// nothing. It reports whether the record's state is new to the table.
-func (t *Table) Beat(r *wire.ServerRecord, now time.Time) (news bool) {
+// Beat takes in a heartbeat; one that is older than what is known, or of an earlier life,
+// changes nothing. It reports whether the record's state is new to the table. An error, a
+// [trace.BadParameter], says that it is no server's.
+func (t *Table) Beat(r *wire.ServerRecord, now time.Time) (news bool, err error) {
 	t.lock()
 	defer t.mu.Unlock()
+	if err := t.check(r); err != nil {
+		return false, err
+	}
+	return t.sort(r, now) && t.beat(r, now), nil
+}
+
+// beat takes in a heartbeat of a life that counts. The caller holds mu.
+func (t *Table) beat(r *wire.ServerRecord, now time.Time) (news bool) {
 	e := t.entries[r.GetId()]
 	if e == nil {
 		e = &entry{}
 		t.entries[r.GetId()] = e
 	}
-	if e.record != nil && (r.GetSequence() < e.record.GetSequence() || t.isReplaced(e) && r.GetState() == wire.ServerState_SERVER_STATE_READY) {
+	if e.record != nil && (e.ended || r.GetSequence() < e.record.GetSequence() || t.isReplaced(e) && r.GetState() == wire.ServerState_SERVER_STATE_READY) {
 		return false
 	}
 	before := e.seen
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -39,13 +39,18 @@
 	coldUntil time.Time
 	// replaced: another life at the address goes on, and this one does not.
 	replaced bool
+	// ended: a later life of the server's name is known.
+	ended bool
 }
 
 // Table is a set of server records. It is safe for concurrent use. Set the
-// exported field before the first call.
+// exported fields before the first call.
 type Table struct {
 	// Heartbeat is the interval at which servers register.
 	Heartbeat time.Duration
+	// OnOver is told of each life that has ended since a later one of its name is known; nil
+	// for nobody. It must not call the table.
+	OnOver func(*wire.ServerRecord)
 
 	mu sync.Mutex // guards the fields below
 	// entries are by the server's id.
@@ -68,6 +73,10 @@
 	lists map[listKey][]*wire.ServerRecord
 	// lives are the ids of the lives at each address.
 	lives map[string][]string
+	// names are the ids of the last lives of servers' names, and rivals lives that seem to
+	// have started before these, by their ids.
+	names  map[string]string
+	rivals map[string]rival
 	// halls are the data halls for which there was an order, and hallsRevision is that of
 	// the newest order.
 	halls         map[string]hallView
@@ -103,12 +112,17 @@
 func (t *Table) set(e *entry, next *wire.ServerRecord) {
 	t.index(e, next)
 	e.record = next
+	t.named(next)
 	t.lists = nil
 }
 
 // drop forgets a life. The caller holds mu.
 func (t *Table) drop(id string) {
-	t.unindex(t.entries[id].record)
+	r := t.entries[id].record
+	t.unindex(r)
+	if t.names[nameOf(r)] == id {
+		delete(t.names, nameOf(r))
+	}
 	delete(t.entries, id)
 	t.lists = nil
 }
@@ -174,7 +188,7 @@
 // setState replaces a record by one in another state. The caller holds mu.
 func (t *Table) setState(e *entry, s wire.ServerState) {
 	next := proto.CloneOf(e.record)
-	next.State = s
+	next.State, next.Over = s, e.ended
 	t.set(e, next)
 	if t.leads {
 		t.bump(next)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -45,7 +45,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			table := &Table{Heartbeat: time.Second}
 			for _, b := range tt.beats {
-				table.Beat(b, time.Now())
+				mustBeat(t, table, b, time.Now())
 			}
 			if d := cmp.Diff(tt.want, ids(table)); d != "" {
 				t.Fatalf("(-want +got):\n%s", d)
@@ -57,12 +57,12 @@
 func TestSweepMarksSilentServers(t *testing.T) {
 	table := &Table{Heartbeat: time.Second}
 	now := time.Now()
-	table.Beat(record("a", 1, ready), now)
+	mustBeat(t, table, record("a", 1, ready), now)
 	table.Sweep(now.Add(silentBeats*time.Second + time.Millisecond))
 	if s := table.Servers("pool", nil)[0].GetState(); s != silent {
 		t.Fatalf("state %s after silence", s)
 	}
-	table.Beat(record("a", 2, ready), now.Add(time.Minute))
+	mustBeat(t, table, record("a", 2, ready), now.Add(time.Minute))
 	if s := table.Servers("pool", nil)[0].GetState(); s != ready {
 		t.Fatalf("state %s after a heartbeat", s)
 	}
@@ -76,8 +76,8 @@
 		r, _ := leader.Since(follower.Position())
 		follower.Take(r, now)
 	}
-	leader.Beat(record("a", 1, ready), now)
-	leader.Beat(record("b", 1, ready), now)
+	mustBeat(t, leader, record("a", 1, ready), now)
+	mustBeat(t, leader, record("b", 1, ready), now)
 	sync()
 	if d := cmp.Diff([]string{"a", "b"}, ids(follower)); d != "" {
 		t.Fatalf("(-want +got):\n%s", d)
@@ -92,7 +92,7 @@
 	// A new leader that has not heard of b yet.
 	next := &Table{Heartbeat: time.Second}
 	next.Lead("two", now)
-	next.Beat(record("c", 1, ready), now)
+	mustBeat(t, next, record("c", 1, ready), now)
 	r, _ := next.Since(follower.Position())
 	follower.Take(r, now)
 	if d := cmp.Diff([]string{"c"}, ids(follower)); d != "" {
@@ -103,15 +103,15 @@
 func TestSinceWakesFollowers(t *testing.T) {
 	table := &Table{Heartbeat: time.Second}
 	table.Lead("one", time.Now())
-	table.Beat(record("a", 1, ready), time.Now())
+	mustBeat(t, table, record("a", 1, ready), time.Now())
 	_, changed := table.Since("one", 1)
-	table.Beat(record("a", 2, ready), time.Now())
+	mustBeat(t, table, record("a", 2, ready), time.Now())
 	select {
 	case <-changed:
 		t.Fatal("woken by a heartbeat that changes nothing")
 	default:
 	}
-	table.Beat(record("a", 3, leaving), time.Now())
+	mustBeat(t, table, record("a", 3, leaving), time.Now())
 	select {
 	case <-changed:
 	default:
@@ -123,7 +123,7 @@
 	now := time.Now()
 	leader, other := &Table{Heartbeat: time.Second}, &Table{Heartbeat: time.Second}
 	leader.Lead("one", now)
-	leader.Beat(record("a", 1, ready), now)
+	mustBeat(t, leader, record("a", 1, ready), now)
 	r, _ := leader.Since(other.Position())
 	other.Take(r, now)
 	tests := []struct {
@@ -153,12 +153,12 @@
 	table := &Table{Heartbeat: time.Second}
 	table.Lead("one", now)
 	for i := range 9 {
-		table.Beat(record(string(rune('a'+i)), 1, ready), now)
+		mustBeat(t, table, record(string(rune('a'+i)), 1, ready), now)
 	}
 	// Another leads for a while, with a numbering that is not as far.
 	table.Take(&wire.FollowReply{History: "two", Version: 2, Whole: true, Servers: []*wire.ServerRecord{record("x", 1, ready)}}, now)
 	table.Lead("three", now)
-	table.Beat(record("y", 1, ready), now)
+	mustBeat(t, table, record("y", 1, ready), now)
 	r, _ := table.Since("three", 2)
 	if len(r.GetServers()) != 1 || r.GetServers()[0].GetId() != "y" {
 		t.Fatalf("told %v", r.GetServers())
@@ -170,7 +170,7 @@
 	now := time.Now()
 	leader.Lead("one", now)
 	for i := range 3 {
-		leader.Beat(record(string(rune('a'+i)), 1, ready), now)
+		mustBeat(t, leader, record(string(rune('a'+i)), 1, ready), now)
 	}
 	sync := func() *wire.FollowReply {
 		r, _ := leader.Since(follower.Position())
@@ -181,7 +181,7 @@
 	for i := range 300 {
 		b := record("a", uint64(2+i), ready)
 		b.Slots = uint32(i + 1)
-		leader.Beat(b, now)
+		mustBeat(t, leader, b, now)
 		if i%7 != 0 {
 			continue
 		}
@@ -205,7 +205,7 @@
 	leader, follower := &Table{Heartbeat: time.Second}, &Table{Heartbeat: time.Second}
 	leader.Lead("h", now)
 	for _, id := range []string{"a", "b"} {
-		leader.Beat(&wire.ServerRecord{Id: id, Service: "chat", Sequence: 1}, now)
+		mustBeat(t, leader, &wire.ServerRecord{Id: id, Service: "chat", Sequence: 1}, now)
 	}
 	follow := func() {
 		history, version := follower.Position()
@@ -214,7 +214,7 @@
 	}
 	follow()
 	follower.Leave("a", now)
-	leader.Beat(&wire.ServerRecord{Id: "c", Service: "chat", Sequence: 1}, now)
+	mustBeat(t, leader, &wire.ServerRecord{Id: "c", Service: "chat", Sequence: 1}, now)
 	follow()
 	var got []string
 	for _, r := range follower.Servers("chat", nil) {
@@ -233,7 +233,7 @@
 	table.Leave("gone", now)
 	table.Load([]*wire.ServerRecord{{Id: "gone", Service: "chat"}, {Id: "a", Service: "chat", Sequence: 3}, {Id: "b", Service: "chat", Sequence: 3}}, now)
 	table.Lead("h", now)
-	table.Beat(&wire.ServerRecord{Id: "a", Service: "chat", Sequence: 4}, now)
+	mustBeat(t, table, &wire.ServerRecord{Id: "a", Service: "chat", Sequence: 4}, now)
 	got := make(map[string]wire.ServerState)
 	for _, r := range table.Servers("chat", nil) {
 		got[r.GetId()] = r.GetState()
@@ -312,7 +312,7 @@
 					table.Alive(&wire.AliveReport{Ids: []string{e.beat.GetId()}, Sequences: []uint64{e.beat.GetSequence()}}, now)
 					continue
 				}
-				table.Beat(e.beat, now)
+				mustBeat(t, table, e.beat, now)
 			}
 			got := make(map[string]wire.ServerState)
 			for id, e := range table.entries {
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -234,26 +234,12 @@
 
 // leaderOf returns the keeper that leads, by its figures.
 func (f *fleet) leaderOf() string {
-	for i, name := range f.order {
+	for _, name := range f.order {
 		p := f.processes[name]
 		if p.role != "keeper" || !p.running() || p.frozen {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
-		q, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:9464/metrics", f.advertised(i)), nil)
-		if err != nil {
-			cancel()
-			continue
-		}
-		resp, err := http.DefaultClient.Do(q)
-		if err != nil {
-			cancel()
-			continue
-		}
-		body, _ := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		cancel()
-		if strings.Contains(string(body), "sumachead_keeper_leading 1") {
+		if f.metric(name, "sumachead_keeper_leading ") == "1" {
 			return name
 		}
 	}
@@ -362,3 +348,25 @@
 	}
 	return d.Number
 }
+
+// metric returns the value of a process's figure, empty where it does not tell it.
+func (f *fleet) metric(process, name string) string {
+	ctx, cancel := context.WithTimeout(f.ctx, 300*time.Millisecond)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:9464/metrics", f.advertised(f.indexOf(process))), nil)
+	if err != nil {
+		return ""
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, _ := io.ReadAll(resp.Body)
+	for line := range strings.Lines(string(body)) {
+		if v, ok := strings.CutPrefix(line, name); ok {
+			return strings.TrimSpace(v)
+		}
+	}
+	return ""
+}
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -74,9 +74,12 @@
 	mu     sync.Mutex // guards the fields below, and what runs point to
 	faults ReplicaFaults
 	runs   []*ReplicaRun
-	// sequence counts the heartbeats of this life.
+	// sequence counts the heartbeats of this life, which started at born.
 	sequence int
+	born     time.Time
 	draining bool
+	// silentBorn: the replica does not tell when it started.
+	silentBorn bool
 	// lives counts the starts after the first, and cold are the times within which the
 	// replica was cold.
 	lives int
@@ -92,6 +95,8 @@
 	ends    map[string]int
 	down    bool
 	process *http.Server
+	// again: the process starts again at once.
+	again bool
 }
 
 // coldSpan is a time within which a replica was cold.
@@ -103,7 +108,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.lives++
-	r.sequence, r.draining, r.acked = 0, false, time.Time{}
+	r.startLife()
 	r.cold = append(r.cold, coldSpan{now, now.Add(cold)})
 }
 
@@ -143,18 +148,34 @@
 
 // Run serves and sends heartbeats until ctx ends.
 func (r *Replica) Run(ctx context.Context) error {
+	r.mu.Lock()
+	r.born = time.Now()
+	r.mu.Unlock()
 	go r.beats(ctx)
 	for {
 		if err := r.runProcess(ctx); err != nil || ctx.Err() != nil {
 			return err
 		}
-		if !loop.Sleep(ctx, backAfter) {
-			return nil
+		if !r.takeAgain() {
+			if !loop.Sleep(ctx, backAfter) {
+				return nil
+			}
+			r.startAgain()
 		}
-		r.startAgain()
 	}
 }
 
+// takeAgain reports whether the process is to start again at once.
+func (r *Replica) takeAgain() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	again := r.again
+	if again {
+		r.again, r.down = false, false
+	}
+	return again
+}
+
 // runProcess serves until the process ends or ctx does.
 func (r *Replica) runProcess(ctx context.Context) error {
 	lis, err := (&net.ListenConfig{}).Listen(ctx, "tcp", r.Address)
@@ -203,7 +224,7 @@
 	sameID := r.sameID
 	r.down = false
 	if sameID {
-		r.sequence = 0
+		r.startLife()
 	}
 	r.mu.Unlock()
 	if !sameID {
@@ -211,6 +232,23 @@
 	}
 }
 
+// startLife forgets what the replica knew of before. The caller holds mu.
+func (r *Replica) startLife() {
+	r.sequence, r.draining, r.acked, r.born = 0, false, time.Time{}, time.Now()
+}
+
+// StartUnderID makes the replica start again at once under the id that it has, as a process
+// that was restarted does.
+func (r *Replica) StartUnderID() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.startLife()
+	if r.process != nil {
+		r.down, r.again = true, true
+		_ = r.process.Close() // its connections break, as they are meant to
+	}
+}
+
 // Ends returns how often the replica's process ended under a body.
 func (r *Replica) Ends(body string) int {
 	r.mu.Lock()
@@ -246,10 +284,14 @@
 	if draining {
 		state = "draining"
 	}
-	body, err := json.Marshal(map[string]any{
+	tells := map[string]any{
 		"backend": r.Service, "address": r.Address, "zone": r.Hall, "slots": replicaSlots, "state": state, "call_seq": r.sequence,
 		"cold_left_ms": r.coldLeft(time.Now()).Milliseconds(),
-	})
+	}
+	if !r.silentBorn {
+		tells["born"] = r.born.UnixMilli()
+	}
+	body, err := json.Marshal(tells)
 	id := r.life()
 	r.mu.Unlock()
 	if err != nil {
@@ -264,6 +306,13 @@
 	return ok
 }
 
+// HideBorn makes the replica tell nothing of when it started.
+func (r *Replica) HideBorn() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silentBorn = true
+}
+
 // Leave tells that the replica is about to end; it reports whether some node
 // acknowledged it.
 func (r *Replica) Leave(ctx context.Context) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,6 +26,8 @@
 	idle []*conn
 	// open counts all, those that rest and those that are to be opened included.
 	open int
+	// busy are those with a request under way.
+	busy map[*conn]struct{}
 	// usedAt is when one was last asked for.
 	usedAt time.Time
 }
@@ -80,25 +82,54 @@
 // connect returns a connection to a server, one that rests or a new one.
 func (p *Pool) connect(ctx context.Context, s Server, most int) (*conn, error) {
 	c, err := p.take(s, most, time.Now())
-	if err != nil || c != nil {
-		return c, err
-	}
-	c, err = dial(ctx, s.Address)
 	if err != nil {
-		p.drop(s)
 		return nil, err
 	}
-	if p.OnDial != nil {
-		p.OnDial()
+	if c == nil {
+		if c, err = dial(ctx, s.Address); err != nil {
+			p.drop(s, nil)
+			return nil, err
+		}
+		if p.OnDial != nil {
+			p.OnDial()
+		}
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sc := p.servers[s]
+	if sc.busy == nil {
+		sc.busy = make(map[*conn]struct{})
+	}
+	sc.busy[c] = struct{}{}
 	return c, nil
 }
 
-// drop takes one connection off the count.
-func (p *Pool) drop(s Server) {
+// End closes all connections to a life of a server that has ended: its host may have gone
+// without a word, and what is under way there fails now and not once its time is up.
+func (p *Pool) End(s Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.servers[s].open--
+	sc := p.servers[s]
+	if sc == nil {
+		return
+	}
+	for c := range sc.busy {
+		_ = c.Close() // who uses it finds it closed
+	}
+	for _, c := range sc.idle {
+		_ = c.Close()
+		sc.open--
+	}
+	sc.idle = nil
+}
+
+// drop takes one connection off the count, nil for one that was not opened.
+func (p *Pool) drop(s Server, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sc := p.servers[s]
+	sc.open--
+	delete(sc.busy, c)
 }
 
 // put lets a connection rest.
@@ -106,6 +137,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	sc := p.servers[s]
+	delete(sc.busy, c)
 	if len(sc.idle) < keepIdle {
 		sc.idle = append(sc.idle, c)
 		return
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -82,7 +82,7 @@
 		return
 	}
 	_ = a.conn.Close()
-	a.pool.drop(a.server)
+	a.pool.drop(a.server, a.conn)
 }
 
 // Send sends a request to a server, on at most `most` connections at a time, and
@@ -102,7 +102,7 @@
 	if err := a.exchange(p.encode(r, t), r); err != nil {
 		a.stop()
 		_ = c.Close()
-		p.drop(s)
+		p.drop(s, c)
 		return nil, err
 	}
 	return a, nil
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -318,3 +318,40 @@
 		t.Fatal("the server still works on a request that was given up")
 	}
 }
+
+// What is under way at a life that is known to have ended fails at once.
+func TestEndedLife(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = lis.Close() }()
+	taken := make(chan net.Conn, 1)
+	go func() {
+		if c, err := lis.Accept(); err == nil {
+			taken <- c // it says nothing
+		}
+	}()
+	p := &Pool{Dialect: plainDialect{}}
+	s := Server{ID: "a", Address: lis.Addr().String()}
+	failed := make(chan error, 1)
+	go func() {
+		_, err := p.Send(t.Context(), s, 1, &sumachead.CallerRequest{ID: "1", Method: http.MethodGet, Path: "/", Header: http.Header{}}, &sumachead.Attempt{Server: "a"})
+		failed <- err
+	}()
+	c := <-taken
+	defer func() { _ = c.Close() }()
+	for !func() bool { p.mu.Lock(); defer p.mu.Unlock(); return len(p.servers[s].busy) == 1 }() {
+		time.Sleep(time.Millisecond)
+	}
+	p.End(s)
+	select {
+	case err := <-failed:
+		var f *Failure
+		if !errors.As(err, &f) || f.Verdict != sumachead.MayHaveRun {
+			t.Errorf("got %v", err)
+		}
+	case <-time.After(time.Second):
+		t.Error("it goes on")
+	}
+}
