Leases go by the clock that goes on while a host is suspended

Cause: the steady clock, which Go's time.Now reads, stands still while a host is suspended. A leader that woke up held its lease on and answered reads with what another leader had replaced; routers and agents of the first kind of fleet went on under settings whose lease had ended for the keepers. Ruled out: the time of day (it steps).

--- a/interfaces.go
+++ b/interfaces.go
@@ -74,3 +74,20 @@
 	// never. The estimate is sure where what is lacking is known to be under way.
 	Expect(now time.Time) (at time.Time, sure bool)
 }
+
+// BootTime is a moment of one host: how long before it the host started, the times in which
+// the host was suspended included.
+type BootTime time.Duration
+
+// Add returns the moment that is d later.
+func (b BootTime) Add(d time.Duration) BootTime { return b + BootTime(d) }
+
+// Sub returns how much later than a the moment is.
+func (b BootTime) Sub(a BootTime) time.Duration { return time.Duration(b - a) }
+
+// Clock tells the time for what processes promise each other: a lease must end for its holder
+// no later than for those who granted it, also where the holder's host was suspended meanwhile.
+// The steady clock that [time.Now] reads stands still then.
+type Clock interface {
+	Now() BootTime
+}
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -165,7 +165,7 @@
 	if server == nil || pool == nil {
 		return refuse(sumachead.ReasonSettingsStale, "the settings do not have this backend server")
 	}
-	if !a.follower.MayServe(pool, now) {
+	if !a.follower.MayServe(pool) {
 		return refuse(sumachead.ReasonSettingsStale, "the settings are not proved current")
 	}
 	if server.State == settings.ServerLeaving {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -17,6 +17,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/boottime"
 	"sumachead/internal/config"
 	"sumachead/internal/loop"
 	"sumachead/internal/rpc"
@@ -37,6 +38,8 @@
 	Boot   sumachead.BootID
 	Pool   *rpc.Pool
 	Log    hclog.Logger
+	// Clock bounds the currency lease; nil for the host's.
+	Clock sumachead.Clock
 	// Without lists the kinds of objects that this node has no use for.
 	Without []string
 
@@ -48,45 +51,56 @@
 
 	mu sync.Mutex // guards the fields below
 	// currentAsOf is the latest time for which currency is proved.
-	currentAsOf time.Time
+	currentAsOf sumachead.BootTime
 	// cutOffAsOf is the latest time for which the own hall's keeper has said
 	// that it has no leader.
-	cutOffAsOf time.Time
+	cutOffAsOf sumachead.BootTime
 }
 
 // View returns the settings in force; nil before the first sync.
 func (f *Follower) View() *settings.View { return f.view.Load() }
 
-// Current reports whether the settings are proved current at now. A tree in
-// which nothing was ever set counts as none.
-func (f *Follower) Current(now time.Time) bool {
+// now returns the time by which leases go.
+func (f *Follower) now() sumachead.BootTime {
+	if f.Clock == nil {
+		return boottime.Clock{}.Now()
+	}
+	return f.Clock.Now()
+}
+
+// holds reports whether a lease that was granted at a time goes on; zero for none.
+func (f *Follower) holds(since sumachead.BootTime) bool {
+	return since != 0 && f.now() < since.Add(settings.CurrencyLease)
+}
+
+// Current reports whether the settings are proved current. A tree in which nothing was ever
+// set counts as none.
+func (f *Follower) Current() bool {
 	if v := f.View(); v == nil || v.Revision == 0 {
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Before(f.currentAsOf.Add(settings.CurrencyLease))
+	return f.holds(f.currentAsOf)
 }
 
-// MayServe reports whether new work of a pool may start at now: the settings
-// are current, or the hall is wholly cut off and the pool serves then.
-func (f *Follower) MayServe(p *settings.ResolvedPool, now time.Time) bool {
-	return f.Current(now) || (p.CutOff == settings.CutOffServe && f.cutOff(now))
+// MayServe reports whether new work of a pool may start: the settings are current,
+// or the hall is wholly cut off and the pool serves then.
+func (f *Follower) MayServe(p *settings.ResolvedPool) bool {
+	return f.Current() || (p.CutOff == settings.CutOffServe && f.cutOff())
 }
 
 // cutOff reports whether the whole data hall is known to be cut off: its own
 // keeper has said lately that it has no leader. A node that reaches no keeper
 // at all knows nothing and must not work.
-func (f *Follower) cutOff(now time.Time) bool {
+func (f *Follower) cutOff() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Before(f.cutOffAsOf.Add(settings.CurrencyLease))
+	return f.holds(f.cutOffAsOf)
 }
 
-// MayServeAny reports whether new work of some pool may start at now.
-func (f *Follower) MayServeAny(now time.Time) bool {
-	return f.Current(now) || f.cutOff(now)
-}
+// MayServeAny reports whether new work of some pool may start.
+func (f *Follower) MayServeAny() bool { return f.Current() || f.cutOff() }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
@@ -105,7 +119,7 @@
 func (f *Follower) ask(ctx context.Context) bool {
 	k := f.Config.Keepers[f.next%len(f.Config.Keepers)]
 	r := f.request()
-	asked := time.Now()
+	asked := f.now()
 	callCtx, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMillis())*time.Millisecond+askTimeout)
 	defer cancel()
 	reply, err := rpc.Call[wire.SyncReply](callCtx, f.Pool.Get(k.Address), "Settings.Sync", r)
@@ -127,13 +141,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.currentAsOf = asked
-	f.cutOffAsOf = time.Time{}
+	f.cutOffAsOf = 0
 	return true
 }
 
 // noteCutOff takes in what a keeper without a quorum says: that of the own hall
 // counts.
-func (f *Follower) noteCutOff(reply *wire.SyncReply, k config.Keeper, asked time.Time) {
+func (f *Follower) noteCutOff(reply *wire.SyncReply, k config.Keeper, asked sumachead.BootTime) {
 	if k.Hall != f.Config.Hall || !reply.GetCutOff() || reply.GetRevision() == 0 {
 		return
 	}
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -11,6 +11,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/boottime"
 	"sumachead/internal/gauge"
 	"sumachead/internal/outbox"
 	"sumachead/internal/place"
@@ -142,10 +143,10 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), warmup.GrantLives)
 	defer cancel()
-	begun := time.Now()
+	begun := boottime.Clock{}.Now() // a host that was suspended has no grant any more
 	reply, err := callGauge[wire.AdmitReply](ctx, g, address, "Admit",
 		&wire.AdmitRequest{Server: r.GetId(), Rate: b.Rate, Burst: b.Burst, Urgency: urgency})
-	if err != nil || time.Since(begun) > warmup.GrantLives {
+	if err != nil || (boottime.Clock{}).Now().Sub(begun) > warmup.GrantLives {
 		return false, noGrantFor
 	}
 	return reply.GetGranted(), time.Duration(reply.GetAgainMicros()) * time.Microsecond
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -12,6 +12,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/boottime"
 	"sumachead/internal/loop"
 )
 
@@ -56,12 +57,14 @@
 	Election      time.Duration
 	SnapshotEvery uint64
 	Log           hclog.Logger
+	// Clock bounds leases; nil for the host's.
+	Clock sumachead.Clock
 	// Synced is told how long each synced write took; nil for nobody.
 	Synced func(time.Duration)
 
 	storage *Storage
 	core    *Core
-	start   time.Time
+	start   sumachead.BootTime
 
 	inbox     chan []*wire.RaftMessage
 	proposals chan *proposal
@@ -135,7 +138,10 @@
 	if n.Log == nil {
 		n.Log = hclog.NewNullLogger()
 	}
-	n.start = time.Now()
+	if n.Clock == nil {
+		n.Clock = boottime.Clock{}
+	}
+	n.start = n.Clock.Now()
 	n.inbox = make(chan []*wire.RaftMessage, inboxSize)
 	n.proposals = make(chan *proposal, inboxSize)
 	n.calls = make(chan func(), inboxSize)
@@ -143,7 +149,9 @@
 	n.pending = make(map[uint64]*proposal)
 }
 
-func (n *Node) now() time.Duration { return time.Since(n.start) }
+// now returns the time by which the core goes. It does not stand still while the host is
+// suspended: a leader that wakes must not hold a lease that its followers have seen end.
+func (n *Node) now() time.Duration { return n.Clock.Now().Sub(n.start) }
 
 // Run drives the member until ctx ends or the disk fails.
 func (n *Node) Run(ctx context.Context) error {
--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -33,7 +33,7 @@
 func (r *Router) dispatch(x *exchange) error {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
-	if !r.follower.MayServe(x.pool, time.Now()) {
+	if !r.follower.MayServe(x.pool) {
 		return x.unsure(refuseSoon(sumachead.NotRun, sumachead.ReasonSettingsStale, "the settings are not proved current"))
 	}
 	r.retries.noteRequest(x.workspace)
--- a/internal/router/filters.go
+++ b/internal/router/filters.go
@@ -60,7 +60,7 @@
 func (r *Router) settingsFilter(next handler) handler {
 	return func(x *exchange) error {
 		x.view = r.follower.View()
-		if x.view == nil || !r.follower.MayServeAny(time.Now()) {
+		if x.view == nil || !r.follower.MayServeAny() {
 			return x.unsure(refuseSoon(sumachead.NotRun, sumachead.ReasonSettingsStale, "the settings are not proved current"))
 		}
 		return next(x)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -145,7 +145,7 @@
 	if r.stopping.Load() {
 		return notRun(sumachead.ReasonStopping, "the router is stopping", time.Time{})
 	}
-	if r.follower.View() == nil || !r.follower.MayServeAny(time.Now()) {
+	if r.follower.View() == nil || !r.follower.MayServeAny() {
 		return notRun(sumachead.ReasonSettingsStale, "the settings are not proved current", time.Time{})
 	}
 	return nil
