--- a/scripts/days.py
+++ b/scripts/days.py
@@ -1,13 +1,17 @@
 #!/usr/bin/env python3
 """Writes days of trouble for the bench; scripts/days.sh plays them.
 
-deploy/days/kinds has a day for each kind of trouble and each of its variants, which
-comes twice, at 6 s and at 20 s of a calm day. deploy/days/pairs has a day for each
-pair of troubles that share a mechanism: both come at the day's start, in its middle
-and at its end, the second a little after the first.
+All days lie in deploy/days itself, since hunts look there only. kind-NAME is a day for
+each kind of trouble and each of its variants, which comes twice, at 6 s and at 20 s of a
+calm day. pair-NAME is one for each pair of troubles that share a mechanism: both come at
+the day's start, in its middle and at its end, the second a little after the first.
+closing-NAME ends with a loss of everything, or of disks. mix-NAME are written by hand.
 
-With --drawn N it writes N days to deploy/days/drawn (not kept in git) instead, each of
-troubles that are drawn by --seed: half of them of the control's hosts, at any time.
+@c0, @s0 and @z0 stand for a deployment's first kind of request, service and data hall.
+
+With --drawn N it writes N days to deploy/days/drawn (not kept in git, and not hunted)
+instead, each of troubles that are drawn by --seed: half of them of the control's hosts,
+at any time.
 """
 
 import argparse
@@ -17,6 +21,9 @@
 # kind -> (extra fields, planned work or not, variants of how)
 KINDS = {
     "burst": ("x = 2.0, for_s = 4.0", False, [""]),
+    "burst_of_one": ('class = "@c0", x = 3.0, for_s = 4.0', False, [""]),
+    "shift": ('zone = "@z0", share = 0.5, for_s = 6.0', False, [""]),
+    "srv_crash_of_one": ('service = "@s0", share = 0.3, for_s = 4.0', False, ["", "gone"]),
     "hot_key": ("share = 0.4, for_s = 5.0", False, [""]),
     "hot_tenant": ("x = 7.0, for_s = 5.0", False, [""]),
     "retry_abuse": ("x = 4.0, share = 0.4, for_s = 5.0", False, [""]),
@@ -120,6 +127,15 @@
 ]
 
 
+# How days end: the fields of the closing fault, by name.
+CLOSINGS = {
+    "power": 'kind = "power_off_all", down_s = 2.0',
+    "kill": 'kind = "kill_all", down_s = 1.0',
+    "wipe": 'kind = "wipe_after_ack", down_s = 2.0',
+    "wipe-oldest": 'kind = "wipe_after_ack", down_s = 2.0, how = "oldest"',
+    "wipe-timed": 'kind = "wipe_after_ack", down_s = 2.0, how = "timed"',
+}
+
 # Kinds that fall on the control's hosts or on what they hold.
 CONTROL = [
     "node_kill_core", "node_freeze_core", "herd_kill_core", "replace_core", "after_ack_kill", "after_ack_wipe",
@@ -133,7 +149,7 @@
 def entry(kind: str, how: str, at: float) -> str:
     """Returns the text of one trouble."""
     extra = KINDS[kind][0]
-    fields = f'kind = "{kind.removesuffix("_core") if kind.endswith(("kill_core", "freeze_core")) else kind}"'
+    fields = f'kind = "{kind.removesuffix("_of_one").replace("kill_core", "kill").replace("freeze_core", "freeze")}"'
     if extra:
         fields += ", " + extra
     if how:
@@ -146,8 +162,9 @@
     return "-".join([kind, *how.split()]).replace("_", "-")
 
 
-def day(name: str, troubles: list[tuple[str, str, float]]) -> str:
-    """Returns the text of a day of troubles (kind, how, second)."""
+def day(name: str, troubles: list[tuple[str, str, float]], closing: str = "") -> str:
+    """Returns the text of a day of troubles (kind, how, second), and of how it ends."""
+    ends = f"closing = {{ {closing} }}\n" if closing else ""
     plan = "\n".join(entry(k, h, at) for k, h, at in troubles if KINDS[k][1])
     faults = "\n".join(entry(k, h, at) for k, h, at in troubles if not KINDS[k][1])
     return f"""[[day]]
@@ -158,7 +175,7 @@
 zero = 0.1
 goal = {{ floor = 0.1 }}
 labels = []
-plan = [
+{ends}plan = [
 {plan}
 ]
 faults = [
@@ -167,11 +184,11 @@
 """
 
 
-def write(folder: str, name: str, troubles: list[tuple[str, str, float]]) -> None:
+def write(folder: str, name: str, troubles: list[tuple[str, str, float]], closing: str = "") -> None:
     """Writes one day."""
     path = pathlib.Path(__file__).parent.parent / "deploy" / "days" / folder
     path.mkdir(parents=True, exist_ok=True)
-    (path / f"{name}.toml").write_text(day(name, troubles))
+    (path / f"{name}.toml").write_text(day(name, troubles, closing))
 
 
 def draw(seed: int, n: int) -> None:
@@ -194,10 +211,12 @@
         return
     for kind, (_, _, variants) in KINDS.items():
         for how in variants:
-            write("kinds", named(kind, how), [(kind, how, at) for at in (6.0, 20.0)])
+            write("", f"kind-{named(kind, how)}", [(kind, how, at) for at in (6.0, 20.0)])
     for first, second in PAIRS:
         troubles = [(*t, at + later) for at in (0.5, 12.0, 27.0) for t, later in ((first, 0.0), (second, 0.7))]
-        write("pairs", f"{named(*first)}--{named(*second)}", troubles)
+        write("", f"pair-{named(*first)}--{named(*second)}", troubles)
+    for name, closing in CLOSINGS.items():
+        write("", f"closing-{name}", [("config_change", "route", 8.0), ("config_change", "topup", 16.0)], closing)
 
 
 if __name__ == "__main__":
