--- a/internal/blame/docket_test.go
+++ b/internal/blame/docket_test.go
@@ -213,6 +213,26 @@
 	}
 }
 
+// A request that has come to a good end lately is barred for a short time only: it may have
+// been beside a guilty one on trial.
+func TestServedRequestIsTriedAgainSoon(t *testing.T) {
+	c := newCourt()
+	c.suspect()
+	c.try("a", 1, bad)
+	c.note(&wire.EndsReport{Node: "a", Ends: []*wire.ServerEnd{{Fingerprint: bad[:], Server: "s3", Served: true}}})
+	if got := c.list.Standing(bad); got != barred {
+		t.Fatalf("stands %v", got)
+	}
+	c.now = c.now.Add(reviewAfter + time.Second)
+	c.list.Apply(&wire.Suspects{Suspects: c.docket.Expire(c.list.Since(0).GetSuspects(), c.now)})
+	if got := c.list.Standing(bad); got != suspected {
+		t.Errorf("stands %v after %v, want %v", got, reviewAfter, suspected)
+	}
+	if !c.try("b", 2, bad) {
+		t.Error("no trial")
+	}
+}
+
 func TestWhatIsHeldPasses(t *testing.T) {
 	c := newCourt()
 	c.suspect()
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -57,6 +57,8 @@
 	// docket counts what this router has seen: under what a good end is to be told, and for
 	// while no keeper is reached.
 	docket blame.Docket
+	// served are the requests that have lately come to a good end here.
+	served blame.Served
 
 	mu sync.Mutex // guards the fields below
 	// own is how requests stand by the docket.
@@ -79,6 +81,7 @@
 	print  sumachead.Fingerprint
 	server sumachead.ServerID
 	at     time.Time
+	served bool
 }
 
 // any reports whether there is a request of which something is held, here or in the fleet.
@@ -157,7 +160,7 @@
 	r := &wire.EndsReport{Node: string(n), Survived: b.survived, Untried: b.untried}
 	for _, e := range b.ends {
 		r.Ends = append(r.Ends, &wire.ServerEnd{
-			Fingerprint: e.print[:], Server: string(e.server), AgeMillis: time.Since(e.at).Milliseconds(),
+			Fingerprint: e.print[:], Server: string(e.server), AgeMillis: time.Since(e.at).Milliseconds(), Served: e.served,
 		})
 	}
 	return r
@@ -205,7 +208,8 @@
 		return nil
 	}
 	l := &learning{done: make(chan struct{})}
-	e := seenEnd{d.x.fingerprint(), sumachead.ServerID(r.GetId()), time.Now()}
+	now := time.Now()
+	e := seenEnd{d.x.fingerprint(), sumachead.ServerID(r.GetId()), now, d.suspects.served.Has(d.x.workspace(), d.x.request, now)}
 	fields := append(d.x.fields(), "fingerprint", e.print.String(), "ran", time.Since(d.sentAt))
 	go func() {
 		defer close(l.done)
@@ -280,6 +284,9 @@
 // settleTrial tells the keepers how a request ended of which something is held; an end of its
 // server has been told before.
 func (d *dispatch) settleTrial(err error) {
+	if err == nil {
+		d.suspects.served.Note(d.x.workspace(), d.x.request, time.Now())
+	}
 	switch {
 	case err == nil && d.suspects.any() && d.suspects.held(d.x.fingerprint()):
 		f := d.x.fingerprint()
