A router that has slept asks for what is new before it sends anything

It woke up with what it knew before and sent what had come. Ruled out: relays and cuts (the requests came within 3 ms of each other, at the thaw). Change: a gap of over a second between two ticks, by the clock that also goes on while a host is suspended, has the router ask the leading keeper, for 300 ms at most, before it chooses a server.

--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -234,6 +234,21 @@
 	return false
 }
 
+// Refresh asks the leader for what is new, without waiting for something to be.
+func (c *Client) Refresh(ctx context.Context) error {
+	w, err := c.knownWay()
+	if err != nil {
+		return err
+	}
+	reply, err := c.ask(ctx, w, c.request(0))
+	if err != nil {
+		return err
+	}
+	c.take(reply)
+	c.heard(w, reply)
+	return nil
+}
+
 // leave gives a way up for another, unless a better one was found while it was
 // asked.
 func (c *Client) leave(w, next Way) {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -26,6 +26,9 @@
 // taken only with a grant; without one the request goes to another server, and waits
 // while that is of use where all that it has looked at are cold and have none left.
 func (d *dispatch) choose() (*place.Placement, error) {
+	if d.wake.await() {
+		d.lines.Info(d.Log, "This process has slept; it has asked for what is new.")
+	}
 	held := &heldUp{}
 	var apart []sumachead.ServerID // at which other suspects run on trial
 	for {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/blame"
+	"sumachead/internal/boottime"
 	"sumachead/internal/chain"
 	"sumachead/internal/escrow"
 	"sumachead/internal/fleet"
@@ -82,6 +83,7 @@
 	checks   checks
 	ends     ends
 	suspects suspects
+	wake     wake
 	cold     coldShares
 	metrics  *Metrics
 	// handle is the filters around dispatch.
@@ -107,6 +109,7 @@
 		Node: g.Node, Role: fleet.RoleRouter, Hall: g.Hall, Seeds: g.Seeds, Pool: g.Pool,
 		Servers: g.servers, Log: g.Log.Named("follow"), LendingAddress: g.lendingAddress, Suspects: &blame.Table{},
 	}
+	g.wake.Clock, g.wake.Refresh = boottime.Clock{}, g.client.Refresh
 	g.suspects.Node, g.suspects.Table, g.suspects.Take = g.Node, g.client.Suspects, g.client.TakeSuspects
 	g.suspects.Report, g.suspects.Try = g.client.ReportEnds, g.client.Try
 	g.wallet = &escrow.Wallet{Node: g.Node}
@@ -155,6 +158,7 @@
 			g.suspects.expire(time.Now())
 		})
 	})
+	tasks.Go(func() error { return loop.Every(work, wakeTick, g.wake.tick) })
 	follow, stop := context.WithCancel(context.Background())
 	defer stop()
 	followed := make(chan error, 1)
