--- a/internal/blame/model_test.go
+++ b/internal/blame/model_test.go
@@ -224,10 +224,16 @@
 		// waves are how often a third of all engines ends at once, for a reason of its own.
 		waves int
 	}{
-		{4, 12, 1, 0}, {4, 12, 3, 0}, {4, 12, 0, 3}, {4, 12, 2, 2},
-		{24, 47, 1, 0}, {24, 47, 3, 3},
-		{102, 160, 1, 0}, {102, 160, 5, 3},
-		{410, 1900, 1, 0}, {410, 1900, 5, 2},
+		{4, 12, 1, 0},
+		{4, 12, 3, 0},
+		{4, 12, 0, 3},
+		{4, 12, 2, 2},
+		{24, 47, 1, 0},
+		{24, 47, 3, 3},
+		{102, 160, 1, 0},
+		{102, 160, 5, 3},
+		{410, 1900, 1, 0},
+		{410, 1900, 5, 2},
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("%d_routers_%d_insist_%d_waves", tt.routers, tt.insisting, tt.waves), func(t *testing.T) {
--- a/internal/scenario/endsservers_test.go
+++ b/internal/scenario/endsservers_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"maps"
-	"os/exec"
 	"slices"
 	"strings"
 	"sync"
@@ -44,20 +43,7 @@
 // endsFleet starts a fleet whose engines end under the bad body.
 func endsFleet(t *testing.T, sameID bool) *fleet {
 	t.Helper()
-	node, err := exec.LookPath("sumachead-node")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := newFleet(t.TempDir(), node, fleetShape{keepers: 3, routers: 4, relays: 6, engines: 6, desks: 2, prepaid: 10_000_000})
-	atOnce <- struct{}{}
-	t.Cleanup(func() { <-atOnce })
-	if err := f.build(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(f.close)
-	if err := f.startAll(); err != nil {
-		t.Fatal(err)
-	}
+	f := startFleet(t, fleetShape{keepers: 3, routers: 4, relays: 6, engines: 6, desks: 2, prepaid: 10_000_000})
 	f.endUnder(badBody, sameID)
 	return f
 }
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"sumachead/internal/standin"
@@ -59,6 +61,26 @@
 	return f
 }
 
+// startFleet starts a fleet for a test, once few enough others run, and ends it with the test.
+func startFleet(t *testing.T, s fleetShape) *fleet {
+	t.Helper()
+	node, err := exec.LookPath("sumachead-node")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFleet(t.TempDir(), node, s)
+	atOnce <- struct{}{}
+	t.Cleanup(func() { <-atOnce })
+	if err := f.build(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.close)
+	if err := f.startAll(); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
 // advertised is where others reach a host, bound where its process really is: a
 // relay of the test stands between.
 func (f *fleet) advertised(i int) string { return fmt.Sprintf("127.%d.0.%d", f.base, i+1) }
@@ -87,11 +109,15 @@
 		f.addServer(fmt.Sprintf("engine-%d", i+1), "pool", hallName(i), f.bound(beside))
 	}
 	for i := range f.shape.desks {
-		f.addServer(fmt.Sprintf("desk-%d", i+1), "desk", hallName(i), "127.0.0.1")
+		f.addServer(fmt.Sprintf("desk-%d", i+1), "desk", hallName(i), f.serverHost())
 	}
 	return nil
 }
 
+// serverHost is where backend servers run that have no host beside a process: an address that
+// no other run has, so that nobody else's requests come there.
+func (f *fleet) serverHost() string { return fmt.Sprintf("127.%d.1.1", f.base) }
+
 // addHost makes a process, its settings file, and the relay before it.
 func (f *fleet) addHost(name, class, serves, hall string) error {
 	i := len(f.order)
--- a/internal/scenario/fleetsoak_faults_test.go
+++ b/internal/scenario/fleetsoak_faults_test.go
@@ -317,7 +317,7 @@
 	names := slices.Sorted(maps.Keys(s.servers()))
 	name := names[r.IntN(len(names))]
 	old := s.servers()[name]
-	s.f.addServer(fmt.Sprintf("%s+%d", strings.Split(name, "+")[0], r.IntN(1_000_000)), old.Service, old.Hall, "127.0.0.1")
+	s.f.addServer(fmt.Sprintf("%s+%d", strings.Split(name, "+")[0], r.IntN(1_000_000)), old.Service, old.Hall, s.f.serverHost())
 	for range 10 {
 		if old.Drain(s.f.ctx) {
 			return
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,28 +52,15 @@
 		}
 	}
 	t.Logf("SEED=%d", seed)
-	node, err := exec.LookPath("sumachead-node")
-	if err != nil {
-		t.Fatal(err)
-	}
 	sh := fleetShape{keepers: 5, routers: 4, relays: 4, engines: 4, desks: 3, prepaid: 400_000}
 	if times, err := strconv.Atoi(os.Getenv("TIMES")); err == nil && times > 0 {
 		sh.routers, sh.relays = sh.routers*times, sh.relays*times
 	}
 	s := &fleetSoak{
-		t: t, f: newFleet(t.TempDir(), node, sh), rand: rand.New(rand.NewPCG(seed, 2)),
+		t: t, f: startFleet(t, sh), rand: rand.New(rand.NewPCG(seed, 2)),
 		acked: 1, sent: 1, prepaid: sh.prepaid, faults: make(map[string]int), outcomes: make(map[string]int),
 		busy: make(map[string]bool),
 	}
-	atOnce <- struct{}{}
-	defer func() { <-atOnce }()
-	if err := s.f.build(); err != nil {
-		t.Fatal(err)
-	}
-	defer s.f.close()
-	if err := s.f.startAll(); err != nil {
-		t.Fatal(err)
-	}
 	s.run(time.Now().Add(lasts))
 	s.recover()
 	s.report()
--- a/internal/scenario/sameid_test.go
+++ b/internal/scenario/sameid_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -12,10 +11,6 @@
 // A backend server that starts again under the id that it had is another life of it: what its
 // earlier life had said of itself, that it leaves included, holds no more.
 func TestServerThatStartsAgainUnderItsID(t *testing.T) {
-	node, err := exec.LookPath("sumachead-node")
-	if err != nil {
-		t.Fatal(err)
-	}
 	tests := []struct {
 		name string
 		// before is what its earlier life does.
@@ -28,16 +23,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t.TempDir(), node, fleetShape{keepers: 3, routers: 2, relays: 1, engines: 1, prepaid: 10_000_000})
-			atOnce <- struct{}{}
-			t.Cleanup(func() { <-atOnce })
-			if err := f.build(); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(f.close)
-			if err := f.startAll(); err != nil {
-				t.Fatal(err)
-			}
+			f := startFleet(t, fleetShape{keepers: 3, routers: 2, relays: 1, engines: 1, prepaid: 10_000_000})
 			const beats = 4 * 300 * time.Millisecond // more heartbeats than its next life will have sent
 			time.Sleep(beats)
 			if !tt.before(f) {
@@ -93,20 +79,7 @@
 		{"a start before all time", `{` + good + `,"born":-1}`},
 		{"no start, where its service tells them", `{` + good + `}`},
 	}
-	node, err := exec.LookPath("sumachead-node")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := newFleet(t.TempDir(), node, fleetShape{keepers: 3, routers: 1, relays: 1, engines: 2, prepaid: 10_000_000})
-	atOnce <- struct{}{}
-	t.Cleanup(func() { <-atOnce })
-	if err := f.build(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(f.close)
-	if err := f.startAll(); err != nil {
-		t.Fatal(err)
-	}
+	f := startFleet(t, fleetShape{keepers: 3, routers: 1, relays: 1, engines: 2, prepaid: 10_000_000})
 	for i, tt := range tests {
 		// Under an id of its own, and under that of a server that is known.
 		for _, id := range []string{"i-foreign", "i-engine-1"} {
