Others in the test of requests that end servers come back when they are told to

Its callers sent again at once, without the time that they were told, so that 36 refusals of one short trial counted as 36 requests (the log: 3 ends, 3 broken streams, 36 times 503 and nothing else). Change: they wait as they are told, as callers do. The bound is as before: nine in ten of all requests have a whole answer in the end, and nobody is refused for good.

--- a/internal/scenario/endsservers_test.go
+++ b/internal/scenario/endsservers_test.go
@@ -87,7 +87,7 @@
 }
 
 // others sends requests that end nothing, beside, until a moment: each with a body of its own,
-// or all the same one.
+// or all the same one. Who is told when to come back does so.
 func (f *fleet) others(until time.Time, same bool, all *sync.WaitGroup, outcome func(*caller)) {
 	const at = 4
 	for k := range at {
@@ -98,7 +98,7 @@
 				if same {
 					body = "other"
 				}
-				outcome(f.ask(fleetRequest{kind: "stream", router: router, body: body, prompt: 10, events: 30}))
+				outcome(f.comeBack(fleetRequest{kind: "stream", router: router, body: body, prompt: 10, events: 30}))
 			}
 		})
 	}
