Read again: one name of a server's lives, one reader of fingerprints, one question less

Behaviour is the same; the tests keep their assertions. Run: lint; race tests of blame, registry, gateway, fleetclient, fleet, platform, boottime and metricspage; the fleet scenarios and the tests of ended servers, of ids and of heartbeats. Not mended: the batch of reports in gateway/suspects.go does by hand much of what outbox does; outbox brings the first message by itself, which would change how ends are gathered.

--- a/internal/blame/docket_test.go
+++ b/internal/blame/docket_test.go
@@ -297,7 +297,7 @@
 		held int
 	}{
 		{"suspected", func() *wire.Suspects { set(suspected); return l.Since(table.Revision()) }, suspected, 1},
-		{"an answer to a report", func() *wire.Suspects { set(barred); return l.Some([]sumachead.Fingerprint{bad}) }, barred, 1},
+		{"an answer to a report", func() *wire.Suspects { set(barred); return l.Some(&wire.EndsReport{Survived: [][]byte{bad[:]}}) }, barred, 1},
 		{"the same by a question", func() *wire.Suspects { return l.Since(table.Revision()) }, barred, 1},
 		{"an older answer", func() *wire.Suspects {
 			return &wire.Suspects{Suspects: []*wire.Suspect{{Fingerprint: bad[:], Standing: suspected, Revision: 1}}}
--- a/internal/blame/list.go
+++ b/internal/blame/list.go
@@ -73,14 +73,20 @@
 // Standing returns how a request stands.
 func (l *List) Standing(f sumachead.Fingerprint) wire.Standing { return l.suspects[f].GetStanding() }
 
-// Some returns those of some requests that are listed, with no revision of the whole.
-func (l *List) Some(of []sumachead.Fingerprint) *wire.Suspects {
+// Some returns the requests of a report that are listed, with no revision of the whole.
+func (l *List) Some(r *wire.EndsReport) *wire.Suspects {
 	out := &wire.Suspects{}
-	for _, f := range of {
-		if s := l.suspects[f]; s != nil {
-			out.Suspects = append(out.Suspects, s)
+	add := func(fingerprint []byte) {
+		if f, ok := parse(fingerprint); ok && l.suspects[f] != nil {
+			out.Suspects = append(out.Suspects, l.suspects[f])
 		}
 	}
+	for _, e := range r.GetEnds() {
+		add(e.GetFingerprint())
+	}
+	for _, f := range r.GetSurvived() {
+		add(f)
+	}
 	return out
 }
 
--- a/internal/blame/model_test.go
+++ b/internal/blame/model_test.go
@@ -117,11 +117,7 @@
 	r.Node = fmt.Sprint(router)
 	m.after(m.between(2*time.Millisecond, 20*time.Millisecond), func() {
 		m.put(m.docket.Note(r, m.list.Standing, m.moment()))
-		var of []sumachead.Fingerprint
-		for _, e := range r.GetEnds() {
-			of = append(of, sumachead.Fingerprint(e.GetFingerprint()))
-		}
-		answer := m.list.Some(of)
+		answer := m.list.Some(r)
 		m.after(m.between(2*time.Millisecond, 20*time.Millisecond), func() { m.tables[router].Take(answer); then() })
 	})
 }
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -15,6 +14,7 @@
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/loop"
 	"sumachead/internal/raft"
+	"sumachead/internal/registry"
 )
 
 const (
@@ -84,7 +84,7 @@
 		return err
 	}
 	if r.GetAddress() == "" && r.GetBornUnixMillis() == 0 {
-		r.Id = k.servers.Last(cmp.Or(r.GetName(), r.GetId())) // a bare notice is of the life that is known
+		r.Id = k.servers.Last(registry.Name(r)) // a bare notice is of the life that is known
 	}
 	if r.GetState() == wire.ServerState_SERVER_STATE_LEAVING && !k.machine.Leaving(r.GetId()) {
 		c := &wire.FleetCommand{Command: &wire.FleetCommand_Leaving{Leaving: &wire.ServerLeaving{Id: r.GetId()}}}
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -44,21 +44,9 @@
 
 // some returns how the requests of a report stand.
 func (m *Machine) some(r *wire.EndsReport) *wire.Suspects {
-	var of []sumachead.Fingerprint
-	note := func(b []byte) {
-		if len(b) == len(sumachead.Fingerprint{}) {
-			of = append(of, sumachead.Fingerprint(b))
-		}
-	}
-	for _, e := range r.GetEnds() {
-		note(e.GetFingerprint())
-	}
-	for _, b := range r.GetSurvived() {
-		note(b)
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.suspects.Some(of)
+	return m.suspects.Some(r)
 }
 
 // Ended takes in what a router tells of requests that may end servers, and answers how these
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -12,6 +12,7 @@
 	"sumachead/api/wire"
 	"sumachead/internal/loop"
 	"sumachead/internal/patience"
+	"sumachead/internal/registry"
 )
 
 // After a loss of power of everything the servers that are known from before may be
@@ -140,7 +141,7 @@
 			switch {
 			case err != nil:
 				g.failures.Info(g.Log, "A silent server did not answer.", "server", r.GetId(), "error", err)
-			case string(a.Server) == serverName(r):
+			case string(a.Server) == registry.Name(r):
 				g.servers.Confirm(r.GetId(), a.ColdUntil, time.Now())
 			default:
 				g.failures.Info(g.Log, "A silent server's life is over.", "server", r.GetId(), "answered", a.Server)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -11,6 +11,7 @@
 	"sumachead/internal/loop"
 	"sumachead/internal/patience"
 	"sumachead/internal/place"
+	"sumachead/internal/registry"
 	"sumachead/internal/warmup"
 )
 
@@ -134,7 +135,7 @@
 // there is none.
 func (d *dispatch) admit(r *wire.ServerRecord, b warmup.Bound) (granted bool, again time.Duration) {
 	if d.x.service.GetEngine() == nil || !d.gauges.counts(r) {
-		return d.cold.take(serverName(r), b, d.client.Routers())
+		return d.cold.take(registry.Name(r), b, d.client.Routers())
 	}
 	return d.gauges.admit(r, b, d.x.urgency())
 }
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"strconv"
@@ -16,6 +15,7 @@
 	"sumachead/internal/gauge"
 	"sumachead/internal/outbox"
 	"sumachead/internal/place"
+	"sumachead/internal/registry"
 	"sumachead/internal/rpc"
 	"sumachead/internal/warmup"
 )
@@ -134,14 +134,11 @@
 // send there.
 func (g *gauges) counts(r *wire.ServerRecord) bool { return g.Address != nil && g.Address(r) != "" }
 
-// serverName returns what all lives of a server have in common. What it bears while it is cold
-// is counted by that: a server that has started again under its id also takes what was granted
-// for its earlier life, up to the grants of 100 ms (worked out, not measured).
-func serverName(r *wire.ServerRecord) string { return cmp.Or(r.GetName(), r.GetId()) }
-
 // admit asks the gauge of a cold engine for a grant, and otherwise returns when it may have
 // one. A gauge that does not answer grants nothing, and neither does a grant that comes too
-// late: it would be used beside those of later times.
+// late: it would be used beside those of later times. What a server bears is counted by the
+// name that all its lives have: one that has started again under its id also takes what was
+// granted for its earlier life, up to the grants of 100 ms (worked out, not measured).
 func (g *gauges) admit(r *wire.ServerRecord, b warmup.Bound, urgency uint32) (granted bool, again time.Duration) {
 	address := g.Address(r)
 	if g.rests(address) {
@@ -151,7 +148,7 @@
 	defer cancel()
 	begun := boottime.Clock{}.Now() // a host that was suspended has no grant any more
 	reply, err := callGauge[wire.AdmitReply](ctx, g, address, "Admit",
-		&wire.AdmitRequest{Server: serverName(r), Rate: b.Rate, Burst: b.Burst, Urgency: urgency})
+		&wire.AdmitRequest{Server: registry.Name(r), Rate: b.Rate, Burst: b.Burst, Urgency: urgency})
 	if err != nil || (boottime.Clock{}).Now().Sub(begun) > warmup.GrantLives {
 		return false, noGrantFor
 	}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -89,7 +89,7 @@
 
 // held reports whether something is held against a request, here or in the fleet.
 func (s *suspects) held(f sumachead.Fingerprint) bool {
-	return s.any() && (s.docket.Accused(f) || s.standing(f) != wire.Standing_STANDING_CLEARED)
+	return s.docket.Accused(f) || s.standing(f) != wire.Standing_STANDING_CLEARED
 }
 
 // standing returns how a request stands: as the keepers say, and where these know nothing of
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -32,10 +32,7 @@
 // takeOne takes in one record. The caller holds mu.
 func (t *Table) takeOne(s *wire.ServerRecord, now time.Time) {
 	e := t.entries[s.GetId()]
-	if e != nil && e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING && s.GetState() != wire.ServerState_SERVER_STATE_LEAVING {
-		return
-	}
-	if e != nil && e.ended {
+	if e != nil && (e.ended || e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING && s.GetState() != wire.ServerState_SERVER_STATE_LEAVING) {
 		return
 	}
 	next := &entry{seen: now, coldUntil: coldEnd(s, now), ended: s.GetOver()}
--- a/internal/registry/names.go
+++ b/internal/registry/names.go
@@ -37,7 +37,7 @@
 
 // check is Check. The caller holds mu.
 func (t *Table) check(r *wire.ServerRecord) error {
-	last := t.entries[t.names[nameOf(r)]]
+	last := t.entries[t.names[Name(r)]]
 	switch {
 	case r.GetBornUnixMillis() != 0 || r.GetAddress() == "":
 		return nil
@@ -52,7 +52,7 @@
 // sort reports whether a heartbeat counts, which may be of a server with several lives, and
 // ends the lives before it. The caller holds mu.
 func (t *Table) sort(r *wire.ServerRecord, now time.Time) bool {
-	last := t.entries[t.names[nameOf(r)]]
+	last := t.entries[t.names[Name(r)]]
 	if last == nil || last.record.GetId() == r.GetId() {
 		return true
 	}
@@ -114,14 +114,14 @@
 	if t.names == nil {
 		t.names = make(map[string]string)
 	}
-	last := t.entries[t.names[nameOf(r)]]
+	last := t.entries[t.names[Name(r)]]
 	if last == nil || last.record == nil || last.record.GetBornUnixMillis() <= r.GetBornUnixMillis() || last.ended {
-		t.names[nameOf(r)] = r.GetId()
+		t.names[Name(r)] = r.GetId()
 	}
 }
 
-// nameOf returns what all lives of a record's server have in common.
-func nameOf(r *wire.ServerRecord) string { return cmp.Or(r.GetName(), r.GetId()) }
+// Name returns what all lives of a record's server have in common.
+func Name(r *wire.ServerRecord) string { return cmp.Or(r.GetName(), r.GetId()) }
 
 // Last returns the id of the last life of a server's name; the name where none is known.
 func (t *Table) Last(name string) string {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -120,8 +120,8 @@
 func (t *Table) drop(id string) {
 	r := t.entries[id].record
 	t.unindex(r)
-	if t.names[nameOf(r)] == id {
-		delete(t.names, nameOf(r))
+	if t.names[Name(r)] == id {
+		delete(t.names, Name(r))
 	}
 	delete(t.entries, id)
 	t.lists = nil
