The soak has servers that ask for rest, and that say in answers that they leave

Servers turn away all with rests of 0.1 to 10 s, one or all of a service; others say in their answers that they leave while their heartbeats say ready, for 3 to 6 s. Checks from what callers and servers saw: at most two requests from a router within a rest, none 2 s after a router has passed on an answer that says its server leaves, but where a fault dealt with the router between.

--- a/internal/scenario/fleetsoak_faults_test.go
+++ b/internal/scenario/fleetsoak_faults_test.go
@@ -180,6 +180,7 @@
 		return false
 	}
 	s.busy[p.name] = true
+	s.disturbed[p.name] = append(s.disturbed[p.name], time.Now())
 	return true
 }
 
@@ -188,6 +189,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.busy, p.name)
+	s.disturbed[p.name] = append(s.disturbed[p.name], time.Now())
 }
 
 // freeze stops a process for a time without ending it.
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -30,6 +30,8 @@
 	broken   []string
 	busy     map[string]bool // processes that a fault deals with
 	wiped    time.Time       // when the last disk that was lost came back
+	// disturbed is when faults began and ended to deal with processes.
+	disturbed map[string][]time.Time
 }
 
 const (
@@ -59,7 +61,7 @@
 	s := &fleetSoak{
 		t: t, f: startFleet(t, sh), rand: rand.New(rand.NewPCG(seed, 2)),
 		acked: 1, sent: 1, prepaid: sh.prepaid, faults: make(map[string]int), outcomes: make(map[string]int),
-		busy: make(map[string]bool),
+		busy: make(map[string]bool), disturbed: make(map[string][]time.Time),
 	}
 	s.run(time.Now().Add(lasts))
 	s.recover()
@@ -104,6 +106,13 @@
 			time.Sleep(time.Duration(500+halls.IntN(2500)) * time.Millisecond)
 		}
 	})
+	notices := rand.New(rand.NewPCG(s.rand.Uint64(), series+2)) // as above
+	all.Go(func() {
+		for time.Now().Before(until) {
+			s.noticeFault(notices)
+			time.Sleep(time.Duration(500+notices.IntN(2500)) * time.Millisecond)
+		}
+	})
 	all.Wait()
 }
 
@@ -215,6 +224,7 @@
 	s.f.net.healAll()
 	for _, r := range s.servers() {
 		r.Set(standin.ReplicaFaults{})
+		r.TurnAway(0)
 	}
 	for _, name := range s.f.order {
 		if p := s.f.processes[name]; !p.running() {
@@ -242,6 +252,7 @@
 		s.breaks("%v", err)
 	}
 	s.checkEnds()
+	s.checkNotices()
 }
 
 // report prints what was done and fails the test if a promise was broken.
--- a/internal/scenario/rest_test.go
+++ b/internal/scenario/rest_test.go
@@ -63,21 +63,68 @@
 	return servers
 }
 
-// againstRest lists the requests that reached a server from a router within the rest that it
-// had asked of that router, but for those right after it had.
-func (f *fleet) againstRest(r *standin.Replica) (out []string) {
-	routers := make(map[string]string) // by the request
+// never excuses no process.
+func never(string, time.Time, time.Time) bool { return false }
+
+// byID returns what callers saw, by their requests.
+func (f *fleet) byID() map[string]*caller {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]*caller, len(f.callers))
 	for _, c := range f.callers {
-		routers[c.id] = c.router
+		out[c.id] = c
 	}
-	f.mu.Unlock()
-	turned := r.TurnedAway()
-	for i, x := range turned {
-		for _, asked := range turned[:i] {
+	return out
+}
+
+// sentWithinRests lists, for each answer by which a server asked for rest, the requests that
+// reached it from the same router within that time, but for those right after the answer and
+// where the router is excused between the two.
+func (f *fleet) sentWithinRests(r *standin.Replica, excused func(router string, from, to time.Time) bool) (out [][]string) {
+	callers, turned := f.byID(), r.TurnedAway()
+	for i, asked := range turned {
+		var sent []string
+		router := callers[asked.ID].router
+		for _, x := range turned[i+1:] {
 			since := x.At.Sub(asked.At)
-			if routers[asked.ID] == routers[x.ID] && since > restSettles && since < asked.Rest {
-				out = append(out, fmt.Sprintf("%s from %s at %s, %v after it had asked for %v", x.ID, routers[x.ID], r.ID, since.Round(time.Millisecond), asked.Rest))
+			if since >= asked.Rest {
+				break
+			}
+			if since > restSettles && callers[x.ID].router == router && !excused(router, asked.At, x.At) {
+				sent = append(sent, fmt.Sprintf("%s from %s at %s, %v after it had asked for %v", x.ID, router, r.ID, since.Round(time.Millisecond), asked.Rest))
+			}
+		}
+		out = append(out, sent)
+	}
+	return out
+}
+
+// againstRest lists all of them.
+func (f *fleet) againstRest(r *standin.Replica) (out []string) {
+	for _, sent := range f.sentWithinRests(r, never) {
+		out = append(out, sent...)
+	}
+	return out
+}
+
+// sentAfterLeaving lists the requests that reached a server from a router, and were sent by their
+// callers later than a time after that router had passed on an answer that says it leaves.
+func (f *fleet) sentAfterLeaving(r *standin.Replica, within time.Duration, excused func(router string, from, to time.Time) bool) (out []string) {
+	since := r.LeavingSince()
+	if since.IsZero() {
+		return nil
+	}
+	callers, passed := f.byID(), make(map[string][]time.Time) // by the router
+	for _, x := range r.Runs() {
+		if c := callers[x.ID]; x.At.After(since) && c.whole {
+			passed[c.router] = append(passed[c.router], c.ended)
+		}
+	}
+	for _, x := range r.Runs() {
+		c := callers[x.ID]
+		for _, at := range passed[c.router] {
+			if x.At.After(since) && c.sent.After(at.Add(within)) && !excused(c.router, at, x.At) {
+				out = append(out, fmt.Sprintf("%s reached %s from %s %v after an answer that said it leaves", x.ID, r.ID, c.router, c.sent.Sub(at).Round(time.Millisecond)))
 				break
 			}
 		}
@@ -233,32 +280,16 @@
 			r := f.server[tt.server]
 			r.SayLeaving()
 			callers := f.press(tt.kind, time.Now().Add(4*time.Second))
-			said := make(map[string]time.Time) // when a router has first passed such an answer on
-			router, sent := make(map[string]string), make(map[string]time.Time)
-			ran := make(map[string]bool)
-			for _, x := range r.Runs() {
-				ran[x.ID] = true
-			}
 			for _, c := range callers {
-				router[c.id], sent[c.id] = c.router, c.sent
-				if at, ok := said[c.router]; ran[c.id] && (!ok || c.ended.Before(at)) {
-					said[c.router] = c.ended
-				}
 				if !c.whole {
 					t.Errorf("%s %s", c, c.refusal)
 				}
 			}
-			if len(said) == 0 {
-				t.Fatal("no router has heard of it") // one that sends to its own hall only may not
-			}
-			late := 0
-			for id := range ran {
-				if s, ok := sent[id]; ok && s.After(said[router[id]]) {
-					late++
-				}
+			if len(r.Runs()) == 0 {
+				t.Fatal("no router has heard of it")
 			}
-			if late > 0 {
-				t.Errorf("%d requests reached it that were sent after its router had heard that it leaves", late)
+			if late := f.sentAfterLeaving(r, 0, never); len(late) > 0 {
+				t.Errorf("%d requests reached it that were sent after its router had heard that it leaves, the first: %s", len(late), late[0])
 			}
 			before := len(r.Runs())
 			r.StartUnderID()
--- a/internal/standin/notices.go
+++ b/internal/standin/notices.go
@@ -37,7 +37,15 @@
 func (r *Replica) SayLeaving() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.saysLeaving = true
+	r.leavingSince = time.Now()
+}
+
+// LeavingSince returns since when the replica's answers say that it leaves; zero where they
+// don't.
+func (r *Replica) LeavingSince() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leavingSince
 }
 
 // tell sets what the replica says of itself on an answer, and reports whether the request is
@@ -45,7 +53,7 @@
 func (r *Replica) tell(w http.ResponseWriter, id string) (turnedAway bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.saysLeaving {
+	if !r.leavingSince.IsZero() {
 		w.Header().Set("Server-Leaving", "1")
 	}
 	if r.rest == 0 {
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -109,7 +109,7 @@
 // startLife forgets what the replica knew of before. The caller holds mu.
 func (r *Replica) startLife() {
 	r.sequence, r.draining, r.acked, r.born = 0, false, time.Time{}, time.Now()
-	r.saysLeaving = false
+	r.leavingSince = time.Time{}
 	r.starts = append(r.starts, r.born)
 }
 
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -89,10 +89,11 @@
 	// again: the process starts again at once.
 	again bool
 	// rest is what the replica asks for with each request, which it turns away; 0 for none.
-	// turned are those that it has, and saysLeaving that its answers say that it leaves.
-	rest        time.Duration
-	turned      []ReplicaTurned
-	saysLeaving bool
+	// turned are those that it has, and leavingSince is since when its answers say that it
+	// leaves.
+	rest         time.Duration
+	turned       []ReplicaTurned
+	leavingSince time.Time
 }
 
 // coldSpan is a time within which a replica was cold.
