Prompts that an engine has not run have brought no parts there

Ruled out: noting parts only when the first event comes: prompts that come meanwhile would be read at several engines. Change: an attempt knows which parts it has brought; where the engine has not run it they are forgotten at the router and the gauge, but for those that another attempt has brought since.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -44,7 +44,7 @@
 			if err == nil {
 				return l, nil
 			}
-			l.Cancel(time.Now())
+			l.NotRun(time.Now())
 			if !errors.Is(err, errApart) {
 				return nil, err
 			}
@@ -125,7 +125,7 @@
 	}
 	now := time.Now()
 	held.note(sumachead.ServerID(l.Record.GetId()), again, now)
-	l.Cancel(now)
+	l.NotRun(now)
 	return false
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -210,16 +210,19 @@
 // failed ends a placement by what the failure says of the server.
 func (d *dispatch) failed(l *place.Placement, err error) error {
 	var f *upstream.Failure
-	if !errors.As(err, &f) || d.ctx.Err() != nil || !tellsOfFailure(f.Reason) {
+	switch {
+	case !errors.As(err, &f) || d.ctx.Err() != nil:
 		l.Cancel(time.Now())
-		return err
+	case tellsOfFailure(f.Reason):
+		l.Done(false, time.Now())
+	default:
+		l.NotRun(time.Now())
 	}
-	l.Done(false, time.Now())
 	return err
 }
 
 // tellsOfFailure reports whether the reason of a failure makes its server doubtful: one that
-// is busy, rests or leaves is as it should be.
+// is busy, rests or leaves is as it should be, and has not run the request.
 func tellsOfFailure(r sumachead.Reason) bool {
 	return r != sumachead.ReasonBusy && r != sumachead.ReasonResting && r != sumachead.ReasonLeaving
 }
--- a/internal/place/chooser.go
+++ b/internal/place/chooser.go
@@ -248,7 +248,7 @@
 	s.long.add(l.long, now, longMemory)
 	s.usedAt = now
 	for _, p := range o.parts {
-		s.bring(p.key, now)
+		l.bring(p.key, now)
 	}
 	c.tellRun(l, o.parts, now)
 }
--- a/internal/place/gauge.go
+++ b/internal/place/gauge.go
@@ -129,6 +129,10 @@
 		if l := s.told[runKey{router, x.Late}]; l != nil {
 			l.late = true
 		}
+	case *wire.GaugeNote_NotRun:
+		if l := s.told[runKey{router, x.NotRun}]; l != nil {
+			s.unbring(l)
+		}
 	case *wire.GaugeNote_Ended:
 		s.end(runKey{router, x.Ended}, now)
 	case *wire.GaugeNote_Elsewhere:
@@ -176,7 +180,7 @@
 	s.busyUntil = moment.Later(s.busyUntil, now).Add(l.read)
 	s.long.add(float64(r.GetLongThousandths())/thousand, now, longMemory)
 	for _, k := range r.GetParts() {
-		s.bring(partKey(k), now)
+		l.bring(partKey(k), now)
 	}
 }
 
--- a/internal/place/gauge_test.go
+++ b/internal/place/gauge_test.go
@@ -216,3 +216,46 @@
 		}
 	}
 }
+
+// A prompt that an engine has not run, since it turned the request away or the request was not
+// sent there in the end, has brought no parts there: neither its router nor others expect them,
+// but for those that another prompt has brought as well.
+func TestPromptThatDidNotRunHasBroughtNothing(t *testing.T) {
+	now := time.Now()
+	servers, gauges := manyEngines(3)
+	clock := func() time.Time { return now }
+	one, other := newBeside("one", "hall-1", gauges, clock), newBeside("other", "hall-1", gauges, clock)
+	w := review(now, 2000)
+	parts := partsOf(w)
+	believed := func(b *beside, id string) sumachead.Tokens {
+		for _, r := range servers {
+			if r.GetId() == id {
+				b.ask([]*wire.ServerRecord{r}, w)
+			}
+		}
+		return b.server(sumachead.ServerID(id)).cached(parts)
+	}
+	l := one.choose(servers, w)
+	id := l.Record.GetId()
+	if got := believed(one, id); got != total(parts) {
+		t.Fatalf("%d tokens are expected there while it is under way, want %d", got, total(parts))
+	}
+	l.NotRun(now)
+	for name, b := range map[string]*beside{"its router": one, "another router": other} {
+		if got := believed(b, id); got != 0 {
+			t.Errorf("%s expects %d tokens there", name, got)
+		}
+	}
+	if n := one.server(sumachead.ServerID(id)).running(now); n != 0 {
+		t.Errorf("%d requests are under way there", n)
+	}
+	// Another prompt with the same parts has begun after it.
+	now = now.Add(time.Millisecond)
+	l = one.choose(servers, w)
+	now = now.Add(time.Millisecond)
+	m := one.Place([]*wire.ServerRecord{l.Record}, nil, review(now, 2000), now)
+	l.NotRun(now)
+	if got := believed(other, m.Record.GetId()); got != total(parts) {
+		t.Errorf("%d tokens are expected of a prompt that runs there, want %d", got, total(parts))
+	}
+}
--- a/internal/place/placement.go
+++ b/internal/place/placement.go
@@ -44,6 +44,8 @@
 	firstAt time.Time
 	// alone: nothing else was to be read there, as far as was known.
 	alone bool
+	// brought are the parts that were not expected there before.
+	brought []partKey
 	// late: the stream has missed an objective, and loses nothing more by pauses.
 	late bool
 }
@@ -158,6 +160,18 @@
 	}
 }
 
+// NotRun ends an attempt that the server has not run: what it was to bring there is not expected
+// there. A server that turned prompts away looked as if it kept their parts, and got the next
+// ones.
+func (l *Placement) NotRun(now time.Time) {
+	c := l.chooser
+	c.mu.Lock()
+	l.server.unbring(l)
+	c.tell(l, &wire.GaugeNote{Note: &wire.GaugeNote_NotRun{NotRun: l.number}})
+	c.mu.Unlock()
+	l.Cancel(now)
+}
+
 // Cancel ends an attempt that says nothing of the server.
 func (l *Placement) Cancel(now time.Time) {
 	l.chooser.mu.Lock()
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -116,6 +116,24 @@
 	return !known
 }
 
+// bring notes that an attempt brings a part to its server.
+func (l *Placement) bring(k partKey, now time.Time) {
+	if l.server.bring(k, now) {
+		l.brought = append(l.brought, k)
+	}
+}
+
+// unbring forgets the parts that an attempt was to bring, but for those that others have
+// brought since.
+func (s *server) unbring(l *Placement) {
+	for _, k := range l.brought {
+		if s.parts[k].Equal(l.begun) {
+			delete(s.parts, k)
+		}
+	}
+	l.brought = nil
+}
+
 // trim forgets the half of the parts that was brought longest ago.
 func (s *server) trim() {
 	keys := slices.Collect(maps.Keys(s.parts))
