Routers tell the gauge beside an engine that it has asked them for rest

Hypothesis: where an engine turns all away, each router is turned away once in each rest, by each such engine, and a request has two attempts; what two routers have been told is likely true of all. A note to the gauge, which answers questions that are asked anyway with the rest that two routers have; such engines are doubtful, and taken where there are no others. Plain services have no gauge; there each router finds out by itself.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -232,8 +232,9 @@
 	switch {
 	case a.Head.NotRun || a.Head.Stale:
 		reason := sumachead.ReasonBusy
-		if !a.Head.RestUntil.IsZero() {
+		if rest := a.Head.RestUntil; !rest.IsZero() {
 			reason = sumachead.ReasonResting
+			l.Rests(time.Until(rest))
 		}
 		if a.Head.Stale {
 			// Another life answers at the address: this one is over, so that
--- a/internal/place/chooser.go
+++ b/internal/place/chooser.go
@@ -188,7 +188,7 @@
 // rank weighs one server. The caller holds mu.
 func (c *Chooser) rank(r *wire.ServerRecord, s *server, w *Work, o *offer, e estimate, now time.Time) rank {
 	k := rank{draw: affinity(homeKey(o.parts), s)}
-	if now.Before(s.suspectTo) {
+	if now.Before(s.suspectTo) || now.Before(s.restTo) {
 		k.doubt = 1
 	}
 	if r.GetState() == wire.ServerState_SERVER_STATE_SILENT {
--- a/internal/place/gauge.go
+++ b/internal/place/gauge.go
@@ -48,6 +48,8 @@
 	// elsewhere are the other servers at which prompts were read of which this one is the
 	// home, by the last shared part, newest last.
 	elsewhere map[partKey][]holder
+	// rests is until when the engine wants nothing from routers that it has asked for rest.
+	rests map[string]time.Time
 }
 
 // holder is a server that has read a part.
@@ -70,7 +72,7 @@
 	s.expire(now)
 	return &wire.GaugeAnswer{
 		Load: s.load(q.GetRouter(), now), Parts: s.held(q.GetParts()), FactorThousandths: int64(s.factor * thousand),
-		Elsewhere: s.holders(q.GetParts(), now),
+		Elsewhere: s.holders(q.GetParts(), now), RestMillis: s.restOfAll(now).Milliseconds(),
 	}
 }
 
@@ -91,7 +93,7 @@
 	}
 	s := g.servers[id]
 	if s == nil {
-		s = &gauged{newServer(id), make(map[runKey]*Placement), make(map[partKey][]holder)}
+		s = &gauged{server: newServer(id), told: make(map[runKey]*Placement), elsewhere: make(map[partKey][]holder)}
 		g.servers[id] = s
 	}
 	s.usedAt = now
@@ -133,6 +135,8 @@
 		if l := s.told[runKey{router, x.NotRun}]; l != nil {
 			s.unbring(l)
 		}
+	case *wire.GaugeNote_RestMillis:
+		s.noteRest(router, time.Duration(x.RestMillis)*time.Millisecond, now)
 	case *wire.GaugeNote_Ended:
 		s.end(runKey{router, x.Ended}, now)
 	case *wire.GaugeNote_Elsewhere:
@@ -140,6 +144,30 @@
 	}
 }
 
+// noteRest notes that the engine wants nothing from a router for a time.
+func (s *gauged) noteRest(router string, rest time.Duration, now time.Time) {
+	if s.rests == nil {
+		s.rests = make(map[string]time.Time)
+	}
+	s.rests[router] = moment.Later(s.rests[router], now.Add(rest))
+}
+
+// restOfAll returns for how much longer all routers should prefer other engines: as long as it
+// rests from two of them. One alone may be asked since it sends too much.
+func (s *gauged) restOfAll(now time.Time) time.Duration {
+	var longest, second time.Duration
+	for router, to := range s.rests {
+		left := to.Sub(now)
+		if left <= 0 {
+			delete(s.rests, router)
+			continue
+		}
+		second = max(second, min(left, longest))
+		longest = max(longest, left)
+	}
+	return second
+}
+
 // noteHolder notes that a part is read at another server.
 func (s *gauged) noteHolder(k partKey, server string, now time.Time) {
 	if len(s.elsewhere) >= elsewhereMost && s.elsewhere[k] == nil {
--- a/internal/place/placement.go
+++ b/internal/place/placement.go
@@ -172,6 +172,15 @@
 	l.Cancel(now)
 }
 
+// Rests tells the gauge that the server wants nothing from this router for a time. Once it has
+// asked two routers, all of them prefer other servers: each would be turned away once in each
+// rest, by several servers, and has two attempts (TestRoutersTellGaugesOfRests).
+func (l *Placement) Rests(rest time.Duration) {
+	l.chooser.mu.Lock()
+	defer l.chooser.mu.Unlock()
+	l.chooser.tell(l, &wire.GaugeNote{Note: &wire.GaugeNote_RestMillis{RestMillis: rest.Milliseconds()}})
+}
+
 // Cancel ends an attempt that says nothing of the server.
 func (l *Placement) Cancel(now time.Time) {
 	l.chooser.mu.Lock()
--- a/internal/place/server.go
+++ b/internal/place/server.go
@@ -52,6 +52,8 @@
 	// failures in a row, and until when the server is passed over.
 	failures  int
 	suspectTo time.Time
+	// restTo is until when it wants nothing from some router, as its gauge knows.
+	restTo time.Time
 	// usedAt is when a request was last sent there.
 	usedAt time.Time
 }
@@ -219,6 +221,7 @@
 		long:      max(float64(l.GetLongThousandths())/thousand-s.long.value(now, longMemory), 0),
 	}
 	s.factor = float64(a.GetFactorThousandths()) / thousand
+	s.restTo = now.Add(time.Duration(a.GetRestMillis()) * time.Millisecond)
 }
 
 // othersAt returns what other routers have there; nothing once that was told too long ago.
