--- a/internal/fleet/alive.go
+++ b/internal/fleet/alive.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"sumachead/api/wire"
+	"sumachead/internal/loop"
 	"sumachead/internal/rpc"
 )
 
@@ -106,18 +107,7 @@
 // aliveLoop passes heartbeats on. One that told nothing new may be lost: a server
 // counts as silent only after several. One that told something is sent again.
 func (k *Keeper) aliveLoop(ctx context.Context) error {
-	t := time.NewTicker(aliveEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		case <-k.alive.kick:
-			time.Sleep(recordsAfter)
-		}
-		k.passAlive(ctx)
-	}
+	return loop.EveryOrKicked(ctx, aliveEvery, k.alive.kick, recordsAfter, func() { k.passAlive(ctx) })
 }
 
 // passAlive passes on what is gathered, once a leader is known. Records that were
--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -10,6 +10,7 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/escrow"
+	"sumachead/internal/loop"
 )
 
 const (
@@ -75,18 +76,7 @@
 
 // Run reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	t := time.NewTicker(reportEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		case <-r.kick:
-			time.Sleep(r.gap)
-		}
-		r.report(ctx)
-	}
+	return loop.EveryOrKicked(ctx, reportEvery, r.kick, r.gap, func() { r.report(ctx) })
 }
 
 // report sends what is new.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -56,52 +56,36 @@
 	return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: seconds})
 }
 
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+}
+
 func newMetrics(g *Gateway) *Metrics {
 	m := &Metrics{
 		Registry: prometheus.NewRegistry(),
-		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sumachead_gateway_refusals_total", Help: "Requests without a whole answer, by reason.",
-		}, []string{"reason"}),
-		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sumachead_gateway_retries_total", Help: "Attempts after the first, by the reason of the one before.",
-		}, []string{"reason"}),
-		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sumachead_gateway_outcomes_total", Help: "Requests by route (empty where none was found) and outcome: in_time, late_first, late_pause, not_whole.",
-		}, []string{"route", "outcome"}),
+		refusals: counters("sumachead_gateway_refusals_total", "Requests without a whole answer, by reason.", "reason"),
+		retries:  counters("sumachead_gateway_retries_total", "Attempts after the first, by the reason of the one before.", "reason"),
+		outcomes: counters("sumachead_gateway_outcomes_total", "Requests by route (empty where none was found) and outcome: in_time, late_first, late_pause, not_whole.", "route", "outcome"),
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "sumachead_gateway_waits_seconds", Help: "Time that requests waited for a declaration or escrow, by whether it came.", Buckets: seconds,
 		}, []string{"what", "came"}),
-		served: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sumachead_gateway_served_total", Help: "Requests with a whole answer.",
-		}),
-		dials: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sumachead_gateway_dials_total", Help: "New connections to backend servers.",
-		}),
-		admits: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sumachead_gateway_cold_admits_total", Help: "Requests that were to be sent to a cold backend server, by whether there was a grant.",
-		}, []string{"granted"}),
-		underEnds: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sumachead_gateway_under_ends_total", Help: "Requests that a backend server may have been running when it ended.",
-		}),
-		rests: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sumachead_gateway_rests_total", Help: "Answers by which a backend server asked this router to send nothing for a time.",
-		}),
-		keptBack: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sumachead_gateway_kept_back_total", Help: "Requests that were not sent to the backend server that was chosen, since it has asked for rest or leaves since then.",
-		}, []string{"reason"}),
-		leaving: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sumachead_gateway_leaving_answers_total", Help: "Answers by which a backend server said that it leaves, while it was not known to.",
-		}),
-		unreadable: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sumachead_gateway_unreadable_notices_total", Help: "Answers that say of their backend server what can't be read.",
-		}),
-		overdue: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "sumachead_gateway_overdue_loan_tokens_total", Help: "Escrow lent to other routers that counts as spent since no bill came.",
-		}),
-		first:  histogram("sumachead_gateway_first_byte_seconds", "Time to the first byte of an answer."),
-		whole:  histogram("sumachead_gateway_answer_seconds", "Time to the end of a whole answer."),
-		pause:  histogram("sumachead_gateway_pause_seconds", "Longest pause between events of a whole answer."),
-		ledger: histogram("sumachead_gateway_ledger_seconds", "Time of a report of escrow that was taken."),
+		served:     counter("sumachead_gateway_served_total", "Requests with a whole answer."),
+		dials:      counter("sumachead_gateway_dials_total", "New connections to backend servers."),
+		admits:     counters("sumachead_gateway_cold_admits_total", "Requests that were to be sent to a cold backend server, by whether there was a grant.", "granted"),
+		underEnds:  counter("sumachead_gateway_under_ends_total", "Requests that a backend server may have been running when it ended."),
+		rests:      counter("sumachead_gateway_rests_total", "Answers by which a backend server asked this router to send nothing for a time."),
+		keptBack:   counters("sumachead_gateway_kept_back_total", "Requests that were not sent to the backend server that was chosen, since it has asked for rest or leaves since then.", "reason"),
+		leaving:    counter("sumachead_gateway_leaving_answers_total", "Answers by which a backend server said that it leaves, while it was not known to."),
+		unreadable: counter("sumachead_gateway_unreadable_notices_total", "Answers that say of their backend server what can't be read."),
+		overdue:    counter("sumachead_gateway_overdue_loan_tokens_total", "Escrow lent to other routers that counts as spent since no bill came."),
+		first:      histogram("sumachead_gateway_first_byte_seconds", "Time to the first byte of an answer."),
+		whole:      histogram("sumachead_gateway_answer_seconds", "Time to the end of a whole answer."),
+		pause:      histogram("sumachead_gateway_pause_seconds", "Longest pause between events of a whole answer."),
+		ledger:     histogram("sumachead_gateway_ledger_seconds", "Time of a report of escrow that was taken."),
 	}
 	for _, r := range sumachead.Reasons() {
 		m.refusals.WithLabelValues(string(r))
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -21,6 +21,23 @@
 	}
 }
 
+// EveryOrKicked is Every with a call beside the interval a gap after each kick, so that what
+// comes together is dealt with by one call.
+func EveryOrKicked(ctx context.Context, interval time.Duration, kick <-chan struct{}, gap time.Duration, f func()) error {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		case <-kick:
+			time.Sleep(gap)
+		}
+		f()
+	}
+}
+
 // Pause returns true when changed is closed or at a time, and false when ctx ends first.
 func Pause(ctx context.Context, changed <-chan struct{}, until time.Time) bool {
 	t := time.NewTimer(time.Until(until))
