--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -33,6 +33,8 @@
 	"Stopping: new callers are turned away.":             "",
 	"A backend server's record has changed.":             "server",
 	"A backend server leaves.":                           "server",
+	"A backend server says in an answer that it leaves.": "server",
+	"A backend server asks for rest.":                    "server",
 	"Escrow of a holder is short or in excess.":          "workspace",
 	"Leading.":           "",
 	"No longer leading.": "",
