Read again: a rest is logged when it is longer than what was known; backoff reads no steady clock

A server that turns away a hundred requests with the same rest wrote a hundred lines, bounded by kind only.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,8 +93,9 @@
 	a.backend = newBackend(a.Config.Agent.Backend, a.health)
 	a.backend.rested = func(d time.Duration) {
 		a.metrics.rests.Inc()
-		a.rests.Ask(a.Config.Agent.Server, d)
-		a.Log.Info("The backend server asks for rest.", "rest", d)
+		if a.rests.Ask(a.Config.Agent.Server, d) {
+			a.Log.Info("The backend server asks for rest.", "rest", d)
+		}
 	}
 	a.follower = &follower.Follower{
 		Config: a.Config, Boot: a.boot, Pool: a.Pool, Log: a.Log.Named("settings"),
--- a/internal/boottime/uses_test.go
+++ b/internal/boottime/uses_test.go
@@ -19,6 +19,7 @@
 		{"../raft/calls.go", 0},
 		{"../raft/node.go", 2}, // how long a synced write took, for a figure
 		{"../follower/follower.go", 0},
+		{"../backoff/backoff.go", 0},
 	}
 	for _, tt := range tests {
 		data, err := os.ReadFile(tt.file)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -26,10 +26,10 @@
 	if n.RestUntil.IsZero() {
 		return
 	}
-	rest := time.Until(n.RestUntil)
 	g.metrics.rests.Inc()
-	g.rests.Ask(id, rest)
-	g.failures.Info(g.Log, "A backend server asks for rest.", "server", id, "rest", rest)
+	if rest := time.Until(n.RestUntil); g.rests.Ask(id, rest) {
+		g.failures.Info(g.Log, "A backend server asks for rest.", "server", id, "rest", rest)
+	}
 }
 
 // unwanted returns why a server is to be sent nothing. Between the choice of a server and the
