--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -21,6 +21,9 @@
 // maxLine bounds one line of a log.
 const maxLine = 1 << 20
 
+// fieldServer names the backend server that a line is about.
+const fieldServer = "server"
+
 // beliefs are the messages that change what a process believes, as it logs them,
 // with the field that tells them apart where one message speaks of several
 // things.
@@ -31,10 +34,10 @@
 	"The way to the leading keeper is lost.":             "",
 	"The ledger had closed this holder; it starts anew.": "",
 	"Stopping: new callers are turned away.":             "",
-	"A backend server's record has changed.":             "server",
-	"A backend server leaves.":                           "server",
-	"A backend server says in an answer that it leaves.": "server",
-	"A backend server asks for rest.":                    "server",
+	"A backend server's record has changed.":             fieldServer,
+	"A backend server leaves.":                           fieldServer,
+	"A backend server says in an answer that it leaves.": fieldServer,
+	"A backend server asks for rest.":                    fieldServer,
 	"Escrow of a holder is short or in excess.":          "workspace",
 	"Leading.":           "",
 	"No longer leading.": "",
@@ -153,7 +156,7 @@
 // bears reports whether a belief of another process is about the same server or
 // workspace as a line.
 func bears(belief, l Line) bool {
-	for _, name := range []string{"server", "workspace"} {
+	for _, name := range []string{fieldServer, "workspace"} {
 		if v, ok := belief.Fields[name]; ok && v != "" && v == l.Fields[name] {
 			return true
 		}
