Services are rolled out to another version by evidence, bounded like money, and completed or rolled back

Cause: Rollouts.Start and Rollouts.Get did not exist (404), and a server's version was read and thrown away, so that servers of a version on trial would have got their full part of all requests.

State: an order and its phase (trial, moving, complete, rolled back) are entries of the log, committed before they are acknowledged, taken only against the revision that its keeper read. Repeated: acknowledged, changes nothing; another version under way: 409; unknown service: 404; no version or no time: 400. Deadlines by a clock that goes on while a host is suspended; a process that reads the log again goes by the time of day. Exposure: the leader grants requests out of what it has committed before; a new leader takes all of that for sent. Grants end after one second. Routers tell totals, so that a lost report costs nothing. Verdict: a sequential test, by route and over all, of failures and of answers several times as slow as the others' at the same time, without the version's worst server. Requests that may run only once are withheld in the first half of the trial. The whole time of an order is used but for what the move needs. Before complete is said all routers have left the old servers; before, a version that turns bad in the move still goes back.

Shown failing: TestExposureIsBounded with a leader that forgets what was committed, late copies taken in, and a first report taken for new (three mutants); grants without an end by TestSamplesAreDrawn. The scenario without the calls: every Start answers 404.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -38,6 +38,7 @@
 	"A backend server leaves.":                           fieldServer,
 	"A backend server says in an answer that it leaves.": fieldServer,
 	"A backend server asks for rest.":                    fieldServer,
+	"A roll-out's phase is in force.":                    "",
 	"Escrow of a holder is short or in excess.":          "workspace",
 	"Leading.":           "",
 	"No longer leading.": "",
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -131,8 +131,8 @@
 	history, version := k.servers.Position()
 	r := &wire.FollowRequest{
 		Node: string(k.Node), Role: RoleKeeper, Hall: string(k.Hall),
-		// The declaration, the states of data halls and suspects come by the log.
-		Number: math.MaxUint64, HallsRevision: math.MaxUint64, SuspectsRevision: math.MaxUint64,
+		// The declaration, the states of data halls, suspects and roll-outs come by the log.
+		Number: math.MaxUint64, HallsRevision: math.MaxUint64, SuspectsRevision: math.MaxUint64, RolloutsRevision: math.MaxUint64,
 		History: history, Version: version, WaitMillis: copyWait.Milliseconds(),
 	}
 	ctx, cancel := context.WithTimeout(ctx, copyWithin)
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -16,6 +16,7 @@
 	"sumachead/internal/escrow"
 	"sumachead/internal/raft"
 	"sumachead/internal/registry"
+	"sumachead/internal/rollout"
 	"sumachead/internal/rpc"
 	"sumachead/internal/telemetry"
 )
@@ -56,6 +57,9 @@
 	Log       hclog.Logger
 	// LinesPerSecond bounds the log lines of one kind; 0 for the usual bound.
 	LinesPerSecond int
+	// Exposure bounds what a version may get that turns out to be bad; the usual bounds where
+	// it is zero.
+	Exposure rollout.Bounds
 	// Collectors are told beside the keeper's own figures.
 	Collectors []prometheus.Collector
 
@@ -71,6 +75,8 @@
 	lines *telemetry.Lines
 	// alive is what this keeper passes on to the leader.
 	alive *aliveBatch
+	// watches are what this keeper knows of roll-outs, where it leads.
+	watches watches
 	// startedAt is when Prepare was called.
 	startedAt time.Time
 	// copiedAt is when the leader last answered with its records, in Unix
@@ -96,6 +102,7 @@
 	k.reports = make(chan *pendingReport)
 	k.stopped = make(chan struct{})
 	k.machine = NewMachine()
+	k.machine.rollouts.Open()
 	k.machine.OnLeaving = func(id string) { k.servers.Leave(id, time.Now()) }
 	t := newTransport(ctx, k.Pool, func(address string) { k.node.PeerRefused(address) })
 	k.node = &raft.Node{
@@ -131,7 +138,7 @@
 	tasks, work := errgroup.WithContext(work)
 	tasks.Go(k.RPC.Run)
 	tasks.Go(func() error { return k.node.Run(work) })
-	for _, f := range []func(context.Context) error{k.joinLoop, k.membersLoop, k.sweepLoop, k.copyLoop, k.reportsLoop, k.aliveLoop, k.recordsLoop} {
+	for _, f := range []func(context.Context) error{k.joinLoop, k.membersLoop, k.sweepLoop, k.copyLoop, k.reportsLoop, k.aliveLoop, k.recordsLoop, k.rolloutsLoop} {
 		tasks.Go(func() error { return f(work) })
 	}
 	k.Log.Info("Serving.", "address", k.Address, "incarnation", k.identity.GetIncarnation(), "founder", k.identity.GetFounders() != nil)
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -10,8 +10,10 @@
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/blame"
+	"sumachead/internal/boottime"
 	"sumachead/internal/catalog"
 	"sumachead/internal/escrow"
+	"sumachead/internal/rollout"
 )
 
 // keepLeaving bounds the lives of leaving servers that are remembered: the
@@ -36,8 +38,9 @@
 	isLeaving map[string]bool
 	halls     halls
 	suspects  blame.List
+	rollouts  rollout.Book
 	// changed is closed when another declaration is put in force, an order for a data hall
-	// is taken, or a suspect stands otherwise.
+	// is taken, a roll-out changes, or a suspect stands otherwise.
 	changed chan struct{}
 }
 
@@ -45,7 +48,7 @@
 func NewMachine() *Machine {
 	return &Machine{
 		declaration: &wire.Declaration{}, packed: &wire.PackedDeclaration{}, book: escrow.NewBook(),
-		isLeaving: make(map[string]bool), changed: make(chan struct{}),
+		isLeaving: make(map[string]bool), changed: make(chan struct{}), rollouts: rollout.Book{Clock: boottime.Clock{}},
 	}
 }
 
@@ -76,6 +79,14 @@
 	case c.GetSuspects() != nil:
 		m.suspects.Apply(c.GetSuspects())
 		m.notify()
+	case c.GetRollout() != nil:
+		return m.orderRollout(c.GetRollout())
+	case c.GetRolloutStep() != nil:
+		reply := m.rollouts.Step(c.GetRolloutStep())
+		m.notify()
+		return reply
+	case c.GetRolloutAllowance() != nil:
+		return m.rollouts.Allow(c.GetRolloutAllowance())
 	}
 	return nil
 }
@@ -132,7 +143,7 @@
 	defer m.mu.Unlock()
 	s := &wire.FleetSnapshot{
 		Declaration: m.packed, Accounts: m.book.Snapshot(), Leaving: append([]string(nil), m.leaving...),
-		Halls: m.halls.snapshot(), Suspects: m.suspects.Since(0),
+		Halls: m.halls.snapshot(), Suspects: m.suspects.Since(0), Rollouts: m.rollouts.Snapshot(),
 	}
 	return func() ([]byte, error) {
 		data, err := proto.Marshal(s)
@@ -159,6 +170,7 @@
 	m.book.Restore(s.GetAccounts())
 	m.halls.restore(s.GetHalls())
 	m.suspects.Restore(s.GetSuspects())
+	m.rollouts.Restore(s.GetRollouts())
 	m.put(d, p)
 	m.leaving, m.isLeaving = nil, make(map[string]bool)
 	for _, id := range s.GetLeaving() {
@@ -168,7 +180,7 @@
 }
 
 // Declaration returns the declaration in force, and a channel that is closed when another
-// is, an order for a data hall is taken, or a suspect stands otherwise. Its number is 0
+// is, an order for a data hall is taken, a roll-out changes, or a suspect stands otherwise. Its number is 0
 // before the first.
 func (m *Machine) Declaration() (*wire.Declaration, <-chan struct{}) {
 	m.mu.Lock()
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -59,6 +59,14 @@
 	gauge("sumachead_barred_requests", "Requests that are not run, since servers end under them.", func() float64 {
 		return float64(k.machine.CountSuspects(wire.Standing_STANDING_BARRED))
 	})
+	for phase, name := range map[wire.RolloutPhase]string{
+		wire.RolloutPhase_ROLLOUT_PHASE_TRIAL: "trial", wire.RolloutPhase_ROLLOUT_PHASE_MOVING: "moving",
+		wire.RolloutPhase_ROLLOUT_PHASE_COMPLETE: "complete", wire.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK: "rolled_back",
+	} {
+		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "sumachead_rollouts", Help: "Services by the phase of their newest roll-out to another version.", ConstLabels: prometheus.Labels{"phase": name},
+		}, func() float64 { return float64(k.machine.CountRollouts(phase)) }))
+	}
 	gauge("sumachead_followers_routers", "Routers that follow this keeper.", func() float64 { return float64(k.followers.count(RoleRouter)) })
 	return m
 }
--- /dev/null
+++ b/internal/fleet/rollouts_test.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"sumachead/api/wire"
+	"sumachead/internal/rollout"
+)
+
+// declareServices puts a declaration in force with some services.
+func declareServices(t *testing.T, k *Keeper, names ...string) {
+	t.Helper()
+	d := &wire.Declaration{Number: 1, Catalog: &wire.Catalog{}}
+	for _, n := range names {
+		d.Catalog.Services = append(d.Catalog.Services, &wire.Service{Name: n})
+	}
+	if err := k.Declare(context.Background(), d); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestRolloutOrders(t *testing.T) {
+	type order struct {
+		service, target string
+		lasts           time.Duration
+	}
+	tests := []struct {
+		name   string
+		before []order
+		order  order
+		// refused says whether the error is the one that is wanted; nil where there is none.
+		refused func(error) bool
+	}{
+		{"an order", nil, order{"pool", "v2", time.Minute}, nil},
+		{"repeated", []order{{"pool", "v2", time.Minute}}, order{"pool", "v2", time.Minute}, nil},
+		{"another version under way", []order{{"pool", "v2", time.Minute}}, order{"pool", "v3", time.Minute}, func(err error) bool { return errors.Is(err, ErrUnderWay) }},
+		{"another service under way", []order{{"pool", "v2", time.Minute}}, order{"desk", "v2", time.Minute}, nil},
+		{"an unknown service", nil, order{"none", "v2", time.Minute}, trace.IsNotFound},
+		{"no service", nil, order{"", "v2", time.Minute}, trace.IsBadParameter},
+		{"no version", nil, order{"pool", "", time.Minute}, trace.IsBadParameter},
+		{"no time", nil, order{"pool", "v2", 0}, trace.IsBadParameter},
+		{"a deadline before the order", nil, order{"pool", "v2", -time.Second}, trace.IsBadParameter},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, 3, 3)
+			leader, follower := c.leader()
+			declareServices(t, leader.Keeper, "pool", "desk")
+			for _, o := range tt.before {
+				if err := leader.Rollout(context.Background(), o.service, o.target, o.lasts); err != nil {
+					t.Fatal(err)
+				}
+			}
+			err := follower.Rollout(context.Background(), tt.order.service, tt.order.target, tt.order.lasts)
+			if (tt.refused == nil) != (err == nil) || tt.refused != nil && !tt.refused(err) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
+// An order of which every copy but the first comes late begins nothing anew: neither while it goes
+// on nor shortly after it was rolled back.
+func TestALateCopyOfARolloutChangesNothing(t *testing.T) {
+	tests := []struct {
+		name    string
+		rollout *wire.Rollout
+		target  string
+		want    bool
+	}{
+		{"none", nil, "v2", false},
+		{"goes on", &wire.Rollout{Target: "v2"}, "v2", true},
+		{"another version", &wire.Rollout{Target: "v3", Phase: wire.RolloutPhase_ROLLOUT_PHASE_COMPLETE}, "v2", false},
+		{"complete, long ago", &wire.Rollout{Target: "v2", Phase: wire.RolloutPhase_ROLLOUT_PHASE_COMPLETE, AgeMillis: 1e9}, "v2", true},
+		{"rolled back just now", &wire.Rollout{Target: "v2", Phase: wire.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK, AgeMillis: 4000}, "v2", true},
+		{"rolled back long ago: a new order", &wire.Rollout{Target: "v2", Phase: wire.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK, AgeMillis: 60_000}, "v2", false},
+	}
+	for _, tt := range tests {
+		if got := repeats(tt.rollout, tt.target); got != tt.want {
+			t.Errorf("%s: repeats %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// An acknowledged order, and how it ended, hold at all keepers after all of them were stopped at
+// once; nobody says anything older.
+func TestRolloutsOutlastAKillOfAll(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	leader, follower := c.leader()
+	other := slices.Index(c.members, follower)
+	declareServices(t, leader.Keeper, "pool", "desk")
+	ctx := context.Background()
+	// Without servers of the version it is rolled back at its deadline.
+	for service, lasts := range map[string]time.Duration{"pool": time.Hour, "desk": 50 * time.Millisecond} {
+		if err := follower.Rollout(ctx, service, "v2", lasts); err != nil {
+			t.Fatal(err)
+		}
+	}
+	phaseOf := func(k *Keeper, service string) wire.RolloutPhase {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		r, err := k.RolloutOf(ctx, service)
+		if err != nil || r == nil {
+			return -1
+		}
+		return r.GetPhase()
+	}
+	c.eventually("one is rolled back", func() bool {
+		return phaseOf(leader.Keeper, "desk") == wire.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK
+	})
+	for i := range c.members {
+		c.halt(i)
+	}
+	for i := range c.members {
+		c.start(i, false)
+	}
+	c.eventually("both are as they were", func() bool {
+		k := c.members[other].Keeper
+		return phaseOf(k, "pool") == wire.RolloutPhase_ROLLOUT_PHASE_TRIAL && phaseOf(k, "desk") == wire.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK
+	})
+	c.eventually("it is not longer than it was", func() bool {
+		m := c.members[other].machine
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		ordered, deadline := m.rollouts.Times("pool")
+		return deadline.Sub(ordered) == time.Hour && !rollout.Ended(m.rollouts.Get("pool"))
+	})
+}
+
+// A follower is told of an order at once, before the servers of the version.
+func TestFollowersAreToldOfRollouts(t *testing.T) {
+	c := newCluster(t, 2, 2)
+	m, _ := c.leader()
+	k := m.Keeper
+	declareServices(t, k, "pool")
+	told := make(chan *wire.FollowReply, 1)
+	go func() {
+		reply := &wire.FollowReply{}
+		if err := (&service{k}).Follow(&wire.FollowRequest{Node: "r", Role: RoleRouter, WaitMillis: 1000, Number: 1, History: k.history()}, reply); err != nil {
+			t.Error(err)
+		}
+		told <- reply
+	}()
+	time.Sleep(50 * time.Millisecond)
+	begun := time.Now()
+	if err := k.Rollout(context.Background(), "pool", "v2", time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	reply := <-told
+	if took := time.Since(begun); took > 500*time.Millisecond {
+		t.Errorf("told after %v", took)
+	}
+	if r := reply.GetRollouts().GetRollouts(); len(r) != 1 || r[0].GetTarget() != "v2" {
+		t.Errorf("told %v", r)
+	}
+}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -138,6 +138,9 @@
 	if k.machine.SuspectsRevision() > r.GetSuspectsRevision() {
 		reply.Suspects = k.machine.Suspects(r.GetSuspectsRevision())
 	}
+	if k.machine.RolloutsRevision() > r.GetRolloutsRevision() {
+		reply.Rollouts = k.machine.Rollouts()
+	}
 	reply.Lacking, _ = k.sizer.Lacking(time.Now())
 	return nil
 }
@@ -185,9 +188,10 @@
 	d, changed := k.machine.Declaration()
 	halls := k.machine.HallsRevision()
 	suspects := k.machine.SuspectsRevision()
+	rollouts := k.machine.RolloutsRevision()
 	news, servers := k.servers.Since(r.GetHistory(), r.GetVersion())
 	wait := min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxFollowWait)
-	if d.GetNumber() > r.GetNumber() || halls > r.GetHallsRevision() || suspects > r.GetSuspectsRevision() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
+	if d.GetNumber() > r.GetNumber() || halls > r.GetHallsRevision() || suspects > r.GetSuspectsRevision() || rollouts > r.GetRolloutsRevision() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
 		return
 	}
 	_, lacking := k.sizer.Lacking(time.Now())
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -25,6 +25,7 @@
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/loop"
 	"sumachead/internal/registry"
+	"sumachead/internal/rollout"
 	"sumachead/internal/rpc"
 	"sumachead/internal/telemetry"
 )
@@ -78,6 +79,8 @@
 	// Suspects takes in how requests stand that end servers; nil for a node that sends
 	// none.
 	Suspects *blame.Table
+	// Rollouts takes in the roll-outs that the leader tells; nil for a node that sends none.
+	Rollouts *rollout.Sampler
 	Log      hclog.Logger
 	// OnLacking is told of workspaces of which another node lacks escrow; nil
 	// for a node that holds none.
@@ -179,6 +182,7 @@
 		History: history, Version: version, WaitMillis: wait.Milliseconds(),
 	}
 	r.HallsRevision = c.Servers.HallsRevision()
+	r.RolloutsRevision = c.Servers.RolloutsRevision()
 	if c.Suspects != nil {
 		r.SuspectsRevision = c.Suspects.Revision()
 	}
@@ -262,9 +266,10 @@
 // take puts an answer in force. What is known never goes back: a declaration
 // with a lower number is passed over.
 func (c *Client) take(r *wire.FollowReply) {
-	// Halls and suspects come before the declaration, with which a router begins to take
-	// callers.
+	// Halls, suspects and roll-outs come before the declaration, with which a router begins to
+	// take callers, and before servers, which may be of a version that is on trial.
 	c.takeHalls(r.GetHalls())
+	c.takeRollouts(r.GetRollouts())
 	c.TakeSuspects(r.GetSuspects())
 	c.Servers.Take(r, time.Now())
 	c.routers.Store(r.GetRouters())
@@ -282,6 +287,20 @@
 	}
 }
 
+// takeRollouts puts roll-outs in force; nil changes nothing.
+func (c *Client) takeRollouts(s *wire.Rollouts) {
+	if s == nil {
+		return
+	}
+	if c.Rollouts != nil {
+		c.Rollouts.Follow(s)
+	}
+	for _, x := range c.Servers.TakeRollouts(s) {
+		c.Log.Info("A roll-out's phase is in force.", "service", x.GetService(), "target", x.GetTarget(), "phase", x.GetPhase().String(),
+			"revision", x.GetRevision(), "age", time.Duration(x.GetAgeMillis())*time.Millisecond, "reason", x.GetReason())
+	}
+}
+
 // TakeSuspects puts how requests stand in force that end servers; nil changes nothing.
 func (c *Client) TakeSuspects(s *wire.Suspects) {
 	if c.Suspects == nil || s == nil {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -31,6 +31,9 @@
 	if d.wake.await() {
 		d.lines.Info(d.Log, "This process has slept; it has asked for what is new.")
 	}
+	if l := d.placeSample(); l != nil {
+		return l, nil
+	}
 	held := &heldUp{}
 	var apart []sumachead.ServerID // at which other suspects run on trial
 	for {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -167,15 +167,19 @@
 	if err != nil {
 		return err
 	}
+	end := d.sampler.Begin(l.Record.GetService(), l.Record.GetSoftware())
+	defer end()
 	id := sumachead.ServerID(l.Record.GetId())
 	d.tried = append(d.tried, id)
 	d.x.placement = l
 	a, err := d.send(l, id)
 	if err != nil {
+		d.noteSample(l, nil, err)
 		return d.failed(l, err)
 	}
 	defer a.Close()
 	err = d.relay(l, a)
+	d.noteSample(l, a, err)
 	if err == nil {
 		l.Done(true, time.Now())
 		return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/rand"
 	"errors"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"sumachead/internal/loop"
 	"sumachead/internal/place"
 	"sumachead/internal/registry"
+	"sumachead/internal/rollout"
 	"sumachead/internal/rpc"
 	"sumachead/internal/telemetry"
 	"sumachead/internal/upstream"
@@ -87,6 +89,7 @@
 	wake     wake
 	cold     coldShares
 	rests    *backoff.Table
+	sampler  *rollout.Sampler
 	metrics  *Metrics
 	// handle is the filters around dispatch.
 	handle handler
@@ -107,9 +110,11 @@
 	g.metrics = newMetrics(g)
 	g.lines = &telemetry.Lines{PerSecond: g.LinesPerSecond}
 	g.failures = &telemetry.Lines{PerSecond: cmp.Or(g.FailuresPerSecond, failuresASecond)}
+	g.sampler = &rollout.Sampler{Clock: boottime.Clock{}, Node: g.Node, Boot: sumachead.BootID(rand.Text())}
 	g.client = &fleetclient.Client{
 		Node: g.Node, Role: fleet.RoleRouter, Hall: g.Hall, Seeds: g.Seeds, Pool: g.Pool,
 		Servers: g.servers, Log: g.Log.Named("follow"), LendingAddress: g.lendingAddress, Suspects: &blame.Table{},
+		Rollouts: g.sampler,
 	}
 	g.wake.Clock, g.wake.Refresh = boottime.Clock{}, g.client.Refresh
 	g.suspects.Node, g.suspects.Table, g.suspects.Take = g.Node, g.client.Suspects, g.client.TakeSuspects
@@ -166,6 +171,7 @@
 		})
 	})
 	tasks.Go(func() error { return loop.Every(work, wakeTick, g.wake.tick) })
+	tasks.Go(func() error { return loop.Every(work, sampleTick, func() { g.tellSamples(work) }) })
 	follow, stop := context.WithCancel(context.Background())
 	defer stop()
 	followed := make(chan error, 1)
--- a/internal/gateway/homes.go
+++ b/internal/gateway/homes.go
@@ -45,5 +45,12 @@
 // known lists the servers that the request may be sent to, as far as they are known. The
 // list must not be changed.
 func (d *dispatch) known() []*wire.ServerRecord {
-	return d.servers.Servers(d.x.service.GetName(), d.homes)
+	service := d.x.service.GetName()
+	all := d.servers.Servers(service, d.homes)
+	if len(all) == 0 && d.sampler.Overdue(service) {
+		// The order's deadline has passed, the others have gone, and nobody has told this
+		// router how it ended.
+		return d.servers.OnTrial(service, d.homes)
+	}
+	return all
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -44,6 +44,8 @@
 	// the answers that said of their server what can't be read.
 	leaving    prometheus.Counter
 	unreadable prometheus.Counter
+	// samples counts requests that were sent to servers of a version on trial.
+	samples prometheus.Counter
 	// overdue is of escrow lent to other routers.
 	overdue prometheus.Counter
 }
@@ -81,6 +83,7 @@
 		keptBack:   counters("sumachead_gateway_kept_back_total", "Requests that were not sent to the backend server that was chosen, since it has asked for rest or leaves since then.", "reason"),
 		leaving:    counter("sumachead_gateway_leaving_answers_total", "Answers by which a backend server said that it leaves, while it was not known to."),
 		unreadable: counter("sumachead_gateway_unreadable_notices_total", "Answers that say of their backend server what can't be read."),
+		samples:    counter("sumachead_gateway_samples_total", "Requests that were sent to backend servers of a version on trial."),
 		overdue:    counter("sumachead_gateway_overdue_loan_tokens_total", "Escrow lent to other routers that counts as spent since no bill came."),
 		first:      histogram("sumachead_gateway_first_byte_seconds", "Time to the first byte of an answer."),
 		whole:      histogram("sumachead_gateway_answer_seconds", "Time to the end of a whole answer."),
@@ -102,7 +105,7 @@
 	for _, granted := range []string{"true", "false"} {
 		m.admits.WithLabelValues(granted)
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.underEnds, m.rests, m.keptBack, m.leaving, m.unreadable, m.overdue, rpc.Traffic{})
+	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.underEnds, m.rests, m.keptBack, m.leaving, m.unreadable, m.samples, m.overdue, rpc.Traffic{})
 	m.gauges(g)
 	return m
 }
--- a/internal/registry/leader.go
+++ b/internal/registry/leader.go
@@ -19,13 +19,20 @@
 	if t.history == history {
 		return
 	}
-	t.history, t.leads = history, true
+	t.history, t.leads, t.leadsSince = history, true, now
 	t.changes, t.trimmed = nil, t.version
 	for _, e := range t.entries {
 		e.seen = now
 	}
 }
 
+// LeadsSince returns since when others follow this table; ok is false where none do.
+func (t *Table) LeadsSince() (since time.Time, ok bool) {
+	t.lock()
+	defer t.mu.Unlock()
+	return t.leadsSince, t.leads
+}
+
 // Beat takes in a heartbeat; one that is older than what is known, or of an earlier life,
 // changes nothing. It reports whether the record's state is new to the table. An error, a
 // [trace.BadParameter], says that it is no server's.
@@ -152,5 +159,5 @@
 // sameForFollowers reports whether two records tell followers the same.
 func sameForFollowers(a, b *wire.ServerRecord) bool {
 	return a.GetState() == b.GetState() && a.GetAddress() == b.GetAddress() &&
-		a.GetService() == b.GetService() && a.GetSlots() == b.GetSlots() && a.GetHall() == b.GetHall()
+		a.GetService() == b.GetService() && a.GetSlots() == b.GetSlots() && a.GetHall() == b.GetHall() && a.GetSoftware() == b.GetSoftware()
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -12,7 +12,6 @@
 
 import (
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -67,6 +66,8 @@
 	// leads: the numbering is this table's own. A follower that learns something by
 	// itself must not number it: it would pass over a change of the leader's.
 	leads bool
+	// leadsSince is since when, where it leads.
+	leadsSince time.Time
 	// changed is closed when a record gets a new version, or comes from the leader.
 	changed chan struct{}
 	// changes are the newest changes, oldest first; those up to trimmed are not
@@ -86,18 +87,14 @@
 	// the newest order.
 	halls         map[string]hallView
 	hallsRevision uint64
+	// rollouts are the newest of services for which there was an order, and rolloutsRevision
+	// is that of the newest change; the messages are replaced, never changed.
+	rollouts         map[string]*wire.Rollout
+	rolloutsRevision uint64
 	// wholeAt is when a leader last told all of its records.
 	wholeAt time.Time
 }
 
-// listKey names a list of records.
-type listKey struct {
-	service string
-	// some: only servers of the halls named are listed.
-	some  bool
-	halls string
-}
-
 // change says which record got a version.
 type change struct {
 	version uint64
@@ -190,13 +187,13 @@
 	return e != nil && e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING
 }
 
-// Closed reports whether a server's life is known to get nothing new: it leaves, or its data
-// hall is vacated.
+// Closed reports whether a server's life is known to get nothing new: it leaves, its data hall
+// is vacated, or its version is not used any more.
 func (t *Table) Closed(id string) bool {
 	t.lock()
 	defer t.mu.Unlock()
 	e := t.entries[id]
-	return e != nil && (e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING || t.halls[e.record.GetHall()].vacated)
+	return e != nil && (e.record.GetState() == wire.ServerState_SERVER_STATE_LEAVING || t.halls[e.record.GetHall()].vacated || t.useOf(e.record) == useNone)
 }
 
 // setState replaces a record by one in another state. The caller holds mu.
@@ -210,27 +207,12 @@
 }
 
 // Servers lists the records of a service to which requests may be sent, in no order: those
-// that leave and those in vacated data halls are left out. Where halls are named, by their
+// that leave, those in vacated data halls, and those of versions that are on trial or not used
+// any more are left out. Where halls are named, by their
 // sorted names, only their servers are listed; nil is for all. Neither the list, which is
 // the same until something changes, nor the records must be changed.
 func (t *Table) Servers(service string, halls []string) []*wire.ServerRecord {
-	t.lock()
-	defer t.mu.Unlock()
-	key := listKey{service, halls != nil, strings.Join(halls, ",")}
-	if out, ok := t.lists[key]; ok {
-		return out
-	}
-	var out []*wire.ServerRecord
-	for _, e := range t.entries {
-		if e.of(service, halls) && !t.halls[e.record.GetHall()].vacated {
-			out = append(out, e.record)
-		}
-	}
-	if t.lists == nil {
-		t.lists = make(map[listKey][]*wire.ServerRecord)
-	}
-	t.lists[key] = out
-	return out
+	return t.list(service, halls, useAll)
 }
 
 // of reports whether a server is of a service and in one of some halls, nil for all, and
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -161,6 +161,7 @@
 		"zones.hall-1=r", "zones.hall-2=r", "zones.hall-3=r", "listen.inner=" + p.rpc, "seeds=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%t", first),
 		"data_dir=" + p.data, "limits.memory_mb=200", "limits.max_fds=2000", "heartbeat_ms=300", "bounds.grace_s=6",
 		"bounds.retry_budget_ratio=0.2", "bounds.budget_extra=50", "bounds.budget_window_s=10", "a.later=field",
+		fmt.Sprintf("bounds.exposure_share=%g", exposureShare), fmt.Sprintf("bounds.exposure_slack=%d", exposureSlack),
 		fmt.Sprintf("bounds.cold_overage=%g", coldOverage), fmt.Sprintf("bounds.cold_slack=%d", coldSlack),
 	}
 	// A process may read the file at any moment: it is replaced whole.
@@ -187,8 +188,13 @@
 func (f *fleet) addServer(name, service, hall, host string) {
 	r := &standin.Replica{
 		ID: "i-" + name, Service: service, Hall: hall, Address: fmt.Sprintf("%s:%d", host, freePort()), Control: f.controls,
-		Every: 300 * time.Millisecond, EventEvery: 3 * time.Millisecond, Work: 20 * time.Millisecond,
+		Every: 300 * time.Millisecond, EventEvery: 3 * time.Millisecond, Work: 20 * time.Millisecond, Version: firstVersion,
 	}
+	f.runServer(name, r)
+}
+
+// runServer starts a stand-in.
+func (f *fleet) runServer(name string, r *standin.Replica) {
 	f.mu.Lock()
 	f.server[name] = r
 	f.mu.Unlock()
--- a/internal/scenario/fleetsoak_faults_test.go
+++ b/internal/scenario/fleetsoak_faults_test.go
@@ -306,7 +306,7 @@
 	defer s.f.mu.Unlock()
 	out := make(map[string]*standin.Replica)
 	for name, r := range s.f.server {
-		if r.DrainAcked().IsZero() {
+		if r.DrainAcked().IsZero() && !r.Stopped() {
 			out[name] = r
 		}
 	}
@@ -330,7 +330,7 @@
 
 // addLike starts a server that takes the place of another.
 func (s *fleetSoak) addLike(r *rand.Rand, name string, old *standin.Replica) {
-	s.f.addServer(fmt.Sprintf("%s+%d", strings.Split(name, "+")[0], r.IntN(1_000_000)), old.Service, old.Hall, s.f.serverHost())
+	s.f.addVersionOf(old, fmt.Sprintf("i-%s+%d", strings.Split(name, "+")[0], r.IntN(1_000_000)), old.Version, standin.ReplicaFaults{})
 }
 
 // letGo has a server say in its heartbeats that it leaves, until that is acknowledged.
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -30,6 +30,8 @@
 	broken   []string
 	busy     map[string]bool // processes that a fault deals with
 	wiped    time.Time       // when the last disk that was lost came back
+	// rolledOut are the roll-outs that have ended.
+	rolledOut []*rolledOut
 	// disturbed is when faults began and ended to deal with processes.
 	disturbed map[string][]time.Time
 }
@@ -113,6 +115,8 @@
 			time.Sleep(time.Duration(500+notices.IntN(2500)) * time.Millisecond)
 		}
 	})
+	rollouts := rand.New(rand.NewPCG(s.rand.Uint64(), series+3)) // as above
+	all.Go(func() { s.rollOuts(rollouts, until) })
 	all.Wait()
 }
 
@@ -253,6 +257,7 @@
 	}
 	s.checkEnds()
 	s.checkNotices()
+	s.checkRollouts()
 }
 
 // report prints what was done and fails the test if a promise was broken.
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -27,7 +27,7 @@
 	r.mu.Unlock()
 	go r.beats(ctx)
 	for {
-		if err := r.runProcess(ctx); err != nil || ctx.Err() != nil {
+		if err := r.runProcess(ctx); err != nil || ctx.Err() != nil || r.Stopped() {
 			return err
 		}
 		if !r.takeAgain() {
@@ -125,6 +125,23 @@
 	}
 }
 
+// Stop ends the process at once and for good: its connections break.
+func (r *Replica) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down, r.stopped = true, true
+	if r.process != nil {
+		_ = r.process.Close() // its connections break, as they are meant to
+	}
+}
+
+// Stopped reports whether the process has ended for good.
+func (r *Replica) Stopped() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopped
+}
+
 // Ends returns how often the replica's process ended under a body.
 func (r *Replica) Ends(body string) int {
 	r.mu.Lock()
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,6 +32,11 @@
 	Refuse bool
 	// Hang: the replica takes requests and says nothing.
 	Hang bool
+	// BadOneIn: one in so many requests, whose paths begin with BadOn, fails with an answer of
+	// the replica's own, or takes Slower times as long.
+	BadOneIn int
+	BadOn    string
+	Slower   int
 }
 
 // ReplicaRun is what a replica saw of one request.
@@ -50,6 +56,8 @@
 	ID      string
 	Service string
 	Hall    string
+	// Version is that of its software; empty where it tells none.
+	Version string
 	// Address is where it serves, host:port.
 	Address string
 	// Control returns the addresses that take heartbeats.
@@ -86,8 +94,9 @@
 	ends    map[string]int
 	down    bool
 	process *http.Server
-	// again: the process starts again at once.
-	again bool
+	// again: the process starts again at once; stopped: it never does.
+	again   bool
+	stopped bool
 	// rest is what the replica asks for with each request, which it turns away; 0 for none.
 	// turned are those that it has, and leavingSince is since when its answers say that it
 	// leaves.
@@ -187,6 +196,9 @@
 		"backend": r.Service, "address": r.Address, "zone": r.Hall, "slots": replicaSlots, "state": state, "call_seq": r.sequence,
 		"cold_left_ms": r.coldLeft(time.Now()).Milliseconds(),
 	}
+	if r.Version != "" {
+		tells["config_version"] = r.Version
+	}
 	if !r.silentBorn {
 		tells["born"] = r.born.UnixMilli()
 	}
@@ -343,11 +355,19 @@
 	h := w.Header()
 	h.Set("Request-Id", q.Header.Get("Request-Id"))
 	h.Set("Response-Seal", r.ID)
+	slower := time.Duration(1)
+	if f.isBad(q) {
+		if f.Slower == 0 {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		slower = time.Duration(f.Slower)
+	}
 	if usage := q.Header.Get("Token-Usage"); usage != "" {
-		r.stream(w, q, f, usage)
+		r.stream(w, q, f, usage, r.EventEvery*slower)
 		return
 	}
-	if !r.pause(q, r.Work) {
+	if !r.pause(q, r.Work*slower) {
 		return
 	}
 	body := "done " + q.Header.Get("Request-Id")
@@ -358,6 +378,11 @@
 	_, _ = fmt.Fprint(w, body) // a caller that has gone shows in the context
 }
 
+// isBad draws whether a request is one of those that the replica answers badly.
+func (f *ReplicaFaults) isBad(q *http.Request) bool {
+	return f.BadOneIn > 0 && strings.HasPrefix(q.URL.Path, f.BadOn) && rand.IntN(f.BadOneIn) == 0
+}
+
 // pause waits; it reports whether the caller is still there.
 func (r *Replica) pause(q *http.Request, d time.Duration) bool {
 	return loop.Sleep(q.Context(), d)
@@ -365,7 +390,7 @@
 
 // stream sends as many events as the request allows tokens, one each, after the
 // last that the caller has.
-func (r *Replica) stream(w http.ResponseWriter, q *http.Request, f ReplicaFaults, usage string) {
+func (r *Replica) stream(w http.ResponseWriter, q *http.Request, f ReplicaFaults, usage string, every time.Duration) {
 	_, most, _ := strings.Cut(usage, ",")
 	n, _ := strconv.Atoi(most)
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
@@ -377,7 +402,7 @@
 			_ = control.Flush()
 			panic(http.ErrAbortHandler)
 		}
-		if !r.pause(q, r.EventEvery) {
+		if !r.pause(q, every) {
 			return
 		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: t\n\n", i); err != nil {
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -133,6 +133,7 @@
 		{"", "keeper", "manage keepers", &struct{}{}},
 		{"keeper", "remove", "take a keeper out for good", &keeperRemove{app: a}},
 		{"", "halls", "print which data halls of a declared fleet are vacated", &hallsShow{app: a}},
+		{"", "rollouts", "print the newest roll-out of each service of a declared fleet", &rolloutsShow{app: a}},
 		{"", "suspects", "print the requests of a declared fleet that end servers, or clear one", &suspectsShow{app: a}},
 		{"", "tls", "make certificates", &struct{}{}},
 		{"tls", "init", "make an authority, and certificates for processes", &tlsInit{app: a}},
