A workspace that lacks money holds up no other, and asks again by how many lack, not by how many routers there are

The time that a request waited before it was told anything went to 2.2 s since, once the ledger could not meet one position of a holder's report, all requests at that holder were expected to wait for a report 40 ms + 5 ms for each router later: 1.96 s with 384 routers, 0.55 s with 102, 0.16 s with 24. Since that time was only expected, not kept: the spacing of reports was handed over once, at the start, as 15 ms, so that each holder that lacked something asked the ledger up to 67 times a second meanwhile.

Ruled out: the callers' link (hall and router of the refusals are spread), money stranded (said by the ledger as not free where it was not), the time of a report (some 50 ms).

Change: the answer to a report says when to ask again for what was not granted, 40 ms + 5 ms for each holder that lacks something; the wallet keeps that time by workspace. Everything else is asked for at once.

TestNextAnswerIsThatToTheNextReport is replaced by TestARequestWaitsForTheNextReportThatMayAsk, which also requires that another workspace does not wait.

--- a/internal/escrow/purse.go
+++ b/internal/escrow/purse.go
@@ -47,6 +47,11 @@
 	dirty bool
 	// asking: requests lacked something as of the last report.
 	asking bool
+	// heldTo is until when what is lacked is not asked for by a report of its own: the ledger
+	// could not grant it, and others have to give back first. Other workspaces are not held up.
+	heldTo time.Time
+	// toAsk: a report is to be asked for then.
+	toAsk bool
 	// ends is what the ledger has said lately of the end of the budget.
 	ends ends
 }
--- a/internal/escrow/reservation.go
+++ b/internal/escrow/reservation.go
@@ -7,6 +7,7 @@
 
 	"sumachead"
 	"sumachead/internal/loop"
+	"sumachead/internal/moment"
 	"sumachead/internal/patience"
 )
 
@@ -38,7 +39,6 @@
 		case exhausted:
 			return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonBudgetExhausted, "the workspace's budget does not hold the request", time.Time{})
 		}
-		w.Kick()
 		now := time.Now()
 		again, wait := patience.Wait(p, u, now)
 		if !wait {
@@ -74,19 +74,19 @@
 	p := w.purse(id)
 	p.decay(now, bound)
 	p.dirty = true
-	w.Kick()
+	w.ask(p, now)
 }
 
 // prospect returns that of a workspace's money for a request that asks for it now:
 // requests have lacked some since the first that waited in vain.
 func (w *Wallet) prospect(id sumachead.WorkspaceID, asked time.Time) sumachead.Prospect {
 	w.mu.Lock()
-	since := w.purse(id).shortSince
+	since, held := w.purse(id).shortSince, w.purse(id).heldTo
 	w.mu.Unlock()
 	if w.Prospect == nil {
 		return patience.AsLong{Since: since}
 	}
-	return w.Prospect(asked, since)
+	return w.Prospect(moment.Later(asked, held), since)
 }
 
 // admission is the outcome of one look at a purse.
@@ -120,6 +120,7 @@
 	}
 	p.noteShort(bound, now)
 	p.dirty = true
+	w.ask(p, now)
 	return nil, short, w.changed
 }
 
--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -43,6 +43,14 @@
 	slack = 200
 )
 
+const (
+	// againLeast is after what time a holder asks again for what it lacks: a few reports of
+	// others, which have to give back first. againEach is added for each holder that lacks
+	// something, so that the ledger is asked as often whatever their number.
+	againLeast = 40 * time.Millisecond
+	againEach  = 5 * time.Millisecond
+)
+
 // wantFor is for how long other holders are asked to give back for one that
 // lacks something: a few reports.
 const wantFor = 2 * time.Second
@@ -68,6 +76,8 @@
 	rates map[sumachead.WorkspaceID]sumachead.Tokens
 	// wants are what holders lack, one holder for each workspace.
 	wants map[sumachead.WorkspaceID]want
+	// lackers are the holders that lacked something, by when they last said so.
+	lackers map[Holder]time.Time
 	// lacking is closed when a workspace is lacking that was not before.
 	lacking chan struct{}
 }
@@ -88,6 +98,7 @@
 		s.holders = make(map[Holder]*holderDemand)
 		s.wants = make(map[sumachead.WorkspaceID]want)
 		s.rates = make(map[sumachead.WorkspaceID]sumachead.Tokens)
+		s.lackers = make(map[Holder]time.Time)
 	}
 	h := holderOf(r)
 	for other, d := range s.holders {
@@ -149,6 +160,9 @@
 		grant = max(grant, min(max(need, sumachead.Tokens(p.GetWanted())), free))
 		a.Exhausted = free < need && s.remaining(b, w) < need+max(atHand, 0)
 		s.noteWant(w, want{by: h, amount: need, at: now}, free)
+		if grant < need {
+			s.lackers[h] = now
+		}
 	}
 	if keep, above := s.keep(b, w, h, hold, now); keep >= 0 && atHand > above && grant <= 0 {
 		a.Keep = int64(keep)
@@ -174,6 +188,19 @@
 	}
 }
 
+// Again returns after what time a holder that lacks something should ask again: the more there
+// are that do, the later. How many there are that lack nothing does not matter.
+func (s *Sizer) Again(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for h, at := range s.lackers {
+		if now.Sub(at) > wantFor {
+			delete(s.lackers, h)
+		}
+	}
+	return againLeast + againEach*time.Duration(len(s.lackers))
+}
+
 // Unmet reports whether a position lacks more than was granted in its answer.
 func Unmet(p *wire.EscrowPosition, a *wire.EscrowAnswer) bool {
 	return p.GetNeeded() > a.GetGranted()-p.GetGranted()
--- a/internal/escrow/waiting_test.go
+++ b/internal/escrow/waiting_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	"sumachead"
+	"sumachead/api/wire"
 	"sumachead/internal/patience"
 )
 
@@ -47,3 +49,66 @@
 		t.Errorf("refused after %v, and nobody had waited in vain since money came", waited)
 	}
 }
+
+// While others have to give back first, a workspace is asked for again at longer intervals: a
+// request waits for the answer to the next report that may ask for it, since only that one tells
+// whether there is money. A request for another workspace does not.
+func TestARequestWaitsForTheNextReportThatMayAsk(t *testing.T) {
+	const again = 160 * time.Millisecond
+	h := newHolder("router-1", "a")
+	var askedFrom time.Time
+	h.Prospect = func(asked, _ time.Time) sumachead.Prospect {
+		askedFrom = asked
+		return patience.Told{}
+	}
+	ask := func(id sumachead.WorkspaceID) time.Duration {
+		begun := time.Now()
+		if _, err := h.Reserve(context.Background(), id, 1000, patience.Use{InTime: begun.Add(time.Second)}, 0); err == nil {
+			t.Fatal("money where none was granted")
+		}
+		return askedFrom.Sub(begun)
+	}
+	ask(clerks)
+	r := h.Report(time.Now(), false)
+	a := &wire.EscrowAnswer{Workspace: string(clerks), Keep: NoWish}
+	h.Take(&wire.EscrowReply{Answers: []*wire.EscrowAnswer{a}, AgainMillis: again.Milliseconds()}, sumachead.BootID(r.GetBoot()), "b", time.Now())
+	if from := ask(clerks); from < again-20*time.Millisecond || from > again {
+		t.Errorf("asked for from %v on, want %v", from, again)
+	}
+	if from := ask("another"); from > 20*time.Millisecond {
+		t.Errorf("another workspace is asked for from %v on", from)
+	}
+}
+
+// How soon those that lack something ask again depends on their number, not on the fleet's.
+func TestHoldersAskAgainByHowManyLack(t *testing.T) {
+	tests := []struct {
+		name            string
+		holders, lack   int
+		lackedFor, want time.Duration
+	}{
+		{"one of four", 4, 1, 0, 45 * time.Millisecond},
+		{"one of a thousand", 1000, 1, 0, 45 * time.Millisecond},
+		{"five of a thousand", 1000, 5, 0, 65 * time.Millisecond},
+		{"all of four hundred", 400, 400, 0, 2040 * time.Millisecond},
+		{"none any more", 400, 400, time.Minute, 40 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b, s := NewBook(), &Sizer{}
+			b.SetTotals(map[sumachead.WorkspaceID]sumachead.Tokens{clerks: 1000})
+			now := time.Now()
+			for i := range tt.holders {
+				r := &wire.EscrowReport{Node: fmt.Sprint("router-", i), Boot: "a", Positions: []*wire.EscrowPosition{{Workspace: string(clerks)}}}
+				if i < tt.lack {
+					r.Positions[0].Needed = 5000
+				}
+				s.Note(r, now)
+				s.Size(b, r, now)
+			}
+			if got := s.Again(now.Add(tt.lackedFor)); got != tt.want {
+				t.Errorf("after %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -14,8 +14,8 @@
 	Node sumachead.NodeID
 	// Kick asks for a report soon; it must not block.
 	Kick func()
-	// Prospect returns that of money which is asked for at a time, and which requests
-	// have lacked since another; nil where nothing is known of the ledger.
+	// Prospect returns that of money which a report may ask for from a time on, and which
+	// requests have lacked since another; nil where nothing is known of the ledger.
 	Prospect func(asked, since time.Time) sumachead.Prospect
 
 	mu sync.Mutex // guards the fields below, and what purses hold
@@ -113,20 +113,26 @@
 		w.reset(next)
 		return true
 	}
+	again := now.Add(time.Duration(reply.GetAgainMillis()) * time.Millisecond)
 	for _, a := range reply.GetAnswers() {
-		w.takeOne(a, now)
+		w.takeOne(a, again, now)
 	}
 	w.notify()
 	return false
 }
 
-// takeOne puts the answer on one workspace in force. The caller holds mu.
-func (w *Wallet) takeOne(a *wire.EscrowAnswer, now time.Time) {
+// takeOne puts the answer on one workspace in force; what it lacks may be asked for again at a
+// time. The caller holds mu.
+func (w *Wallet) takeOne(a *wire.EscrowAnswer, again, now time.Time) {
 	p := w.purse(sumachead.WorkspaceID(a.GetWorkspace()))
 	more := sumachead.Tokens(a.GetGranted()) > p.granted
 	p.granted = max(p.granted, sumachead.Tokens(a.GetGranted()))
 	const lowShare = 2 // a report is due once half of this is gone
 	p.low = p.atHand() / lowShare
+	p.heldTo = time.Time{}
+	if p.asking && p.atHand() < p.asked {
+		p.heldTo = again
+	}
 	switch {
 	case a.GetExhausted():
 		p.ends.note(p.asked, now)
@@ -140,6 +146,28 @@
 	}
 }
 
+// ask asks for a report that tells what requests of a workspace lack: soon, or once the ledger
+// may have more. The caller holds mu.
+func (w *Wallet) ask(p *purse, now time.Time) {
+	held := p.heldTo.Sub(now)
+	if held <= 0 {
+		w.Kick()
+		return
+	}
+	if p.toAsk {
+		return
+	}
+	p.toAsk = true
+	time.AfterFunc(held, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		p.toAsk = false
+		if len(p.waiting) > 0 || len(p.left) > 0 {
+			w.Kick()
+		}
+	})
+}
+
 // AtHand returns what could be reserved now.
 func (w *Wallet) AtHand(id sumachead.WorkspaceID) sumachead.Tokens {
 	w.mu.Lock()
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -119,6 +119,9 @@
 	for i, a := range reply.GetAnswers() {
 		a.Keep, a.Exhausted = advice[i].GetKeep(), advice[i].GetExhausted()
 		k.noteGrant(r.GetNode(), r.GetPositions()[i], grants[i], a)
+		if escrow.Unmet(r.GetPositions()[i], a) {
+			reply.AgainMillis = k.sizer.Again(time.Now()).Milliseconds()
+		}
 	}
 	if reply.GetClosed() {
 		k.Log.Info("A holder of escrow is closed.", "node", r.GetNode(), "boot", r.GetBoot(), "asked", r.GetClosing())
--- a/internal/fleetclient/client_test.go
+++ b/internal/fleetclient/client_test.go
@@ -75,7 +75,13 @@
 
 func serve(t *testing.T, k *fakeKeeper) {
 	t.Helper()
-	s := &rpc.Server{Address: k.address}
+	serveAs(t, k.address, k)
+}
+
+// serveAs serves what answers as a keeper would.
+func serveAs(t *testing.T, address string, k any) {
+	t.Helper()
+	s := &rpc.Server{Address: address}
 	if err := s.Register("Fleet", k); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -16,13 +16,8 @@
 const (
 	// reportEvery is how often a holder tells what it has spent.
 	reportEvery = 700 * time.Millisecond
-	// reportGap is the least time between reports that requests wait for, and
-	// lackingGap that after one which the ledger could not meet: others have to
-	// give back first.
-	reportGap  = 15 * time.Millisecond
-	lackingGap = 40 * time.Millisecond
-	// lackingEach is added to that for each router.
-	lackingEach = 5 * time.Millisecond
+	// reportGap is the least time between reports that requests wait for.
+	reportGap = 15 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = 700 * time.Millisecond
 	// closingTimeout bounds the last report of a holder that stops.
@@ -41,8 +36,6 @@
 
 	boot sumachead.BootID
 	kick chan struct{}
-	// gap is the least time before the next report. Run alone uses it.
-	gap time.Duration
 	// ledger is what is known of the ledger's answers.
 	ledger ledgerTimes
 }
@@ -51,7 +44,6 @@
 func (r *Reporter) Prepare() {
 	r.boot = sumachead.BootID(uuid.NewString())
 	r.kick = make(chan struct{}, 1)
-	r.gap = reportGap
 	r.Wallet.Kick = r.Kick
 	r.ledger.heardAt = r.Client.HeardAt
 	r.Wallet.Prospect = r.ledger.prospect
@@ -76,7 +68,7 @@
 
 // Run reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	return loop.EveryOrKicked(ctx, reportEvery, r.kick, r.gap, func() { r.report(ctx) })
+	return loop.EveryOrKicked(ctx, reportEvery, r.kick, reportGap, func() { r.report(ctx) })
 }
 
 // report sends what is new.
@@ -99,11 +91,6 @@
 		r.Log.Debug("A report of escrow was not taken.", "positions", len(report.GetPositions()), "error", err)
 		return
 	}
-	r.gap = reportGap
-	if unmet(report, reply) {
-		r.gap = lackingGap + lackingEach*time.Duration(r.Client.Routers())
-	}
-	r.ledger.pause(r.gap)
 	next := sumachead.BootID(uuid.NewString())
 	if r.Wallet.Take(reply, r.boot, next, time.Now()) {
 		r.Log.Warn("The ledger had closed this holder; it starts anew.", "boot", r.boot, "next", next)
@@ -111,16 +98,6 @@
 	}
 }
 
-// unmet reports whether a position lacks more than the ledger granted on it.
-func unmet(report *wire.EscrowReport, reply *wire.EscrowReply) bool {
-	for i, a := range reply.GetAnswers() {
-		if escrow.Unmet(report.GetPositions()[i], a) {
-			return true
-		}
-	}
-	return false
-}
-
 // Close returns what has not been spent. Call it after Run has ended and no
 // request is under way.
 func (r *Reporter) Close() {
--- a/internal/fleetclient/ledgertimes.go
+++ b/internal/fleetclient/ledgertimes.go
@@ -27,8 +27,6 @@
 	mu sync.Mutex // guards the fields below
 	// usual is how long reports take that are answered; 0 before the first.
 	usual time.Duration
-	// gap is the least time before the next report; 0 before the first.
-	gap time.Duration
 	// sentAt is when the report under way was sent; zero when none is.
 	sentAt time.Time
 	// failingSince is when the first report was sent that failed after the last one
@@ -62,13 +60,6 @@
 	t.sentAt = time.Time{}
 }
 
-// pause notes the least time before the next report.
-func (t *ledgerTimes) pause(gap time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.gap = gap
-}
-
 // expected returns how long a report should take. The caller holds mu.
 func (t *ledgerTimes) expected() time.Duration {
 	if t.usual == 0 {
@@ -97,14 +88,14 @@
 	return !t.outSince(now).IsZero()
 }
 
-// prospect returns that of money which is asked for at a time, and which requests have
-// lacked since another.
+// prospect returns that of money which a report may ask for from a time on, and which requests
+// have lacked since another.
 func (t *ledgerTimes) prospect(asked, since time.Time) sumachead.Prospect {
 	return ledgerProspect{t, asked, since}
 }
 
 // ledgerProspect is the prospect of money. While the ledger answers, it may come with
-// the answer to the next report, which is under way or sent once its gap is over; a request
+// the answer to the next report, which is under way or sent once it may be; a request
 // that did not wait for it would be told to come back where that answer says that the budget
 // has ended (worth refused again 0.0059 with the gap left out, 0.0042 with it: 12 pairs of
 // days on which budgets end, on three deployments). After that, when others have given back or
@@ -124,5 +115,5 @@
 	if out := t.outSince(now); !out.IsZero() {
 		return patience.AsLong{Since: out}.Expect(now)
 	}
-	return patience.Usual{Since: p.since, By: p.asked.Add(max(reportGap, t.gap) + t.expected())}.Expect(now)
+	return patience.Usual{Since: p.since, By: p.asked.Add(reportGap + t.expected())}.Expect(now)
 }
--- a/internal/fleetclient/ledgertimes_test.go
+++ b/internal/fleetclient/ledgertimes_test.go
@@ -47,19 +47,3 @@
 		})
 	}
 }
-
-// While others have to give back first, reports come at longer intervals: a request waits
-// for the next one that may be sent, since only its answer tells whether there is money.
-func TestNextAnswerIsThatToTheNextReport(t *testing.T) {
-	start := time.Now()
-	l := &ledgerTimes{heardAt: func() time.Time { return start }}
-	l.asked(start)
-	l.answered(start.Add(50*time.Millisecond), true)
-	const gap = 160 * time.Millisecond
-	l.pause(gap)
-	asked := start.Add(time.Second)
-	got, sure := l.prospect(asked, start).Expect(asked)
-	if want := asked.Add(gap + 50*time.Millisecond); !got.Equal(want) || !sure {
-		t.Errorf("expected after %v, sure %t; want %v", got.Sub(asked), sure, want.Sub(asked))
-	}
-}
