Only those who have money of a workspace at hand are asked to give back what another holder lacks

Cause: a workspace that some holder lacks was told to all that follow the leader: its channel ended the held question of each. So one lack cost an answer and a new question for each router: with 384 routers and workspaces that end one after the other the leader did little else. It holds only while the fleet is small: messages grow with routers x workspaces at their end.

Change: the leader's book knows who has some of a workspace at hand; those are asked, and nobody else (some five lenders). Test: TestOnlyHoldersOfAWorkspaceAreAskedToGiveBack; before, all of 400 nodes were told by the one channel that they shared.

--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -130,7 +130,7 @@
 	}
 	busy.spend(60_000, 0)
 	busy.report(l, now)
-	lacking, _ := l.sizer.Lacking(now)
+	lacking, _ := l.sizer.Lacking("router-1", now)
 	if d := cmp.Diff([]string{string(clerks)}, lacking); d != "" {
 		t.Fatalf("lacking (-want +got):\n%s", d)
 	}
--- a/internal/escrow/shares_test.go
+++ b/internal/escrow/shares_test.go
@@ -125,12 +125,12 @@
 	if !reached {
 		return
 	}
-	lacking, _ := d.ledger.sizer.Lacking(now)
-	var ids []sumachead.WorkspaceID
-	for _, w := range lacking {
-		ids = append(ids, sumachead.WorkspaceID(w))
-	}
 	for i, w := range d.wallets {
+		lacking, _ := d.ledger.sizer.Lacking(w.Node, now)
+		var ids []sumachead.WorkspaceID
+		for _, id := range lacking {
+			ids = append(ids, sumachead.WorkspaceID(id))
+		}
 		if w.Touch(ids) {
 			d.kicked[i] = true
 		}
--- a/internal/escrow/sizer.go
+++ b/internal/escrow/sizer.go
@@ -1,7 +1,6 @@
 package escrow
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -78,8 +77,8 @@
 	wants map[sumachead.WorkspaceID]want
 	// lackers are the holders that lacked something, by when they last said so.
 	lackers map[Holder]time.Time
-	// lacking is closed when a workspace is lacking that was not before.
-	lacking chan struct{}
+	// asked is what nodes have been asked to give back.
+	asked map[sumachead.NodeID]*asked
 }
 
 // holderDemand is what one holder has told of its demand.
@@ -159,7 +158,7 @@
 	if need := sumachead.Tokens(p.GetNeeded()); need > 0 {
 		grant = max(grant, min(max(need, sumachead.Tokens(p.GetWanted())), free))
 		a.Exhausted = free < need && s.remaining(b, w) < need+max(atHand, 0)
-		s.noteWant(w, want{by: h, amount: need, at: now}, free)
+		s.noteWant(b, w, want{by: h, amount: need, at: now}, free)
 		if grant < need {
 			s.lackers[h] = now
 		}
@@ -172,7 +171,7 @@
 
 // noteWant remembers what a holder lacks, until it can be granted. The caller
 // holds mu.
-func (s *Sizer) noteWant(w sumachead.WorkspaceID, n want, free sumachead.Tokens) {
+func (s *Sizer) noteWant(b *Book, w sumachead.WorkspaceID, n want, free sumachead.Tokens) {
 	if free >= n.amount {
 		delete(s.wants, w)
 		return
@@ -182,10 +181,7 @@
 		return // who came first is served first: two that lack must not keep each other short
 	}
 	s.wants[w] = n
-	if s.lacking != nil && (!ok || n.at.Sub(old.at) > wantFor) {
-		close(s.lacking)
-		s.lacking = nil
-	}
+	s.askOthers(b, w, n.by, n.at)
 }
 
 // Again returns after what time a holder that lacks something should ask again: the more there
@@ -206,25 +202,6 @@
 	return p.GetNeeded() > a.GetGranted()-p.GetGranted()
 }
 
-// Lacking lists the workspaces of which some holder lacks escrow, and returns a
-// channel that is closed when there is another.
-func (s *Sizer) Lacking(now time.Time) (ws []string, changed <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for w, n := range s.wants {
-		if now.Sub(n.at) > wantFor {
-			delete(s.wants, w)
-			continue
-		}
-		ws = append(ws, string(w))
-	}
-	slices.Sort(ws)
-	if s.lacking == nil {
-		s.lacking = make(chan struct{})
-	}
-	return ws, s.lacking
-}
-
 // keep returns what a holder should keep at hand when it has more than above, and
 // give back the rest; NoWish when it need not give back anything. The caller holds mu.
 func (s *Sizer) keep(b *Book, w sumachead.WorkspaceID, h Holder, hold sumachead.Tokens, now time.Time) (keep, above sumachead.Tokens) {
--- a/internal/escrow/waiting_test.go
+++ b/internal/escrow/waiting_test.go
@@ -112,3 +112,42 @@
 		})
 	}
 }
+
+// Of a workspace that lacks money only those are told who have some of it at hand: in a large
+// fleet a few holders, whatever the number of the others.
+func TestOnlyHoldersOfAWorkspaceAreAskedToGiveBack(t *testing.T) {
+	const holders, with = 400, 5
+	b, s := NewBook(), &Sizer{}
+	b.SetTotals(map[sumachead.WorkspaceID]sumachead.Tokens{clerks: 1000})
+	now := time.Now()
+	node := func(i int) sumachead.NodeID { return sumachead.NodeID(fmt.Sprint("router-", i)) }
+	changes := make([]<-chan struct{}, holders)
+	for i := range holders {
+		r := &wire.EscrowReport{Node: string(node(i)), Boot: "a", Positions: []*wire.EscrowPosition{{Workspace: string(clerks)}}}
+		s.Note(r, now)
+		if i < with {
+			b.Apply(&wire.EscrowGrant{Report: r, Grants: []int64{200}})
+		}
+		_, changes[i] = s.Lacking(node(i), now)
+	}
+	lacks := &wire.EscrowReport{Node: string(node(holders - 1)), Boot: "a", Positions: []*wire.EscrowPosition{{Workspace: string(clerks), Needed: 300}}}
+	s.Size(b, lacks, now)
+	told := 0
+	for i := range holders {
+		select {
+		case <-changes[i]:
+			told++
+		default:
+		}
+		ws, _ := s.Lacking(node(i), now)
+		if got := len(ws) > 0; got != (i < with) {
+			t.Errorf("router-%d is asked: %v", i, got)
+		}
+	}
+	if told != with {
+		t.Errorf("%d of %d nodes were told, %d have something at hand", told, holders, with)
+	}
+	if ws, _ := s.Lacking(node(0), now.Add(time.Minute)); ws != nil {
+		t.Errorf("asked long after: %v", ws)
+	}
+}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -141,7 +141,7 @@
 	if k.machine.RolloutsRevision() > r.GetRolloutsRevision() {
 		reply.Rollouts = k.machine.Rollouts()
 	}
-	reply.Lacking, _ = k.sizer.Lacking(time.Now())
+	reply.Lacking, _ = k.sizer.Lacking(sumachead.NodeID(r.GetNode()), time.Now())
 	return nil
 }
 
@@ -194,7 +194,7 @@
 	if d.GetNumber() > r.GetNumber() || halls > r.GetHallsRevision() || suspects > r.GetSuspectsRevision() || rollouts > r.GetRolloutsRevision() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
 		return
 	}
-	_, lacking := k.sizer.Lacking(time.Now())
+	_, lacking := k.sizer.Lacking(sumachead.NodeID(r.GetNode()), time.Now())
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
