What a router's question costs the leader does not grow with their number

Cause: each answer to a follower sorted the hall's lenders and all relays anew, counted the routers, and looked through all nodes for such that had gone: 57 µs with 384 routers (7.4 to note it, 19.8 for relays, 22.7 for lenders, 7.1 to count), which all routers ask 1.6 times a second and at each change. So all questions together grew with the square of the routers. Change: lists and counts are kept until somebody comes, goes or tells otherwise; nodes that have gone are looked for ten times a second. TestAQuestionCostsTheSameInAnyFleet failed before (33 allocations with 1,000 routers, 26 with 10). TestWhoFollowsIsToldAnew guards what is kept.

--- a/internal/fleet/followers.go
+++ b/internal/fleet/followers.go
@@ -22,6 +22,9 @@
 	// followerLives is how long a follower counts after its last question: some
 	// holds of a question.
 	followerLives = 3 * time.Second
+	// expireEvery is how often it is looked for followers that have gone: a part of how long
+	// they live.
+	expireEvery = 100 * time.Millisecond
 	// relayLives is the same for relays, which ask less often.
 	relayLives = 10 * time.Second
 	// relaysEach is how many relays a router is told of: enough that some are
@@ -48,13 +51,37 @@
 	seen time.Time
 }
 
-// followers is who follows this leader; soft state.
+// followers is who follows this leader; soft state. What followers are told of each other is made
+// anew only when somebody comes or goes: each of them asks some times a second.
 type followers struct {
-	mu    sync.Mutex // guards nodes
+	mu    sync.Mutex // guards the fields below
 	nodes map[sumachead.NodeID]follower
+	// counts are how many nodes there are of each role.
+	counts map[string]int
+	// relays are those of each node, and lenders those of each hall, as far as they were asked
+	// for since somebody came or went.
+	relays  map[sumachead.NodeID][]string
+	lenders map[sumachead.HallID]lenders
+	// expiredAt is when it was last looked for nodes that have gone.
+	expiredAt time.Time
 }
 
-func newFollowers() *followers { return &followers{nodes: make(map[sumachead.NodeID]follower)} }
+// lenders is where the routers of a data hall lend escrow, with a digest of the list.
+type lenders struct {
+	addresses []string
+	digest    uint64
+}
+
+func newFollowers() *followers {
+	f := &followers{nodes: make(map[sumachead.NodeID]follower), counts: make(map[string]int)}
+	f.changed()
+	return f
+}
+
+// changed forgets what was made of those who follow. The caller holds mu.
+func (f *followers) changed() {
+	f.relays, f.lenders = make(map[sumachead.NodeID][]string), make(map[sumachead.HallID]lenders)
+}
 
 // saw notes a question. For a relay that is not needed, which is not noted, it
 // returns how long that should wait before it asks again; 0 for all others.
@@ -65,13 +92,28 @@
 	if r.GetRole() == RoleRelay && f.relaysBeside(r) >= relaysInHall {
 		return spareRelayPause
 	}
-	f.nodes[sumachead.NodeID(r.GetNode())] = follower{
+	f.note(sumachead.NodeID(r.GetNode()), follower{
 		role: r.GetRole(), hall: sumachead.HallID(r.GetHall()), relay: r.GetRelayAddress(),
 		lending: r.GetLendingAddress(), seen: now,
-	}
+	})
 	return 0
 }
 
+// note keeps what a node tells of itself. The caller holds mu.
+func (f *followers) note(n sumachead.NodeID, x follower) {
+	old, known := f.nodes[n]
+	f.nodes[n] = x
+	old.seen = x.seen
+	if known && old == x {
+		return
+	}
+	if known {
+		f.counts[old.role]--
+	}
+	f.counts[x.role]++
+	f.changed()
+}
+
 // relaysBeside counts the other relays of a relay's hall; 0 for one that is counted
 // already. The caller holds mu.
 func (f *followers) relaysBeside(r *wire.FollowRequest) int {
@@ -89,6 +131,10 @@
 
 // expire forgets who has not asked for long. The caller holds mu.
 func (f *followers) expire(now time.Time) {
+	if now.Sub(f.expiredAt) < expireEvery {
+		return
+	}
+	f.expiredAt = now
 	for n, x := range f.nodes {
 		lives := followerLives
 		if x.role == RoleRelay {
@@ -96,6 +142,8 @@
 		}
 		if now.Sub(x.seen) > lives {
 			delete(f.nodes, n)
+			f.counts[x.role]--
+			f.changed()
 		}
 	}
 }
@@ -104,26 +152,30 @@
 func (f *followers) count(role string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 0
-	for _, x := range f.nodes {
-		if x.role == role {
-			n++
-		}
-	}
-	return n
+	return f.counts[role]
 }
 
 // relaysFor picks relays for a node: always the same while none comes or goes,
-// different ones for different nodes, and one of each hall first.
+// different ones for different nodes, and one of each hall first. The list must not be
+// changed.
 func (f *followers) relaysFor(node string) []string {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := sumachead.NodeID(node)
+	if _, ok := f.relays[n]; !ok {
+		f.relays[n] = f.pickRelays(node)
+	}
+	return f.relays[n]
+}
+
+// pickRelays is relaysFor made anew. The caller holds mu.
+func (f *followers) pickRelays(node string) []string {
 	byHall := make(map[sumachead.HallID][]string)
 	for _, x := range f.nodes {
 		if x.role == RoleRelay && x.relay != "" {
 			byHall[x.hall] = append(byHall[x.hall], x.relay)
 		}
 	}
-	f.mu.Unlock()
 	for _, rs := range byHall {
 		slices.SortFunc(rs, func(a, b string) int { return cmp.Compare(rank(node, a), rank(node, b)) })
 	}
@@ -143,22 +195,34 @@
 	return out
 }
 
-// lendersOf lists where the routers of a data hall lend escrow, with a digest of the list.
-func (f *followers) lendersOf(hall sumachead.HallID) (lenders []string, digest uint64) {
+// lendersOf lists where the routers of a data hall lend escrow, with a digest of the list, which
+// must not be changed.
+func (f *followers) lendersOf(hall sumachead.HallID) (addresses []string, digest uint64) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	x, ok := f.lenders[hall]
+	if !ok {
+		x = f.pickLenders(hall)
+		f.lenders[hall] = x
+	}
+	return x.addresses, x.digest
+}
+
+// pickLenders is lendersOf made anew. The caller holds mu.
+func (f *followers) pickLenders(hall sumachead.HallID) (out lenders) {
 	for _, x := range f.nodes {
 		if x.lending != "" && x.hall == hall {
-			lenders = append(lenders, x.lending)
+			out.addresses = append(out.addresses, x.lending)
 		}
 	}
-	f.mu.Unlock()
-	slices.Sort(lenders)
+	slices.Sort(out.addresses)
 	h := fnv.New64a()
-	for _, l := range lenders {
+	for _, l := range out.addresses {
 		_, _ = h.Write([]byte(l))
 		_, _ = h.Write([]byte{0})
 	}
-	return lenders, h.Sum64()
+	out.digest = h.Sum64()
+	return out
 }
 
 // rank orders relays differently for each node.
--- a/internal/fleet/followers_test.go
+++ b/internal/fleet/followers_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sumachead"
 	"sumachead/api/wire"
 )
 
@@ -54,3 +55,71 @@
 		t.Errorf("relays that follow (-want +got):\n%s", diff)
 	}
 }
+
+// fleetOf returns followers: routers that lend in five halls, and eight relays in each.
+func fleetOf(routers int, now time.Time) *followers {
+	f := newFollowers()
+	for i := range routers {
+		f.saw(&wire.FollowRequest{Node: fmt.Sprint("router-", i), Role: RoleRouter, Hall: fmt.Sprint("hall-", i%5), LendingAddress: fmt.Sprint("router-", i, ":1")}, now)
+	}
+	for i := range 5 * relaysInHall {
+		f.saw(&wire.FollowRequest{Node: fmt.Sprint("relay-", i), Role: RoleRelay, Hall: fmt.Sprint("hall-", i%5), RelayAddress: fmt.Sprint("relay-", i, ":1")}, now)
+	}
+	return f
+}
+
+// askAgain is what a question of a router that is known costs the leader beside what is new.
+func (f *followers) askAgain(now time.Time) {
+	r := &wire.FollowRequest{Node: "router-7", Role: RoleRouter, Hall: "hall-2", LendingAddress: "router-7:1"}
+	f.saw(r, now)
+	f.relaysFor(r.GetNode())
+	f.lendersOf(sumachead.HallID(r.GetHall()))
+	f.count(RoleRouter)
+}
+
+// Each router asks some times a second: what its question costs must not grow with their number,
+// or what all questions cost grows with its square.
+func TestAQuestionCostsTheSameInAnyFleet(t *testing.T) {
+	now := time.Now()
+	cost := func(routers int) float64 {
+		f := fleetOf(routers, now)
+		f.askAgain(now)
+		return testing.AllocsPerRun(100, func() { f.askAgain(now) })
+	}
+	if small, large := cost(10), cost(1000); large > small {
+		t.Errorf("%v allocations with 1,000 routers, %v with 10", large, small)
+	}
+}
+
+// What is told of those who follow is true at once when somebody comes, goes or moves.
+func TestWhoFollowsIsToldAnew(t *testing.T) {
+	now := time.Now()
+	f := fleetOf(10, now)
+	_, before := f.lendersOf("hall-2")
+	f.askAgain(now)
+	f.saw(&wire.FollowRequest{Node: "router-99", Role: RoleRouter, Hall: "hall-2", LendingAddress: "router-99:1"}, now)
+	lenders, digest := f.lendersOf("hall-2")
+	if len(lenders) != 3 || digest == before || f.count(RoleRouter) != 11 {
+		t.Errorf("lenders %v, %d routers", lenders, f.count(RoleRouter))
+	}
+	f.saw(&wire.FollowRequest{Node: "router-99", Role: RoleRouter, Hall: "hall-2"}, now) // lends no more
+	if lenders, digest = f.lendersOf("hall-2"); len(lenders) != 2 || digest != before {
+		t.Errorf("lenders %v", lenders)
+	}
+	f.saw(&wire.FollowRequest{Node: "router-7", Role: RoleRouter, Hall: "hall-2", LendingAddress: "router-7:1"}, now.Add(followerLives+time.Second))
+	if n := f.count(RoleRouter); n != 1 {
+		t.Errorf("%d routers, after all but one have gone", n)
+	}
+}
+
+func BenchmarkQuestion(b *testing.B) {
+	for _, routers := range []int{10, 100, 400, 1000} {
+		b.Run(fmt.Sprint(routers, " routers"), func(b *testing.B) {
+			now := time.Now()
+			f := fleetOf(routers, now)
+			for b.Loop() {
+				f.askAgain(now)
+			}
+		})
+	}
+}
