Routers have favourites of their own among the servers of a plain service

Cause: of servers that are alike the one with the least draw was chosen, and that draw was the same at all routers (it exists so that prompts with the same parts meet; plain calls have none).

--- a/internal/place/chooser.go
+++ b/internal/place/chooser.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -60,6 +61,8 @@
 	Rest func(sumachead.ServerID) time.Duration
 
 	hall sumachead.HallID
+	// lot is this router's own: it decides between servers of a plain service that are alike.
+	lot uint64
 
 	mu      sync.Mutex // guards the fields below, and what servers hold
 	servers map[sumachead.ServerID]*server
@@ -75,7 +78,7 @@
 // NewChooser returns one for a router of a data hall.
 func NewChooser(h sumachead.HallID) *Chooser {
 	return &Chooser{
-		hall: h, servers: make(map[sumachead.ServerID]*server), reading: newReading(), lengths: make(map[string]time.Duration),
+		hall: h, lot: rand.Uint64(), servers: make(map[sumachead.ServerID]*server), reading: newReading(), lengths: make(map[string]time.Duration),
 	}
 }
 
@@ -87,7 +90,9 @@
 	// cost is in tokens for engines, and in percent of the slots for servers of a
 	// plain service; only servers of one service are compared.
 	cost float64
-	// draw decides between equal costs, alike at all routers.
+	// draw decides between equal costs: for engines alike at all routers, so that prompts with
+	// the same parts meet; for servers of a plain service otherwise at each, which knows nothing
+	// of what the others send, so that they do not all prefer the same one.
 	draw uint64
 }
 
@@ -196,7 +201,7 @@
 	}
 	away := r.GetHall() != string(c.hall)
 	if w.Engine == nil {
-		k.cost = plainCost(r, s, away)
+		k.cost, k.draw = plainCost(r, s, away), mix(c.lot^s.draw)
 		return k
 	}
 	k.cost = c.cost(s, w, e, away, now)
