Connections between processes that nobody uses for eight seconds end

Cause: a router asks the gauges of a few engines for each request, drawn among all, and tells the one that it chose; each connection stayed for good. So every router came to hold one to every gauge, and every gauge one to every router: a product of the two (1,000 routers before 1,900 engines: 1,900 a router, some 20 KB each). At 0.8 choices a second a router meets the same gauge of 600 again after some minutes. Change: the pool ends connections that rest, never under a call; a later call dials again. At 4.2 choices a second (1,600 requests/s at 384 routers) a router keeps those of 34 choices, some 140 whatever the number of engines.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,6 +162,7 @@
 	tasks.Go(func() error {
 		return loop.Every(work, tidyEvery, func() {
 			g.upstream.Tidy(time.Now())
+			g.Pool.Tidy(time.Now())
 			g.chooser.Tidy(time.Now())
 			g.servers.Forget(time.Now())
 			g.checks.forget(time.Now())
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,6 +31,10 @@
 	// redialAfter keeps a dead address from being dialled on each call. It is short
 	// beside the time in which a process starts: who is back should be reached.
 	redialAfter = 15 * time.Millisecond
+	// idleFor is how long a connection rests that nobody uses: longer than the intervals at
+	// which processes call each other that need each other, and much shorter than the time
+	// after which a router of a large fleet asks the same one of many others again.
+	idleFor = 8 * time.Second
 )
 
 // ErrNotSent marks a call that never left this process: it had no effect.
@@ -53,6 +59,9 @@
 	dialAt   time.Time
 	dialErr  error
 	dialing  chan struct{}
+	// calls are those under way, and usedAt is when the last one began or ended.
+	calls  int
+	usedAt time.Time
 }
 
 // Call runs a method and waits for its reply or the end of ctx. A failure to
@@ -75,6 +84,8 @@
 }
 
 func (c *Client) call(ctx context.Context, method string, args, reply any) error {
+	c.use(1)
+	defer c.use(-1)
 	for {
 		conn, err := c.connect(ctx)
 		if err != nil {
@@ -96,6 +107,26 @@
 	}
 }
 
+// use counts calls under way.
+func (c *Client) use(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls += n
+	c.usedAt = time.Now()
+}
+
+// tidy ends the connection if nobody has used it for long.
+func (c *Client) tidy(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.calls > 0 || c.conn == nil || now.Sub(c.usedAt) <= idleFor {
+		return
+	}
+	c.conn.dropped.Store(true)
+	_ = c.conn.Close()
+	c.conn = nil
+}
+
 // finish notes the health of the connection that a call ended on.
 func (c *Client) finish(conn *connection, err error) error {
 	var remote rpc.ServerError
@@ -264,6 +295,33 @@
 	return c
 }
 
+// Tidy ends connections that nobody has used for long; a later call dials again. It is to be called
+// now and then: with many others that are called seldom, each by chance, a process would come to
+// hold a connection to every one of them.
+func (p *Pool) Tidy(now time.Time) {
+	p.mu.Lock()
+	clients := slices.Collect(maps.Values(p.clients))
+	p.mu.Unlock()
+	for _, c := range clients {
+		c.tidy(now)
+	}
+}
+
+// Open returns how many connections are open.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, c := range p.clients {
+		c.mu.Lock()
+		if c.conn != nil {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
 // way is how an address is reached.
 type way struct{ relay, address string }
 
