A caller that does not read keeps nothing here for long, and its engine is not blamed for it

Cause: a write to a caller had no time of its own: one that does not read and stays connected kept its handler, its place among the callers' connections, and the bound of its request out of its budget for as long as it liked, the route's time or not. And a stream that an engine cut off since its caller had not read it for seconds counted as the engine's failure: the engine was doubted, and the request sent to another one, which made the same events for nobody. Change: an answer may be taken until 3 s after its time, then its write fails (a ready answer is still delivered late); a stream that breaks after its caller has held a write up for a second ends as the caller's doing.

--- a/callers.go
+++ b/callers.go
@@ -44,8 +44,9 @@
 // CallerAnswer takes the answer to one request. Calls do not overlap.
 type CallerAnswer interface {
 	// Start sends the head. A size below 0 means that the answer's end is not
-	// known yet.
-	Start(status int, header http.Header, size int)
+	// known yet. What the caller has not taken by until is not written any more:
+	// the write fails.
+	Start(status int, header http.Header, size int, until time.Time)
 	// Write sends a part of the body at once.
 	Write(part []byte) error
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -37,6 +37,8 @@
 	// repeatTaken: the allowance holds the next attempt, since the one that it was used up for
 	// reached nobody.
 	repeatTaken bool
+	// held is for how long the caller has held the last write of its answer up.
+	held time.Duration
 	// learned is what is found out about the server of the last attempt; nil for nothing.
 	learned *learning
 	// trial is the number of the request's trial: it is suspected, and runs nowhere else in
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -9,10 +9,15 @@
 	"sumachead/api/wire"
 	"sumachead/internal/catalog"
 	"sumachead/internal/chain"
+	"sumachead/internal/moment"
 	"sumachead/internal/patience"
 	"sumachead/internal/place"
 )
 
+// unreadMost is for how long after its time an answer that is ready waits for its caller to take
+// it: what a caller that does not read keeps here, its budget's money too, is free again then.
+const unreadMost = 3 * time.Second
+
 // exchange is one request on its way through the filters. Each filter fills in
 // its part.
 type exchange struct {
@@ -79,7 +84,7 @@
 // start sends the head of the answer.
 func (x *exchange) start(status int, header http.Header, size int) {
 	x.started, x.firstAt = true, time.Now()
-	x.answer.Start(status, header, size)
+	x.answer.Start(status, header, size, moment.Later(x.deadline, x.firstAt).Add(unreadMost))
 }
 
 // handler deals with an exchange.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -138,17 +138,22 @@
 	status int
 	seal   string
 	body   strings.Builder
+	// until is until when it may take what is written, and holds how long each write is held
+	// up.
+	until time.Time
+	holds time.Duration
 }
 
-func (r *recorder) Start(status int, h http.Header, _ int) {
+func (r *recorder) Start(status int, h http.Header, _ int, until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.status, r.seal = status, h.Get("X-Seal")
+	r.status, r.seal, r.until = status, h.Get("X-Seal"), until
 }
 
 func (r *recorder) Write(part []byte) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	time.Sleep(r.holds)
 	_, err := r.body.Write(part)
 	return err
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,6 +20,12 @@
 // connection can be used again.
 const drainBytes = 64 << 10
 
+// heldLong is for how long a caller has to hold a write up for the end of its stream to be its
+// own doing: servers cut off what stays unread for some seconds, and an answer that is read at
+// all is never held up so long. Such a server has failed nobody, and another one would have to
+// make the same events again for a caller who does not read them.
+const heldLong = time.Second
+
 // sizeUnknown is the size of an answer whose end is not known when it starts.
 const sizeUnknown = -1
 
@@ -45,7 +51,10 @@
 
 // write passes a part of the answer on to the caller.
 func (d *dispatch) write(part []byte) error {
-	if err := d.x.answer.Write(part); err != nil {
+	begun := time.Now()
+	err := d.x.answer.Write(part)
+	d.held = time.Since(begun)
+	if err != nil {
 		return sumachead.Refuse(sumachead.Ran, sumachead.ReasonInterrupted, "the caller has gone", d.x.deadline)
 	}
 	return nil
@@ -94,6 +103,9 @@
 		if errors.Is(err, io.EOF) {
 			return d.endStream(a)
 		}
+		if err != nil && d.held >= heldLong {
+			return sumachead.Refuse(sumachead.Ran, sumachead.ReasonInterrupted, "the caller reads too slowly, and the server has cut the stream off", time.Time{})
+		}
 		if err != nil {
 			return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonInterrupted, Err: fmt.Errorf("the stream broke off: %w", err)}
 		}
