--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -129,6 +129,13 @@
 	answer, _ := k.servers.Since(r.GetHistory(), r.GetVersion())
 	// The records are shared with the table, which never changes them.
 	reply.History, reply.Version, reply.Whole, reply.Servers = answer.GetHistory(), answer.GetVersion(), answer.GetWhole(), answer.GetServers()
+	k.tellLog(r, reply)
+	reply.Lacking, _ = k.sizer.Lacking(sumachead.NodeID(r.GetNode()), time.Now())
+	return nil
+}
+
+// tellLog tells a node what it lacks of what the log holds.
+func (k *Keeper) tellLog(r *wire.FollowRequest, reply *wire.FollowReply) {
 	if p := k.machine.Packed(); p.GetNumber() > r.GetNumber() {
 		reply.Declaration = &wire.PackedDeclaration{Number: p.GetNumber(), Catalog: p.GetCatalog(), FingerprintKey: p.GetFingerprintKey()}
 	}
@@ -141,8 +148,6 @@
 	if k.machine.RolloutsRevision() > r.GetRolloutsRevision() {
 		reply.Rollouts = k.machine.Rollouts()
 	}
-	reply.Lacking, _ = k.sizer.Lacking(sumachead.NodeID(r.GetNode()), time.Now())
-	return nil
 }
 
 // locate tells a node who leads. Where nobody does, the question is held as long as the
@@ -185,13 +190,11 @@
 func (s *service) hold(r *wire.FollowRequest) {
 	k := s.keeper
 	// The channel comes first: what changes after it was taken closes it.
-	d, changed := k.machine.Declaration()
-	halls := k.machine.HallsRevision()
-	suspects := k.machine.SuspectsRevision()
-	rollouts := k.machine.RolloutsRevision()
+	_, changed := k.machine.Declaration()
+	behind := k.isBehind(r)
 	news, servers := k.servers.Since(r.GetHistory(), r.GetVersion())
 	wait := min(time.Duration(r.GetWaitMillis())*time.Millisecond, maxFollowWait)
-	if d.GetNumber() > r.GetNumber() || halls > r.GetHallsRevision() || suspects > r.GetSuspectsRevision() || rollouts > r.GetRolloutsRevision() || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
+	if behind || news.GetWhole() || len(news.GetServers()) > 0 || wait <= 0 {
 		return
 	}
 	_, lacking := k.sizer.Lacking(sumachead.NodeID(r.GetNode()), time.Now())
@@ -207,6 +210,13 @@
 	}
 }
 
+// isBehind reports whether a node lacks something that the log holds.
+func (k *Keeper) isBehind(r *wire.FollowRequest) bool {
+	m := k.machine
+	return m.Packed().GetNumber() > r.GetNumber() || m.HallsRevision() > r.GetHallsRevision() ||
+		m.SuspectsRevision() > r.GetSuspectsRevision() || m.RolloutsRevision() > r.GetRolloutsRevision()
+}
+
 // history names this leader's numbering of server records.
 func (k *Keeper) history() string {
 	return fmt.Sprintf("%s/%s/%d", k.Address, k.identity.GetIncarnation(), k.node.Status().GetTerm())
