Read again: one look whether a leader has heard of all servers, one loop at intervals

fleet/rollouts.go had written the number of heartbeats anew after which a leader has heard of all servers, beside its twin in the registry; the registry answers now, by the one constant. loop.Every is EveryOrKicked without kicks. No change of behaviour.

--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -32,8 +32,6 @@
 	longestRollout = 30 * 24 * time.Hour
 	// longestVersion bounds the name of a version.
 	longestVersion = 256
-	// allToldBeats is how many heartbeats a leader has heard of all servers after.
-	allToldBeats = 3
 )
 
 // usualExposure bounds what a bad version gets where nothing else is set.
@@ -244,9 +242,7 @@
 // fleetFor returns what is known of the servers of a service that is rolled out, and of the
 // routers.
 func (k *Keeper) fleetFor(r *wire.Rollout) *rollout.Fleet {
-	f := &rollout.Fleet{Routers: k.followers.nodesOf(RoleRouter)}
-	leadsSince, ok := k.servers.LeadsSince()
-	f.Known = ok && time.Since(leadsSince) > allToldBeats*k.Heartbeat
+	f := &rollout.Fleet{Routers: k.followers.nodesOf(RoleRouter), Known: k.servers.HeardOfAll(time.Now())}
 	for version, slots := range k.servers.Versions(r.GetService()) {
 		if version == r.GetTarget() {
 			f.Target += slots
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -9,16 +9,7 @@
 // Every calls f at an interval until ctx ends; then it returns nil. It passes no
 // time on: that of a tick is old in a process that was frozen.
 func Every(ctx context.Context, interval time.Duration, f func()) error {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			f()
-		}
-	}
+	return EveryOrKicked(ctx, interval, nil, 0, f)
 }
 
 // EveryOrKicked is Every with a call beside the interval a gap after each kick, so that what
--- a/internal/registry/leader.go
+++ b/internal/registry/leader.go
@@ -26,11 +26,12 @@
 	}
 }
 
-// LeadsSince returns since when others follow this table; ok is false where none do.
-func (t *Table) LeadsSince() (since time.Time, ok bool) {
+// HeardOfAll reports whether others have followed this table for so long that all servers have
+// told of themselves.
+func (t *Table) HeardOfAll(now time.Time) bool {
 	t.lock()
 	defer t.mu.Unlock()
-	return t.leadsSince, t.leads
+	return t.leads && now.Sub(t.leadsSince) > heardOfAll*t.Heartbeat
 }
 
 // Beat takes in a heartbeat; one that is older than what is known, or of an earlier life,
