A majority finds its leader though one of it lacks the change of the members

Cause: a member refused its vote where its own log did not say that it votes, and took no question of a life that its log did not name. A change counts at each member once it is in its log, and may be committed without one whose vote it needs: a fourth voter is taken in, a founder's disk is lost before the fourth has the entry, and the three that are left are a majority by the new configuration only, two of which never get the third one's vote. Nobody leads again, whatever is started anew.

Ruled out: the code that takes members in (it waits for commits); timing alone (the model and the rows fail with messages that arrive at once).

Change: a vote may be given to one whose log is ahead also where this member's own log gives it none, and to a life that it does not know; who asks addresses the lives that vote by its log, so that a member with a new disk is never asked in its old self's name. A poll begins an election only where the voters that have not lost their disks are a majority.

--- a/internal/raft/core_test.go
+++ b/internal/raft/core_test.go
@@ -50,6 +50,8 @@
 	// chosen is the command that was ever applied at an index.
 	chosen   map[uint64]string
 	proposed int
+	// lost is the host whose disk was lost, until its new life votes; nil for none.
+	lost *host
 }
 
 func newCluster(t *rapid.T, n int) *cluster {
@@ -371,6 +373,7 @@
 			c.process(h, -1)
 		}
 		c.check()
+		c.changeMembers()
 		for _, h := range c.hosts {
 			if h.core.role == Leader {
 				h.core.Propose([][]byte{[]byte("last")})
--- a/internal/raft/poll.go
+++ b/internal/raft/poll.go
@@ -15,7 +15,9 @@
 // among them whose log is the most advanced campaigns at once.
 //
 // A voter whose place is taken by a life with an empty disk does not lead either; it
-// just has no vote to give. One that does not answer may lead: then the election
+// just has no vote to give. Where so many are gone that those left are no majority, nobody
+// campaigns: each election would raise the term, which ends the polls of members that know
+// of a majority by a later change. One that does not answer may lead: then the election
 // timeout decides.
 
 // pollPart is the part of the election timeout that separates polls: some of them
@@ -29,8 +31,8 @@
 	at time.Duration
 	// round numbers the rounds, so that a late reply counts for none.
 	round uint64
-	// idle are the voters that neither lead nor follow, as of this round; nil while
-	// no round is under way.
+	// idle are the voters that neither lead nor follow, as of this round, and whether
+	// they still have a vote; nil while no round is under way.
 	idle map[string]bool
 	// beaten: in this round another voter is to campaign.
 	beaten bool
@@ -101,20 +103,20 @@
 	if c.poll.idle == nil || m.GetRound() != c.poll.round {
 		return
 	}
-	voter := c.member(m.GetFrom())
+	gone := c.member(m.GetFrom()).GetIncarnation() != m.GetFromIncarnation()
 	switch {
 	case m.GetReject():
 		c.poll.idle = nil // no result in this round
 		return
-	case voter.GetIncarnation() != m.GetFromIncarnation():
-		// Its old self is gone for good, and its vote with it.
+	case gone:
+		// Its old self's vote is gone with it, for good.
 	case m.GetTerm() > c.term:
 		c.becomeFollower(m.GetTerm(), "")
 		return
 	case !c.goesBefore(m):
 		c.poll.beaten = true
 	}
-	c.noteIdle(m.GetFrom())
+	c.noteIdle(m.GetFrom(), !gone)
 }
 
 // goesBefore reports whether this member rather than the one that has replied is
@@ -129,19 +131,27 @@
 	return c.cfg.ID < m.GetFrom()
 }
 
-// noteIdle takes in that a voter neither leads nor follows, and campaigns if that
-// holds for all of them.
-func (c *Core) noteIdle(id string) {
+// noteIdle takes in that a voter neither leads nor follows, and whether it has a vote; this
+// member campaigns if that holds for all of them, and enough have one.
+func (c *Core) noteIdle(id string, votes bool) {
 	if c.poll.idle == nil {
 		return
 	}
-	c.poll.idle[id] = true
+	c.poll.idle[id] = votes
+	have := 1
 	for _, m := range c.voters() {
-		if m.GetId() != c.cfg.ID && !c.poll.idle[m.GetId()] {
+		if m.GetId() == c.cfg.ID {
+			continue
+		}
+		votes, idle := c.poll.idle[m.GetId()]
+		if !idle {
 			return
 		}
+		if votes {
+			have++
+		}
 	}
-	if !c.poll.beaten {
+	if !c.poll.beaten && have >= c.quorum() {
 		c.poll.idle = nil
 		c.leader = ""
 		c.startElection(true)
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -58,9 +58,28 @@
 		return false
 	}
 	from := c.member(m.GetFrom())
-	return from == nil || from.GetIncarnation() == m.GetFromIncarnation() || fromLeader(m)
+	return from == nil || from.GetIncarnation() == m.GetFromIncarnation() || fromLeader(m) || c.asksAhead(m)
 }
 
+// asksAhead reports a message that asks for a vote and comes from a member whose log is ahead
+// of this one's.
+func (c *Core) asksAhead(m *wire.RaftMessage) bool {
+	k := m.GetKind()
+	return (k == wire.RaftKind_RAFT_KIND_PRE_VOTE || k == wire.RaftKind_RAFT_KIND_VOTE) && c.behind(m)
+}
+
+// behind reports whether the log of a member that asks for a vote is ahead of this one's, so
+// that it may hold changes of the members that this one lacks: the life that asks may have
+// become a voter by one of them, and so may this member. Were either held against them, a
+// majority of which one lacks the change that is in force would find no leader.
+func (c *Core) behind(m *wire.RaftMessage) bool {
+	return c.upToDate(m) && (m.GetLogTerm() != c.lastTerm() || m.GetLogIndex() != c.lastIndex())
+}
+
+// mayVote reports whether this life of this member has a vote, or whoever asks for it knows
+// that better: it asks those that vote by its log.
+func (c *Core) mayVote(m *wire.RaftMessage) bool { return c.isVoter(c.cfg.ID) || c.behind(m) }
+
 // fromLeader reports a message that only a leader sends. A member whose own
 // configuration is old must still take these in.
 func fromLeader(m *wire.RaftMessage) bool {
@@ -122,7 +141,7 @@
 }
 
 func (c *Core) onPreVote(m *wire.RaftMessage) {
-	grant := m.GetTerm() > c.term && !c.sticky() && c.upToDate(m) && c.isVoter(c.cfg.ID)
+	grant := m.GetTerm() > c.term && !c.sticky() && c.upToDate(m) && c.mayVote(m)
 	term := m.GetTerm()
 	if !grant {
 		term = c.term
@@ -139,7 +158,7 @@
 }
 
 func (c *Core) onVote(m *wire.RaftMessage) {
-	grant := (c.vote == "" || c.vote == m.GetFrom()) && c.upToDate(m) && c.isVoter(c.cfg.ID)
+	grant := (c.vote == "" || c.vote == m.GetFrom()) && c.upToDate(m) && c.mayVote(m)
 	if grant {
 		c.setTerm(c.term, m.GetFrom())
 		c.resetElection()
