A request that broke with its server is answered once the end is known to the fleet

Cause: a router found out whether the server of a failed attempt had ended, and told the keepers, before it sent the request again, but not before it gave up: the answer went out at once. A caller that sent the request again before the news were in force came to a router that knew of one end less, and ended a fourth server, or more.

Ruled out: the docket's counts and trials (each end was counted once told); the bound of 150 ms on that wait, which was not reached alone.

Change: the wait for what is found out comes before any answer, and an answer after an end waits another 20 ms for the news to reach the other routers.

Before: a caller that sends again at once, new row: 8 of 8 runs ended 4 or 5 servers, 4 runs at a time; with the wait alone 1 of 12. All rows and TestOperatorClearsARequest, 2 runs at a time: 9 of 10 failed before (one of them in a row that is not new), 0 of 10 after. 6 at a time (30 fleets, load average 90) 8 of 24 fail after, by ends or by answers that take over 200 ms; what they wait for was not traced.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -59,6 +59,9 @@
 	}
 	g.retries.note(time.Now(), g.client.Routers())
 	err := d.run()
+	if err != nil {
+		d.letSpread()
+	}
 	d.settleTrial(err)
 	return err
 }
@@ -82,10 +85,10 @@
 		if f.Verdict != sumachead.NotRun {
 			d.mayHaveRun = true
 		}
+		d.await(d.learned)
 		if stop := d.mayRetry(); stop != nil {
 			return stop
 		}
-		d.await(d.learned)
 		d.noteRetry(d.x, f)
 	}
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -24,9 +24,11 @@
 // (TestRequestThatEndsServers, three fleets of six engines; 3 servers, and 99 in 100, with it).
 
 const (
-	// learnMost is how long a request that is to be sent again waits for what is known of
-	// the end that it has seen: the question at the server's address, and a commit.
+	// learnMost is how long a request that has failed waits for what is known of the end that
+	// it has seen: the question at the server's address, and a commit.
 	learnMost = 150 * time.Millisecond
+	// spreadTime is what news take from the leading keeper to the routers, through a relay.
+	spreadTime = 20 * time.Millisecond
 	// gatherEnds is for how long requests that broke with one server are gathered into one
 	// report.
 	gatherEnds = 2 * time.Millisecond
@@ -223,14 +225,23 @@
 	return l
 }
 
-// await waits for what is found out of the last attempt, which decides whether there may be
-// another one.
+// await waits for what is found out of the last attempt: it decides whether there may be another
+// one, and a caller that is answered before it is known ends another server by sending the
+// request again to a router that has not heard of the end.
 func (d *dispatch) await(l *learning) {
 	if l != nil {
 		loop.Pause(d.ctx, l.done, time.Now().Add(learnMost))
 	}
 }
 
+// letSpread holds the answer of a request that has failed until the other routers have mostly
+// heard of the end of its server as well: its caller may send it again at once.
+func (d *dispatch) letSpread() {
+	if d.learned != nil && !d.learned.lives() {
+		loop.Pause(d.ctx, nil, time.Now().Add(spreadTime))
+	}
+}
+
 // mayRun returns nil if the request may be sent to a server as far as ends of servers go, and
 // otherwise how it ends. One that is suspected also needs a trial, once a server is chosen.
 func (d *dispatch) mayRun() error {
--- a/internal/scenario/endsservers_test.go
+++ b/internal/scenario/endsservers_test.go
@@ -75,13 +75,16 @@
 
 func (f *fleet) ended() int { return f.endedUnder(badBody) }
 
+// againSoon is how long a caller mostly waits until it sends a request that has failed again.
+const againSoon = 50 * time.Millisecond
+
 // insist sends the bad request to one router after the other until a moment, each time
-// under a new id.
-func (f *fleet) insist(until time.Time) (callers []*caller) {
+// under a new id and some time after the last answer.
+func (f *fleet) insist(until time.Time, after time.Duration) (callers []*caller) {
 	for i := 0; time.Now().Before(until); i++ {
 		router := fmt.Sprintf("router-%d", i%f.shape.routers+1)
 		callers = append(callers, f.ask(fleetRequest{kind: "stream", router: router, body: badBody, prompt: 10, events: 5}))
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(after)
 	}
 	return callers
 }
@@ -110,14 +113,17 @@
 		// callers send the bad request at the same time. What each of them has under way
 		// can't be called back.
 		callers int
-		sameID  bool
+		// after is how long they wait until they send again.
+		after  time.Duration
+		sameID bool
 		// same: all others send one request, which is beside the bad one at most ends.
 		same bool
 	}{
-		{"one caller", 1, false, false},
-		{"servers that start again under their ids", 1, true, false},
-		{"three callers", 3, false, false},
-		{"others who send one request", 1, false, true},
+		{"one caller", 1, againSoon, false, false},
+		{"one caller that sends again at once", 1, 0, false, false},
+		{"servers that start again under their ids", 1, againSoon, true, false},
+		{"three callers", 3, againSoon, false, false},
+		{"others who send one request", 1, againSoon, false, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -143,7 +149,7 @@
 			var last []*caller
 			for range tt.callers {
 				all.Go(func() {
-					callers := f.insist(until)
+					callers := f.insist(until, tt.after)
 					mu.Lock()
 					defer mu.Unlock()
 					last = append(last, callers[len(callers)-1])
@@ -181,7 +187,7 @@
 // after everything was killed.
 func TestBarredRequestStaysBarred(t *testing.T) {
 	f := endsFleet(t, false)
-	f.insist(time.Now().Add(time.Second))
+	f.insist(time.Now().Add(time.Second), againSoon)
 	if f.ended() != mostEnds {
 		t.Fatalf("%d servers ended, want %d", f.ended(), mostEnds)
 	}
@@ -214,13 +220,13 @@
 				t.Fatal(err)
 			}
 		}
-		f.insist(time.Now().Add(1500 * time.Millisecond))
+		f.insist(time.Now().Add(1500*time.Millisecond), againSoon)
 		if err := eventually(startTimeout, "a request is served", func() bool {
 			return f.ask(fleetRequest{kind: "stream", router: "router-1", events: 2}).whole
 		}); err != nil {
 			t.Fatal(err)
 		}
-		f.insist(time.Now().Add(time.Second / 2))
+		f.insist(time.Now().Add(time.Second/2), againSoon)
 		if f.ended() != mostEnds {
 			t.Errorf("%s killed: %d servers ended, want %d", tt.name, f.ended(), mostEnds)
 		}
@@ -250,7 +256,7 @@
 	if got := run(); !strings.Contains(got, "nothing is held") {
 		t.Errorf("before: %s", got)
 	}
-	f.insist(time.Now().Add(time.Second))
+	f.insist(time.Now().Add(time.Second), againSoon)
 	fingerprint, rest, _ := strings.Cut(run(), ":")
 	if !strings.HasPrefix(rest, " barred since ") || strings.Count(rest, "i-engine-") != mostEnds {
 		t.Errorf("after three ends: %s:%s", fingerprint, rest)
@@ -260,7 +266,7 @@
 		t.Errorf("cleared: %s", got)
 	}
 	time.Sleep(time.Second) // servers are back
-	f.insist(time.Now().Add(time.Second))
+	f.insist(time.Now().Add(time.Second), againSoon)
 	if f.ended() != 2*mostEnds {
 		t.Errorf("%d servers ended, want %d", f.ended(), 2*mostEnds)
 	}
