A late heartbeat of a leader that leads no longer holds no election up

Cause: bytes that a cut holds back arrive after it. The heartbeats of a leader that had stepped down meanwhile made the others follow it again, in its own term, and for an election time-out, up to 1.8 s, they answered polls as members that follow a leader.

Change: a poll of the one that a member follows, in its term or a later one, says that it leads no longer. The member follows nobody then, and polls. It can cost no lease: only a member that does not lead polls, a leader never leads again in its term, and a poll ends without result where one voter answers that it leads.

Before: TestLateHeartbeatsHoldNoElectionUp, nobody leads half an election time-out after the cut.

--- a/internal/raft/poll.go
+++ b/internal/raft/poll.go
@@ -44,6 +44,12 @@
 	c.poll.at, c.poll.idle = c.now, nil
 }
 
+// unfollow makes this member one that follows nobody, and polls.
+func (c *Core) unfollow() {
+	c.leader = ""
+	c.startPolling()
+}
+
 // pollPause draws a time that keeps members which started together from polling
 // each other at the same moments.
 func (c *Core) pollPause() time.Duration {
@@ -86,11 +92,16 @@
 
 // onPoll answers a poll. The reply has this member's term, and the end of its log,
 // by which the one that polls sees who is to campaign. The first poll of a life tells
-// that its voter is back: it may be the one that this member's own polls lacked.
+// that its voter is back: it may be the one that this member's own polls lacked. A poll
+// of the one that this member follows tells that it leads no longer: what it sent before
+// it was cut off may arrive after the cut, and would hold up the next election.
 func (c *Core) onPoll(m *wire.RaftMessage) {
 	if m.GetRound() == 1 {
 		c.poll.at = min(c.poll.at, c.now)
 	}
+	if c.role != Leader && c.leader == m.GetFrom() && m.GetTerm() >= c.term {
+		c.unfollow()
+	}
 	c.sendLate(sender(m), &wire.RaftMessage{
 		Kind: wire.RaftKind_RAFT_KIND_POLL_REPLY, Term: c.term, Round: m.GetRound(),
 		Reject: c.role == Leader || c.leader != "", LogIndex: c.lastIndex(), LogTerm: c.lastTerm(),
@@ -166,6 +177,5 @@
 	if c.role == Leader || c.leader != id {
 		return
 	}
-	c.leader = ""
-	c.startPolling()
+	c.unfollow()
 }
--- a/internal/raft/poll_test.go
+++ b/internal/raft/poll_test.go
@@ -255,3 +255,29 @@
 		})
 	}
 }
+
+// What a leader sent before it was cut off may arrive after the cut: by then it leads no longer,
+// and those that follow it by such a message wait for nobody.
+func TestLateHeartbeatsHoldNoElectionUp(t *testing.T) {
+	n := ledBy(t, "k0", 2, 2, 2)
+	k0 := n.cores["k0"]
+	n.now += testHeartbeat
+	k0.Tick(n.now)
+	late := k0.Ready().Early
+	for until := n.now + 4*testElection; n.now < until; n.now += time.Millisecond {
+		for _, c := range n.cores {
+			c.Tick(n.now)
+			c.Ready() // nothing arrives
+		}
+	}
+	if k0.role == Leader {
+		t.Fatal("a leader that reaches nobody leads")
+	}
+	for _, m := range late {
+		n.cores[m.GetTo()].Step(n.now, m)
+	}
+	begun, within := n.now, testElection/2
+	if leader := n.run(begun + within); leader == "" {
+		t.Fatalf("nobody leads %v after the cut", within)
+	}
+}
