The soak's checks count what a life was told, and no time in which nobody can lead

- "got a request after it said that it leaves": the stand-in sent a heartbeat of a life that leaves, ended under a body and started anew; the acknowledgement came 1.3 s later and was noted for the new life, which does not leave.
Now it is noted for the life that asked (TestLeavingIsAcknowledgedToItsLife, failing before).
- "got a request after its hall was vacated": the order was acknowledged 0.1 s after hall-1 and hall-2 had been cut apart, and 30 ms later keeper-3 heard nobody, for 2.3 s.
No two keepers could talk, so that nobody led, and the routers of hall-2 reached nobody who knew of the order until the cut ended, 2.34 s after the acknowledgement; the last request came at that moment.
The 2 s stay; time in which cuts leave no majority, neither of the founders nor of all keepers, does not count (TestParting, TestDue).
Cuts that leave one excuse nothing.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -103,6 +103,7 @@
 			}
 		}
 	}
+	f.net.watchKeepers(f)
 	for i := range f.shape.engines {
 		// An engine shares the host of a process that relays and counts beside it.
 		beside := f.indexOf(fmt.Sprintf("side-%d", i%max(f.shape.relays, 1)+1))
--- a/internal/scenario/fleetsoak_faults_test.go
+++ b/internal/scenario/fleetsoak_faults_test.go
@@ -111,6 +111,7 @@
 			return
 		}
 		if vacated {
+			s.note(s.faults, "vacated "+hall)
 			time.Sleep(lasts)
 		}
 	}
@@ -227,6 +228,7 @@
 
 // cut cuts the way between two places for a time, both ways.
 func (s *fleetSoak) cut(a, b string, lasts time.Duration) {
+	s.note(s.faults, fmt.Sprintf("cut %s and %s for %v", a, b, lasts))
 	s.f.net.set(a, b, true)
 	time.Sleep(lasts)
 	s.f.net.set(a, b, false)
@@ -234,6 +236,7 @@
 
 // cutOneWay cuts the way from one place to another for a time; the way back stays.
 func (s *fleetSoak) cutOneWay(from, to string, lasts time.Duration) {
+	s.note(s.faults, fmt.Sprintf("cut %s from %s for %v", from, to, lasts))
 	s.f.net.setOneWay(from, to, true)
 	time.Sleep(lasts)
 	s.f.net.setOneWay(from, to, false)
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -28,6 +28,7 @@
 	prepaid  int        // highest budget that was sent
 	faults   map[string]int
 	outcomes map[string]int
+	noted    []string // what was counted, and when
 	broken   []string
 	busy     map[string]bool // processes that a fault deals with
 	wiped    time.Time       // when the last disk that was lost came back
@@ -126,6 +127,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counts[what]++
+	s.noted = append(s.noted, time.Now().UTC().Format("15:04:05.000 ")+what)
 }
 
 // breaks notes a promise that is broken, for the report.
@@ -282,9 +284,12 @@
 	}
 }
 
-// keepLogs copies the logs of all processes to a folder: those of a run that failed once may be all
+// keepLogs copies the logs of all processes, and what was noted, to a folder: those of a run that failed once may be all
 // that there is to trace it by.
 func (s *fleetSoak) keepLogs(to string) {
+	if err := os.WriteFile(filepath.Join(to, "noted"), []byte(strings.Join(s.noted, "\n")+"\n"), 0o600); err != nil {
+		s.t.Log(err)
+	}
 	for _, name := range s.f.order {
 		data, err := os.ReadFile(s.f.path(name + ".log"))
 		if err == nil {
--- a/internal/scenario/relay_test.go
+++ b/internal/scenario/relay_test.go
@@ -21,6 +21,8 @@
 	changed chan struct{}
 	// pairs are the connections that relays pass on.
 	pairs map[*pair]bool
+	// parted are the times within which nobody could lead.
+	parted parting
 }
 
 // pair is one connection that a relay passes on, as the two that it consists of.
@@ -86,8 +88,10 @@
 	_ = c.Close()
 }
 
-// notify wakes up all that wait for a way. The caller holds mu.
+// notify wakes up all that wait for a way, and looks at what the keepers can do. The caller
+// holds mu.
 func (n *network) notify() {
+	n.parted.look(n.free, time.Now())
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
@@ -126,6 +130,13 @@
 	n.notify()
 }
 
+// due returns when something that was acknowledged must be in force at the latest.
+func (n *network) due(acked time.Time, within time.Duration) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return due(acked, within, n.parted.spans, time.Now())
+}
+
 // open waits until the way is free; false means that the relay has ended.
 func (n *network) open(from, to []string, done <-chan struct{}) bool {
 	for {
--- a/internal/standin/register.go
+++ b/internal/standin/register.go
@@ -49,20 +49,28 @@
 		tells["born"] = r.born.UnixMilli()
 	}
 	body, err := json.Marshal(tells)
-	id := r.life()
+	id, born := r.life(), r.born
 	r.mu.Unlock()
 	if err != nil {
 		return false
 	}
 	ok := r.post(ctx, "/v1/Replicas.Heartbeat/"+id, body)
 	if ok && draining {
-		r.mu.Lock()
-		r.acked = time.Now()
-		r.mu.Unlock()
+		r.noteDrainAcked(born)
 	}
 	return ok
 }
 
+// noteDrainAcked notes that leaving was acknowledged to the life that started at a time, unless
+// another one runs by now: that one does not leave.
+func (r *Replica) noteDrainAcked(born time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.born.Equal(born) {
+		r.acked = time.Now()
+	}
+}
+
 // HideBorn makes the replica tell nothing of when it started.
 func (r *Replica) HideBorn() {
 	r.mu.Lock()
