A router whose link callers fill is not ready, and ends some kept connections

Change: linkload. Once callers take three quarters of the link (limits.link_mbps; requests and answers), the router is not ready, so that new connections come to others; two seconds later one answer in ten ends its connection, as long as the link is full; it is back below half.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"sumachead/internal/fleetclient"
 	"sumachead/internal/intake"
 	"sumachead/internal/lending"
+	"sumachead/internal/linkload"
 	"sumachead/internal/loop"
 	"sumachead/internal/place"
 	"sumachead/internal/registry"
@@ -68,6 +69,8 @@
 	RPC     *rpc.Server
 	Address string
 	Pool    *rpc.Pool
+	// LinkBytes is what the host's link carries in a second, each way; 0 if that is not known.
+	LinkBytes int64
 	// GaugeAddress returns where the gauge beside an engine takes calls, empty where it
 	// has none; nil where no engine has one.
 	GaugeAddress func(*wire.ServerRecord) string
@@ -90,6 +93,7 @@
 	cold     coldShares
 	rests    *backoff.Table
 	sampler  *rollout.Sampler
+	link     linkload.Link
 	metrics  *Metrics
 	// handle is the filters around dispatch.
 	handle handler
@@ -116,6 +120,7 @@
 		Servers: g.servers, Log: g.Log.Named("follow"), LendingAddress: g.lendingAddress, Suspects: &blame.Table{},
 		Rollouts: g.sampler,
 	}
+	g.link.BytesPerSecond, g.link.Changed = g.LinkBytes, g.noteAside
 	g.wake.Clock, g.wake.Refresh = boottime.Clock{}, g.client.Refresh
 	g.suspects.Node, g.suspects.Table, g.suspects.Take = g.Node, g.client.Suspects, g.client.TakeSuspects
 	g.suspects.Report, g.suspects.Try = g.client.ReportEnds, g.client.Try
@@ -189,8 +194,25 @@
 // Stopping reports whether a planned stop has begun.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
-// Ready reports whether callers should be sent here.
-func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.client.View() != nil }
+// Ready reports whether new callers should be sent here.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.client.View() != nil && !g.link.Aside(time.Now())
+}
+
+// noteAside tells operators that this router steps aside, or is back.
+func (g *Gateway) noteAside(aside bool) {
+	if aside {
+		g.metrics.asides.Inc()
+	}
+	g.lines.Info(g.Log, "Callers fill the link, or do no longer.", "aside", aside)
+}
+
+// Took notes bytes that passed between callers and this router.
+func (g *Gateway) Took(n int) { g.link.Took(n, time.Now()) }
+
+// Parts reports whether a caller's connection should end after the answer to the request that
+// has just come: the router stops, or other routers should be sent the next one.
+func (g *Gateway) Parts() bool { return g.Stopping() || g.link.Parts(time.Now()) }
 
 // Limits returns what the declaration in force says of callers; 0 for what it does not
 // say.
--- /dev/null
+++ b/internal/gateway/link_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"testing"
+
+	"sumachead/api/wire"
+)
+
+// A router whose link callers fill is not ready; one that does not know its link is.
+func TestFullLinkIsNotReady(t *testing.T) {
+	tests := []struct {
+		name  string
+		link  int64
+		took  int
+		ready bool
+	}{
+		{"room", 1 << 20, 1 << 10, true},
+		{"full", 1 << 20, 1 << 20, false},
+		{"a link that is not known", 0, 1 << 30, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGateway(t, wire.RouteKind_ROUTE_KIND_SINGLE, false, nil)
+			g.link.BytesPerSecond = tt.link
+			g.Took(tt.took)
+			if got := g.Ready(); got != tt.ready {
+				t.Errorf("ready: %t, want %t", got, tt.ready)
+			}
+			if g.Parts() {
+				t.Error("connections end before a balancer can have noticed")
+			}
+		})
+	}
+}
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -44,7 +44,7 @@
 // error is a [*sumachead.Refusal]; nothing is held then.
 func (m *Memory) Read(r *http.Request, l Limits) (*Body, error) {
 	l = l.orDefault()
-	if n := headerSize(r); n > l.HeaderBytes {
+	if n := HeaderSize(r); n > l.HeaderBytes {
 		return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonHeadersTooLarge, "the headers are too large", time.Time{})
 	}
 	if r.ContentLength > l.BodyBytes {
@@ -107,9 +107,9 @@
 	return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonTooLarge, "the body is too large", time.Time{})
 }
 
-// headerSize returns the size of a request's line and headers as they were sent,
+// HeaderSize returns the size of a request's line and headers as they were sent,
 // but for spaces.
-func headerSize(r *http.Request) int64 {
+func HeaderSize(r *http.Request) int64 {
 	const line = 4 // a colon, a space and the two bytes that end the line
 	n := int64(len(r.Method)+len(r.RequestURI)+len(r.Proto)) + line + int64(len("Host")+len(r.Host)) + line
 	for name, values := range r.Header {
--- a/internal/raft/members_test.go
+++ b/internal/raft/members_test.go
@@ -43,25 +43,29 @@
 			"a learner that votes from then on, and a voter whose disk is lost",
 			[]*wire.Member{member(0, 0), member(1, 0), member(2, 0), learner},
 			[]*wire.Member{member(0, 0), member(1, 0), member(2, 0), member(3, 0)},
-			[]*wire.Member{member(0, 0), member(1, 0)}, []*wire.Member{member(3, 0)},
+			[]*wire.Member{member(0, 0), member(1, 0)},
+			[]*wire.Member{member(3, 0)},
 		},
 		{
 			"a newcomer that votes from then on, and a voter that is gone",
 			[]*wire.Member{member(0, 0), member(1, 0), member(2, 0)},
 			[]*wire.Member{member(0, 0), member(1, 0), member(2, 0), member(3, 0)},
-			[]*wire.Member{member(0, 0), member(1, 0)}, []*wire.Member{member(3, 0)},
+			[]*wire.Member{member(0, 0), member(1, 0)},
+			[]*wire.Member{member(3, 0)},
 		},
 		{
 			"a voter with a new disk, which the one that is left knows by its old one",
 			[]*wire.Member{member(0, 0), member(1, 0), member(2, 0)},
 			[]*wire.Member{member(0, 0), member(1, 0), member(2, 1)},
-			[]*wire.Member{member(2, 1)}, []*wire.Member{member(1, 0)},
+			[]*wire.Member{member(2, 1)},
+			[]*wire.Member{member(1, 0)},
 		},
 		{
 			"the same, which is known as a learner",
 			[]*wire.Member{member(0, 0), member(1, 0), back},
 			[]*wire.Member{member(0, 0), member(1, 0), member(2, 1)},
-			[]*wire.Member{member(2, 1)}, []*wire.Member{member(1, 0)},
+			[]*wire.Member{member(2, 1)},
+			[]*wire.Member{member(1, 0)},
 		},
 	}
 	for _, tt := range tests {
