Roll-outs: reports are added up once a look

The leader summed all routers' reports twice at each look, once for what answers to reports go by and once for the verdict. Now a look's sums are passed on. Behaviour the same; the package's tests pass.

--- a/internal/rollout/doc.go
+++ b/internal/rollout/doc.go
@@ -13,7 +13,7 @@
 //     committed before, so that the sum over all routers is bounded by counting, whatever is
 //     lost. Grants end soon, so that a router that is cut off sends nothing more.
 //   - [Evidence] gathers what became of requests, by route and server, as sums and histograms.
-//     [Judge] compares it.
+//     [Watch.Next] judges by it.
 //   - [Watch] is what the leading keeper knows of one order, and decides its next step.
 //   - [Sampler] is a router's part: which requests go to the target version, and what became of
 //     them and of the others.
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -47,15 +47,22 @@
 	target map[string]*tally
 }
 
-// sum adds up the reports: the routes by name, and the servers of the target version that have
-// ended under requests.
-func (e *Evidence) sum() (routes []*routeEvidence, ended map[string]bool) {
+// sums are all reports added up.
+type sums struct {
+	// routes are in the order of their names.
+	routes []*routeEvidence
+	// ended are the servers of the target version that have ended under requests.
+	ended map[string]bool
+}
+
+// sum adds up the reports.
+func (e *Evidence) sum() *sums {
 	byName := make(map[string]*routeEvidence)
-	ended = make(map[string]bool)
+	s := &sums{ended: make(map[string]bool)}
 	for _, r := range e.reports {
 		for _, a := range r.GetAnswers() {
 			if a.GetEnded() {
-				ended[a.GetServer()] = true
+				s.ended[a.GetServer()] = true
 				continue
 			}
 			x := byName[a.GetRoute()]
@@ -67,9 +74,9 @@
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
-		routes = append(routes, byName[name])
+		s.routes = append(s.routes, byName[name])
 	}
-	return routes, ended
+	return s
 }
 
 // tallyOf returns the tally of a server of the target version, or of all others where none is
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -61,13 +61,12 @@
 	VerdictThin
 )
 
-// Judge says what is held of the target version by what is known, with the reason in words.
+// judge says what is held of the target version by what is known, with the reason in words.
 // Only where the trial is over, it is found to be good.
-func Judge(e *Evidence, over bool) (v Verdict, why string) {
-	routes, ended := e.sum()
-	all := newComparison("", ended)
+func judge(s *sums, over bool) (v Verdict, why string) {
+	all := newComparison("", s.ended)
 	parts := []*comparison{all}
-	for _, r := range routes {
+	for _, r := range s.routes {
 		c := newComparison(r.name, nil)
 		c.compare(r)
 		all.add(c)
@@ -83,7 +82,7 @@
 	}
 	for i, c := range parts {
 		switch {
-		case i > 0 && c.thin(routes[i-1]):
+		case i > 0 && c.thin(s.routes[i-1]):
 			return VerdictThin, "too few answers are known: " + c.String()
 		case !c.good() && (c.bad() > 0 || i == 0):
 			return VerdictThin, "it is not known to do as well as the others: " + c.String()
--- a/internal/rollout/watch.go
+++ b/internal/rollout/watch.go
@@ -123,16 +123,17 @@
 	return w.known[route]*scarcePart < most
 }
 
-// look counts what is known, which answers to reports go by.
-func (w *Watch) look() {
+// look adds up what is known, and notes what answers to reports go by.
+func (w *Watch) look() *sums {
 	w.known = make(map[string]int64)
-	routes, ended := w.evidence.sum()
-	all := newComparison("", ended)
-	for _, r := range routes {
+	s := w.evidence.sum()
+	all := newComparison("", s.ended)
+	for _, r := range s.routes {
 		w.known[r.name] = r.sampled()
 		all.compare(r)
 	}
 	w.doubt = all.against() > math.Log(doubtful)
+	return s
 }
 
 // Fleet is what the leading keeper knows of a service's servers and of the routers.
@@ -154,21 +155,21 @@
 // Next returns the next step of a roll-out, nil while there is none. It is to be called some
 // times a second.
 func (w *Watch) Next(r *wire.Rollout, f *Fleet, now sumachead.BootTime) *wire.RolloutStep {
-	w.look()
+	s := w.look()
 	switch r.GetPhase() {
 	case wire.RolloutPhase_ROLLOUT_PHASE_TRIAL:
-		return w.afterTrial(f, now)
+		return w.afterTrial(s, f, now)
 	case wire.RolloutPhase_ROLLOUT_PHASE_MOVING:
-		return w.afterMove(f, now)
+		return w.afterMove(s, f, now)
 	}
 	return nil
 }
 
 // afterTrial ends the trial: at once for a version that is found bad or takes the place of none,
 // and when its time is over for one that is not.
-func (w *Watch) afterTrial(f *Fleet, now sumachead.BootTime) *wire.RolloutStep {
+func (w *Watch) afterTrial(s *sums, f *Fleet, now sumachead.BootTime) *wire.RolloutStep {
 	over := now >= w.DecideBy()
-	v, why := Judge(&w.evidence, over)
+	v, why := judge(s, over)
 	switch {
 	case v == VerdictBad:
 		return w.step(wire.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK, why)
@@ -189,8 +190,8 @@
 // afterMove ends the move: once nothing runs at the other versions any more, as all routers tell,
 // or when there is no more time. A version that turns bad under all requests goes back as long
 // as the others are there.
-func (w *Watch) afterMove(f *Fleet, now sumachead.BootTime) *wire.RolloutStep {
-	v, why := Judge(&w.evidence, false)
+func (w *Watch) afterMove(s *sums, f *Fleet, now sumachead.BootTime) *wire.RolloutStep {
+	v, why := judge(s, false)
 	switch {
 	case v == VerdictBad && f.Others > 0:
 		return w.step(wire.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK, "in the move: "+why)
