Read again: one size of a request's head, one way to end a connection, one play of the model

- The size of a request's line and headers was counted for its limit and once more for the link, on each request: the body that was read tells it.
- Closing a client's connection stood three times; the one that ends idle connections held the client's lock while it closed, and a TLS connection may wait seconds there for a peer that does not read.
All three detach under the lock and end outside it.
- Gateway.Stopping had no caller but Parts.
- The loop of the raft model stood twice, and a parameter of a poll was hidden by a variable; the number of founders stood twice in the scenarios.

Behaviour the same. Race tests of rpc, raft, intake, platform and gateway, and lint: passed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -191,9 +191,6 @@
 	return errors.Join(err, <-followed, <-lent)
 }
 
-// Stopping reports whether a planned stop has begun.
-func (g *Gateway) Stopping() bool { return g.stopping.Load() }
-
 // Ready reports whether new callers should be sent here.
 func (g *Gateway) Ready() bool {
 	return !g.stopping.Load() && g.client.View() != nil && !g.link.Aside(time.Now())
@@ -212,7 +209,7 @@
 
 // Parts reports whether a caller's connection should end after the answer to the request that
 // has just come: the router stops, or other routers should be sent the next one.
-func (g *Gateway) Parts() bool { return g.Stopping() || g.link.Parts(time.Now()) }
+func (g *Gateway) Parts() bool { return g.stopping.Load() || g.link.Parts(time.Now()) }
 
 // Limits returns what the declaration in force says of callers; 0 for what it does not
 // say.
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -31,6 +31,8 @@
 // Body is a body that was read whole.
 type Body struct {
 	Data []byte
+	// HeaderBytes is the size of the request's line and headers as they were sent.
+	HeaderBytes int64
 
 	memory *Memory
 	// size is how many bytes are counted for it.
@@ -44,13 +46,14 @@
 // error is a [*sumachead.Refusal]; nothing is held then.
 func (m *Memory) Read(r *http.Request, l Limits) (*Body, error) {
 	l = l.orDefault()
-	if n := HeaderSize(r); n > l.HeaderBytes {
+	n := headerSize(r)
+	if n > l.HeaderBytes {
 		return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonHeadersTooLarge, "the headers are too large", time.Time{})
 	}
 	if r.ContentLength > l.BodyBytes {
 		return nil, tooLarge()
 	}
-	b := &Body{memory: m}
+	b := &Body{HeaderBytes: n, memory: m}
 	if r.ContentLength == 0 {
 		return b, nil
 	}
@@ -107,9 +110,9 @@
 	return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonTooLarge, "the body is too large", time.Time{})
 }
 
-// HeaderSize returns the size of a request's line and headers as they were sent,
+// headerSize returns the size of a request's line and headers as they were sent,
 // but for spaces.
-func HeaderSize(r *http.Request) int64 {
+func headerSize(r *http.Request) int64 {
 	const line = 4 // a colon, a space and the two bytes that end the line
 	n := int64(len(r.Method)+len(r.RequestURI)+len(r.Proto)) + line + int64(len("Host")+len(r.Host)) + line
 	for name, values := range r.Header {
--- a/internal/raft/core_test.go
+++ b/internal/raft/core_test.go
@@ -394,20 +394,24 @@
 
 func TestCoreIsSafeUnderRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const steps = 300
 		c := newCluster(t, rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "hosts"))
-		actions := c.actions()
-		for range steps {
-			actions[c.r.IntN(len(actions))]()
-			c.check()
-		}
-		if len(c.leaders) == 0 {
-			t.Skip("no leader in this run")
-		}
-		c.settle()
+		c.play(c.actions())
 	})
 }
 
+// play takes actions at random and checks after each; then all is healed.
+func (c *cluster) play(actions []func()) {
+	const steps = 300
+	for range steps {
+		actions[c.r.IntN(len(actions))]()
+		c.check()
+	}
+	if len(c.leaders) == 0 {
+		c.t.Skip("no leader in this run")
+	}
+	c.settle()
+}
+
 // A member that lost its disk is another incarnation: messages for its old self
 // do not reach it, and it does not vote in the old one's name.
 func TestLostDiskDoesNotVote(t *testing.T) {
--- a/internal/raft/members_test.go
+++ b/internal/raft/members_test.go
@@ -191,7 +191,7 @@
 // chosen stays chosen, and once all is healed the group goes on.
 func TestCoreIsSafeUnderChangesOfMembers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const steps, spares = 300, 2
+		const spares = 2
 		c := newCluster(t, 3)
 		for i := range spares {
 			h := &host{id: fmt.Sprintf("s%d", i), disk: disk{state: &wire.HardState{}, snap: &wire.Snapshot{Members: &wire.Members{}}}}
@@ -199,14 +199,6 @@
 			c.hosts = append(c.hosts, h)
 			c.boot(h)
 		}
-		actions := append(c.actions(), c.changeMembers, c.changeMembers, c.changeMembers, c.loseDisk)
-		for range steps {
-			actions[c.r.IntN(len(actions))]()
-			c.check()
-		}
-		if len(c.leaders) == 0 {
-			t.Skip("no leader in this run")
-		}
-		c.settle()
+		c.play(append(c.actions(), c.changeMembers, c.changeMembers, c.changeMembers, c.loseDisk))
 	})
 }
--- a/internal/raft/poll.go
+++ b/internal/raft/poll.go
@@ -154,11 +154,11 @@
 		if m.GetId() == c.cfg.ID {
 			continue
 		}
-		votes, idle := c.poll.idle[m.GetId()]
+		hasVote, idle := c.poll.idle[m.GetId()]
 		if !idle {
 			return
 		}
-		if votes {
+		if hasVote {
 			have++
 		}
 	}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -83,6 +83,15 @@
 	dropped atomic.Bool
 }
 
+// end closes the connection from this side; nil is none. It may wait for the other side to read
+// its last words, so no lock is held.
+func (c *connection) end() {
+	if c != nil {
+		c.dropped.Store(true)
+		_ = c.Close()
+	}
+}
+
 func (c *Client) call(ctx context.Context, method string, args, reply any) error {
 	c.use(1)
 	defer c.use(-1)
@@ -118,13 +127,12 @@
 // tidy ends the connection if nobody has used it for long.
 func (c *Client) tidy(now time.Time) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.calls > 0 || c.conn == nil || now.Sub(c.usedAt) <= idleFor {
-		return
+	var conn *connection
+	if c.calls == 0 && now.Sub(c.usedAt) > idleFor {
+		conn, c.conn = c.conn, nil
 	}
-	c.conn.dropped.Store(true)
-	_ = c.conn.Close()
-	c.conn = nil
+	c.mu.Unlock()
+	conn.end()
 }
 
 // finish notes the health of the connection that a call ended on.
@@ -151,13 +159,12 @@
 }
 
 func (c *Client) drop(conn *connection) {
-	conn.dropped.Store(true)
 	c.mu.Lock()
 	if c.conn == conn {
 		c.conn = nil
 	}
 	c.mu.Unlock()
-	_ = conn.Close()
+	conn.end()
 }
 
 // connect returns the open connection or dials one; concurrent callers share
@@ -260,10 +267,7 @@
 	conn := c.conn
 	c.conn = nil
 	c.mu.Unlock()
-	if conn != nil {
-		conn.dropped.Store(true)
-		_ = conn.Close()
-	}
+	conn.end()
 }
 
 // Pool shares clients by address.
--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -152,7 +152,7 @@
 	seed := f.firstSeed
 	f.mu.Unlock()
 	var seeds []string
-	for k := range min(f.shape.keepers, 3) {
+	for k := range min(f.shape.keepers, founders) {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", f.advertised((seed+k)%f.shape.keepers), f.ctl))
 	}
 	lines := []string{
