--- a/callers.go
+++ b/callers.go
@@ -71,6 +71,11 @@
 	Leaving bool
 	// RestUntil is until when it wants nothing from this process; zero for no such wish.
 	RestUntil time.Time
+	// Limit is the rate of requests that it takes from all routers together; 0 where the
+	// answer names none.
+	Limit RequestRate
+	// LimitUnclear: the answer names a limit that can't be read; one that was known holds.
+	LimitUnclear bool
 	// Unreadable is what it says that can't be read, and that counts for nothing; empty
 	// where all can be.
 	Unreadable string
--- a/ids.go
+++ b/ids.go
@@ -47,6 +47,9 @@
 // AttemptNumber numbers the attempts to run one request. It only grows.
 type AttemptNumber uint32
 
+// RequestRate is in requests a second.
+type RequestRate float64
+
 // Epoch fences orders to a backend server: a lower one is refused.
 type Epoch uint64
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -38,6 +38,8 @@
 	"A backend server leaves.":                           fieldServer,
 	"A backend server says in an answer that it leaves.": fieldServer,
 	"A backend server asks for rest.":                    fieldServer,
+	"Backend server named a request limit.":              fieldServer,
+	"Backend server no longer names a request limit.":    fieldServer,
 	"A roll-out's phase is in force.":                    "",
 	"Escrow of a holder is short or in excess.":          "workspace",
 	"Leading.":           "",
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -201,6 +201,9 @@
 	}
 	x.attempts++
 	d.sentAt = time.Now()
+	if x.limit = d.limits.Get(id).Rate; x.limit > 0 {
+		d.metrics.limitedSends.Inc()
+	}
 	a, err := d.upstream.Send(d.ctx, upstream.Server{ID: id, Address: l.Record.GetAddress()}, d.connBound(), x.request, t)
 	var f *upstream.Failure
 	if errors.As(err, &f) && f.Verdict == sumachead.NotRun {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,6 +44,8 @@
 	firstAt time.Time
 	// placement is where the last attempt went; nil before the first.
 	placement *place.Placement
+	// limit is the request limit of the last attempt's server; 0 for none.
+	limit sumachead.RequestRate
 	// events counts the events handed out to the caller.
 	events int64
 	// print is the request's fingerprint once printed is set; most requests need none.
@@ -198,6 +200,9 @@
 		first, backlog := l.Expected()
 		fields = append(fields, "server", l.Record.GetId(), "home", l.Home, "prompt", x.request.PromptTokens,
 			"unread", l.Unread(), "backlog", backlog, "expected", first.Sub(x.arrived), "running", l.Running, "told", l.Told, "cold", l.Cold)
+		if x.limit > 0 {
+			fields = append(fields, "limit", x.limit)
+		}
 	}
 	return fields
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"sumachead/internal/linkload"
 	"sumachead/internal/loop"
 	"sumachead/internal/place"
+	"sumachead/internal/ratelimit"
 	"sumachead/internal/registry"
 	"sumachead/internal/rollout"
 	"sumachead/internal/rpc"
@@ -92,6 +93,7 @@
 	wake     wake
 	cold     coldShares
 	rests    *backoff.Table
+	limits   ratelimit.Table
 	sampler  *rollout.Sampler
 	link     linkload.Link
 	metrics  *Metrics
@@ -173,6 +175,7 @@
 			g.checks.forget(time.Now())
 			g.ends.forget(time.Now())
 			g.rests.Forget()
+			g.forgetLimits()
 			g.suspects.expire(time.Now())
 		})
 	})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -44,8 +44,12 @@
 	keptBack *prometheus.CounterVec
 	// leaving counts lives of servers that said in an answer that they leave, and unreadable
 	// the answers that said of their server what can't be read.
-	leaving    prometheus.Counter
-	unreadable prometheus.Counter
+	leaving prometheus.Counter
+	// limitAnswers counts answers that name a request limit, and limitedSends the requests
+	// that were sent to servers while they did.
+	limitAnswers prometheus.Counter
+	limitedSends prometheus.Counter
+	unreadable   prometheus.Counter
 	// samples counts requests that were sent to servers of a version on trial.
 	samples prometheus.Counter
 	// overdue is of escrow lent to other routers.
@@ -77,21 +81,23 @@
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "sumachead_gateway_waits_seconds", Help: "Time that requests waited for a declaration or escrow, by whether it came.", Buckets: seconds,
 		}, []string{"what", "came"}),
-		served:     counter("sumachead_gateway_served_total", "Requests with a whole answer."),
-		dials:      counter("sumachead_gateway_dials_total", "New connections to backend servers."),
-		admits:     counters("sumachead_gateway_cold_admits_total", "Requests that were to be sent to a cold backend server, by whether there was a grant.", "granted"),
-		asides:     counter("sumachead_gateway_asides_total", "Times that the router was not ready since callers filled its link."),
-		underEnds:  counter("sumachead_gateway_under_ends_total", "Requests that a backend server may have been running when it ended."),
-		rests:      counter("sumachead_gateway_rests_total", "Answers by which a backend server asked this router to send nothing for a time."),
-		keptBack:   counters("sumachead_gateway_kept_back_total", "Requests that were not sent to the backend server that was chosen, since it has asked for rest or leaves since then.", "reason"),
-		leaving:    counter("sumachead_gateway_leaving_answers_total", "Answers by which a backend server said that it leaves, while it was not known to."),
-		unreadable: counter("sumachead_gateway_unreadable_notices_total", "Answers that say of their backend server what can't be read."),
-		samples:    counter("sumachead_gateway_samples_total", "Requests that were sent to backend servers of a version on trial."),
-		overdue:    counter("sumachead_gateway_overdue_loan_tokens_total", "Escrow lent to other routers that counts as spent since no bill came."),
-		first:      histogram("sumachead_gateway_first_byte_seconds", "Time to the first byte of an answer."),
-		whole:      histogram("sumachead_gateway_answer_seconds", "Time to the end of a whole answer."),
-		pause:      histogram("sumachead_gateway_pause_seconds", "Longest pause between events of a whole answer."),
-		ledger:     histogram("sumachead_gateway_ledger_seconds", "Time of a report of escrow that was taken."),
+		served:       counter("sumachead_gateway_served_total", "Requests with a whole answer."),
+		dials:        counter("sumachead_gateway_dials_total", "New connections to backend servers."),
+		admits:       counters("sumachead_gateway_cold_admits_total", "Requests that were to be sent to a cold backend server, by whether there was a grant.", "granted"),
+		asides:       counter("sumachead_gateway_asides_total", "Times that the router was not ready since callers filled its link."),
+		underEnds:    counter("sumachead_gateway_under_ends_total", "Requests that a backend server may have been running when it ended."),
+		rests:        counter("sumachead_gateway_rests_total", "Answers by which a backend server asked this router to send nothing for a time."),
+		keptBack:     counters("sumachead_gateway_kept_back_total", "Requests that were not sent to the backend server that was chosen, since it has asked for rest or leaves since then.", "reason"),
+		leaving:      counter("sumachead_gateway_leaving_answers_total", "Answers by which a backend server said that it leaves, while it was not known to."),
+		unreadable:   counter("sumachead_gateway_unreadable_notices_total", "Answers that say of their backend server what can't be read."),
+		limitAnswers: counter("sumachead_gateway_limit_answers_total", "Answers in which a backend server named a request limit."),
+		limitedSends: counter("sumachead_gateway_limited_sends_total", "Requests sent to backend servers with a request limit."),
+		samples:      counter("sumachead_gateway_samples_total", "Requests that were sent to backend servers of a version on trial."),
+		overdue:      counter("sumachead_gateway_overdue_loan_tokens_total", "Escrow lent to other routers that counts as spent since no bill came."),
+		first:        histogram("sumachead_gateway_first_byte_seconds", "Time to the first byte of an answer."),
+		whole:        histogram("sumachead_gateway_answer_seconds", "Time to the end of a whole answer."),
+		pause:        histogram("sumachead_gateway_pause_seconds", "Longest pause between events of a whole answer."),
+		ledger:       histogram("sumachead_gateway_ledger_seconds", "Time of a report of escrow that was taken."),
 	}
 	for _, r := range sumachead.Reasons() {
 		m.refusals.WithLabelValues(string(r))
@@ -108,7 +114,7 @@
 	for _, granted := range []string{"true", "false"} {
 		m.admits.WithLabelValues(granted)
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.asides, m.underEnds, m.rests, m.keptBack, m.leaving, m.unreadable, m.samples, m.overdue, rpc.Traffic{})
+	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.asides, m.underEnds, m.rests, m.keptBack, m.leaving, m.unreadable, m.limitAnswers, m.limitedSends, m.samples, m.overdue, rpc.Traffic{})
 	m.gauges(g)
 	return m
 }
@@ -127,6 +133,7 @@
 	gauge("sumachead_gateway_open_requests", "Requests under way.", func() float64 { return float64(g.Open()) })
 	gauge("sumachead_gateway_servers", "Backend servers known that are not leaving.", func() float64 { return float64(g.servers.Count()) })
 	gauge("sumachead_gateway_resting_servers", "Backend servers that have asked this router to send nothing at present.", func() float64 { return float64(g.rests.Count()) })
+	gauge("sumachead_gateway_limited_servers", "Backend servers that limit requests at present.", func() float64 { return float64(g.limits.Count()) })
 	gauge("sumachead_gateway_vacated_halls", "Data halls known to be vacated.", func() float64 { return float64(g.servers.Vacated()) })
 	gauge("sumachead_gateway_suspects", "Requests of which it is known that something is held against them.", func() float64 { return float64(g.client.Suspects.Held()) })
 	gauge("sumachead_gateway_relayed", "1 while the leading keeper is reached through a relay.", func() float64 {
--- a/internal/upstream/check.go
+++ b/internal/upstream/check.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"sumachead"
+	"sumachead/internal/boottime"
 )
 
 // Check asks a server, on a connection of its own, for its health, and returns what the life
@@ -30,6 +31,7 @@
 		return none, trace.Wrap(err)
 	}
 	r.Close = true
+	sentAt := boottime.Clock{}.Now()
 	if err := r.Write(c); err != nil {
 		return none, trace.Wrap(err)
 	}
@@ -39,7 +41,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	a := p.Dialect.Health(resp.StatusCode, resp.Header, time.Now())
-	p.notice(s.ID, a.ServerNotice) // whatever it is, the one that is known is no better off
+	p.notice(s.ID, a.ServerNotice, sentAt) // whatever it is, the one that is known is no better off
 	if a.Server == "" {
 		return none, errors.New("the server is not well")
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -41,9 +41,9 @@
 	Dialect sumachead.Dialect
 	// OnDial is told of each new connection; nil for nobody.
 	OnDial func()
-	// OnNotice is told what servers say of themselves in their answers, when the head of
-	// one is read; nil for nobody.
-	OnNotice func(sumachead.ServerID, sumachead.ServerNotice)
+	// OnNotice receives what servers say of themselves in each answer when its head is read,
+	// and when the request was sent; nil for nobody.
+	OnNotice func(id sumachead.ServerID, n sumachead.ServerNotice, sentAt sumachead.BootTime)
 	// Unwanted returns why a server is to be sent nothing at present, and empty for one that
 	// is; nil where all are. It is looked at once there is a connection, right before a
 	// request is sent: a server may have said what it wants since it was chosen.
@@ -53,10 +53,10 @@
 	servers map[Server]*serverConns
 }
 
-// notice passes on what a server says of itself, if it does.
-func (p *Pool) notice(id sumachead.ServerID, n sumachead.ServerNotice) {
-	if p.OnNotice != nil && n != (sumachead.ServerNotice{}) {
-		p.OnNotice(id, n)
+// notice passes on what a server says of itself in an answer.
+func (p *Pool) notice(id sumachead.ServerID, n sumachead.ServerNotice, sentAt sumachead.BootTime) {
+	if p.OnNotice != nil {
+		p.OnNotice(id, n, sentAt)
 	}
 }
 
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sumachead"
+	"sumachead/internal/boottime"
 )
 
 const (
@@ -49,6 +50,7 @@
 	pool   *Pool
 	server Server
 	conn   *conn
+	sentAt sumachead.BootTime
 	// stop ends the closing of the connection by the end of the context; it
 	// reports whether it came first.
 	stop func() bool
@@ -101,7 +103,7 @@
 		p.put(s, c)
 		return nil, f
 	}
-	a := &Answer{pool: p, server: s, conn: c}
+	a := &Answer{pool: p, server: s, conn: c, sentAt: boottime.Clock{}.Now()}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := a.exchange(p.encode(r, t), r); err != nil {
 		a.stop()
@@ -189,7 +191,7 @@
 		}
 		a.Head = a.pool.Dialect.Decode(resp.StatusCode, resp.Header, time.Now())
 		if !a.Head.Stale { // what another life says is not of this one
-			a.pool.notice(a.server.ID, a.Head.ServerNotice)
+			a.pool.notice(a.server.ID, a.Head.ServerNotice, a.sentAt)
 		}
 		if a.Head.ID == r.ID || (a.Head.ID == "" && (a.Head.NotRun || a.Head.Stale)) {
 			a.Status, a.Header = resp.StatusCode, resp.Header
