--- a/internal/scenario/fleetcall_test.go
+++ b/internal/scenario/fleetcall_test.go
@@ -43,7 +43,9 @@
 	refusal string
 	err     error
 	sent    time.Time
-	ended   time.Time
+	// answered is when the head of the answer came; zero for none.
+	answered time.Time
+	ended    time.Time
 }
 
 // String is what scripts match.
@@ -120,6 +122,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
+	c.answered = time.Now()
 	c.status = resp.StatusCode
 	c.told = resp.Header.Get("Retry-After") != ""
 	c.retry, _ = strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
--- a/internal/standin/notices.go
+++ b/internal/standin/notices.go
@@ -53,6 +53,7 @@
 func (r *Replica) tell(w http.ResponseWriter, id string) (turnedAway bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.nameLimit(w.Header())
 	if !r.leavingSince.IsZero() {
 		w.Header().Set("Server-Leaving", "1")
 	}
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -100,6 +100,8 @@
 	rest         time.Duration
 	turned       []ReplicaTurned
 	leavingSince time.Time
+	// limits are the request limits that its answers named, oldest first.
+	limits []ReplicaLimit
 }
 
 // coldSpan is a time within which a replica was cold.
