Routers need a permit for each request to a server that names a request limit

Cause: the header was not read, and no router could have kept the limit alone: it holds for the sum over all of them. Class: a bound on a sum, with each process knowing its own part only.

Change: the process beside an engine grants permits (ratelimit.Permits), and tells routers of the limit in its answers; servers of plain services are assigned to one of these processes by rendezvous hashing. A server without permits is passed over until the next one; where all are, requests wait if that lets them be in time, and are refused at once as limited otherwise. A router that does not reach the process uses half of its even share of half the limit. Samples of roll-outs need permits too. Cold engines and limits are one gate: what both allow.

Evidence: TestRoutersTogetherKeepToAServersRequestLimit failed with 82 to 574 requests in 4 s where 6.4 to 46 are allowed, and passes now: 4 of 6.4 for a limit of 1 with four routers, 17 of 19.6 at each of six engines limited to 4, 41 of 46 at 10 (one run under the race detector).

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -70,7 +70,7 @@
 // none of which does now. The error is how it ends otherwise.
 func (d *dispatch) awaitServer(servers []*wire.ServerRecord, held *heldUp) error {
 	if ends := d.chooser.RestEnds(servers, d.tried, time.Now()); !ends.IsZero() {
-		return d.awaitRest(ends)
+		return d.awaitRest(servers, held, ends)
 	}
 	switch {
 	case len(held.servers) > 0:
@@ -116,18 +116,27 @@
 // admitted reports whether the request may be sent where it was placed: the server is
 // warm, or there is a grant. Otherwise the placement is cancelled.
 func (d *dispatch) admitted(l *place.Placement, held *heldUp) bool {
-	b := d.coldBound(l.Record)
-	if b.Rate == 0 {
+	b, id := d.coldBound(l.Record), sumachead.ServerID(l.Record.GetId())
+	limited := d.limits.Get(id).Rate > 0
+	if b.Rate == 0 && !limited {
 		return true
 	}
-	l.Cold = true
+	l.Cold = b.Rate > 0
 	granted, again := d.admit(l.Record, b)
-	d.metrics.noteAdmit(granted)
+	if l.Cold {
+		d.metrics.noteAdmit(granted)
+	}
+	if limited {
+		d.metrics.notePermit(granted)
+	}
 	if granted {
 		return true
 	}
 	now := time.Now()
-	held.note(sumachead.ServerID(l.Record.GetId()), again, now)
+	held.note(id, again, now)
+	if limited {
+		d.limits.Denials.Ask(id, again)
+	}
 	l.NotRun(now)
 	return false
 }
@@ -146,13 +155,17 @@
 	return warmup.BoundOf(s.GetColdRate(), d.ColdOverage, d.ColdSlack)
 }
 
-// admit asks for a grant: of the process beside an engine, or of this router's share where
-// there is none.
-func (d *dispatch) admit(r *wire.ServerRecord, b warmup.Bound) (granted bool, again time.Duration) {
-	if d.x.service.GetEngine() == nil || !d.gauges.counts(r) {
-		return d.cold.take(registry.Name(r), b, d.client.Routers())
+// admit asks for a grant: of the process beside an engine, or, for a cold server without one, of
+// this router's share.
+func (d *dispatch) admit(r *wire.ServerRecord, cold warmup.Bound) (granted bool, again time.Duration) {
+	if cold.Rate > 0 && (d.x.service.GetEngine() == nil || d.permitAddress(r) == "") {
+		granted, again = d.cold.take(registry.Name(r), cold, d.client.Routers())
+		if !granted || d.limits.Get(sumachead.ServerID(r.GetId())).Rate == 0 {
+			return granted, again
+		}
+		cold = warmup.Bound{}
 	}
-	return d.gauges.admit(r, b, d.x.urgency())
+	return d.permit(r, cold)
 }
 
 // awaitGrant waits until a server should have a grant, while that is of use, and forgets
@@ -176,13 +189,17 @@
 }
 
 // awaitRest waits until the first of some servers may be sent to again, where all of them have
-// asked for rest, while that lets the request be in time. Otherwise it is refused at once: its
-// caller is told when the rest ends, spread so that callers don't come together.
-func (d *dispatch) awaitRest(ends time.Time) error {
+// asked for rest or have no permit left, while that lets the request be in time. Otherwise it is
+// refused at once: its caller is told when that is, spread so that callers don't come together.
+func (d *dispatch) awaitRest(servers []*wire.ServerRecord, held *heldUp, ends time.Time) error {
 	now := time.Now()
 	if _, wait := patience.Wait(patience.Told{At: ends}, d.x.use(), now); !wait {
+		if d.anyLimited(servers) {
+			return d.giveUp(sumachead.ReasonLimited, "all servers that are left limit requests and get no more at present")
+		}
 		return d.giveUp(sumachead.ReasonResting, "all servers that are left have asked for rest")
 	}
+	held.servers = nil
 	again := moment.Later(patience.Spread(ends, d.x.use(), d.x.urgency(), now), ends)
 	if !loop.Sleep(d.ctx, again.Sub(now)) {
 		return d.ended()
@@ -190,6 +207,13 @@
 	return nil
 }
 
+// anyLimited reports whether one of some servers has no permit left.
+func (d *dispatch) anyLimited(servers []*wire.ServerRecord) bool {
+	return slices.ContainsFunc(servers, func(r *wire.ServerRecord) bool {
+		return d.limits.Denials.Left(sumachead.ServerID(r.GetId())) > 0
+	})
+}
+
 // coldShares is this router's part of what cold servers bear that have no gauge. The zero
 // value is ready.
 type coldShares struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,7 +25,6 @@
 	"sumachead/internal/linkload"
 	"sumachead/internal/loop"
 	"sumachead/internal/place"
-	"sumachead/internal/ratelimit"
 	"sumachead/internal/registry"
 	"sumachead/internal/rollout"
 	"sumachead/internal/rpc"
@@ -93,7 +92,7 @@
 	wake     wake
 	cold     coldShares
 	rests    *backoff.Table
-	limits   ratelimit.Table
+	limits   limits
 	sampler  *rollout.Sampler
 	link     linkload.Link
 	metrics  *Metrics
@@ -148,8 +147,9 @@
 		g.upstream.End(upstream.Server{ID: sumachead.ServerID(r.GetId()), Address: r.GetAddress()})
 	}
 	g.chooser = place.NewChooser(g.Hall)
-	g.chooser.Rest = g.rests.Left
-	g.gauges = &gauges{Address: g.GaugeAddress, Pool: g.Pool, Chooser: g.chooser}
+	g.limits.Denials = &backoff.Table{Clock: boottime.Clock{}}
+	g.chooser.Rest = func(id sumachead.ServerID) time.Duration { return max(g.rests.Left(id), g.limits.Denials.Left(id)) }
+	g.gauges = &gauges{Address: g.GaugeAddress, Pool: g.Pool, Chooser: g.chooser, Limits: &g.limits.Table}
 	g.gauges.prepare()
 	g.handle = chain.Wrap(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.escrowFilter)
 	g.retries = &retryAllowance{ratio: g.RetryRatio, extra: g.RetryExtra, window: g.RetryWindow}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -39,6 +39,9 @@
 
 func (testDialect) Decode(status int, h http.Header, now time.Time) sumachead.AnswerHead {
 	n := sumachead.ServerNotice{Leaving: h.Get("X-Leaving") != ""}
+	if rate, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
+		n.Limit = sumachead.RequestRate(rate)
+	}
 	if rest, err := time.ParseDuration(h.Get("X-Rest")); err == nil {
 		n.RestUntil = now.Add(rest)
 	}
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -15,7 +15,7 @@
 	"sumachead/internal/gauge"
 	"sumachead/internal/outbox"
 	"sumachead/internal/place"
-	"sumachead/internal/registry"
+	"sumachead/internal/ratelimit"
 	"sumachead/internal/rpc"
 	"sumachead/internal/warmup"
 )
@@ -52,6 +52,8 @@
 	Address func(*wire.ServerRecord) string
 	Pool    *rpc.Pool
 	Chooser *place.Chooser
+	// Limits receives the request limits that gauges know of.
+	Limits *ratelimit.Table
 
 	// life names this process.
 	life  string
@@ -127,32 +129,29 @@
 	}
 	now := time.Now()
 	g.took(now.Sub(begun))
+	if m := a.GetLimit(); m != nil {
+		g.Limits.Merge(sumachead.ServerID(r.GetId()), ratelimit.FromWire(m, boottime.Clock{}.Now()))
+	}
 	g.Chooser.Told(sumachead.ServerID(r.GetId()), w, a, now)
 }
 
-// counts reports whether there is a gauge beside a server, which counts what all routers
-// send there.
-func (g *gauges) counts(r *wire.ServerRecord) bool { return g.Address != nil && g.Address(r) != "" }
-
-// admit asks the gauge of a cold engine for a grant, and otherwise returns when it may have
-// one. A gauge that does not answer grants nothing, and neither does a grant that comes too
-// late: it would be used beside those of later times. What a server bears is counted by the
-// name that all its lives have: one that has started again under its id also takes what was
-// granted for its earlier life, up to the grants of 100 ms (worked out, not measured).
-func (g *gauges) admit(r *wire.ServerRecord, b warmup.Bound, urgency uint32) (granted bool, again time.Duration) {
-	address := g.Address(r)
+// admit asks the gauge at an address for a permit. A gauge that does not answer grants nothing,
+// and neither does a permit that comes too late: it would be used beside those of later times.
+// What a server bears is counted by the name that all its lives have: one that has started
+// again under its id also takes what was granted for its earlier life, up to the grants of 100
+// ms (worked out, not measured).
+func (g *gauges) admit(address string, q *wire.AdmitRequest) (reply *wire.AdmitReply, ok bool) {
 	if g.rests(address) {
-		return false, noGrantFor
+		return nil, false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), warmup.GrantLives)
 	defer cancel()
 	begun := boottime.Clock{}.Now() // a host that was suspended has no grant any more
-	reply, err := callGauge[wire.AdmitReply](ctx, g, address, "Admit",
-		&wire.AdmitRequest{Server: registry.Name(r), Rate: b.Rate, Burst: b.Burst, Urgency: urgency})
+	reply, err := callGauge[wire.AdmitReply](ctx, g, address, "Admit", q)
 	if err != nil || (boottime.Clock{}).Now().Sub(begun) > warmup.GrantLives {
-		return false, noGrantFor
+		return nil, false
 	}
-	return reply.GetGranted(), time.Duration(reply.GetAgainMicros()) * time.Microsecond
+	return reply, true
 }
 
 // took learns how long answers take.
@@ -194,10 +193,14 @@
 
 // tell brings a note to the gauge of a server.
 func (g *gauges) tell(r *wire.ServerRecord, n *wire.GaugeNote) {
-	if g.Address == nil {
-		return
+	if g.Address != nil {
+		g.noteAt(g.Address(r), r, n)
 	}
-	if address := g.Address(r); address != "" {
+}
+
+// noteAt brings a note about a server to the gauge at an address, empty for none.
+func (g *gauges) noteAt(address string, r *wire.ServerRecord, n *wire.GaugeNote) {
+	if address != "" {
 		g.notes.Put(gaugeOf{address, sumachead.ServerID(r.GetId())}, n)
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -49,7 +49,9 @@
 	// that were sent to servers while they did.
 	limitAnswers prometheus.Counter
 	limitedSends prometheus.Counter
-	unreadable   prometheus.Counter
+	// permits are of requests for servers with a request limit, by whether there was a permit.
+	permits    *prometheus.CounterVec
+	unreadable prometheus.Counter
 	// samples counts requests that were sent to servers of a version on trial.
 	samples prometheus.Counter
 	// overdue is of escrow lent to other routers.
@@ -91,6 +93,7 @@
 		leaving:      counter("sumachead_gateway_leaving_answers_total", "Answers by which a backend server said that it leaves, while it was not known to."),
 		unreadable:   counter("sumachead_gateway_unreadable_notices_total", "Answers that say of their backend server what can't be read."),
 		limitAnswers: counter("sumachead_gateway_limit_answers_total", "Answers in which a backend server named a request limit."),
+		permits:      counters("sumachead_gateway_permits_total", "Permits asked for to send a request to a backend server with a request limit, by whether one was granted.", "granted"),
 		limitedSends: counter("sumachead_gateway_limited_sends_total", "Requests sent to backend servers with a request limit."),
 		samples:      counter("sumachead_gateway_samples_total", "Requests that were sent to backend servers of a version on trial."),
 		overdue:      counter("sumachead_gateway_overdue_loan_tokens_total", "Escrow lent to other routers that counts as spent since no bill came."),
@@ -113,8 +116,9 @@
 	}
 	for _, granted := range []string{"true", "false"} {
 		m.admits.WithLabelValues(granted)
+		m.permits.WithLabelValues(granted)
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.asides, m.underEnds, m.rests, m.keptBack, m.leaving, m.unreadable, m.limitAnswers, m.limitedSends, m.samples, m.overdue, rpc.Traffic{})
+	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.asides, m.underEnds, m.rests, m.keptBack, m.leaving, m.unreadable, m.limitAnswers, m.limitedSends, m.permits, m.samples, m.overdue, rpc.Traffic{})
 	m.gauges(g)
 	return m
 }
@@ -182,6 +186,11 @@
 	m.admits.WithLabelValues(strconv.FormatBool(granted)).Inc()
 }
 
+// notePermit records whether a permit was granted.
+func (m *Metrics) notePermit(granted bool) {
+	m.permits.WithLabelValues(strconv.FormatBool(granted)).Inc()
+}
+
 // The outcomes of requests.
 const (
 	outcomeInTime    = "in_time"
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"sumachead"
-	"sumachead/internal/boottime"
 )
 
 // What a server says of itself in an answer reaches the router first, and also where it is cut
@@ -34,31 +33,6 @@
 	}
 }
 
-// noteLimit records whether an answer names a request limit.
-func (g *Gateway) noteLimit(id sumachead.ServerID, n sumachead.ServerNotice, sentAt sumachead.BootTime) {
-	switch {
-	case n.Limit > 0:
-		g.metrics.limitAnswers.Inc()
-		if g.limits.Set(id, n.Limit, boottime.Clock{}.Now()) {
-			g.failures.Info(g.Log, "Backend server named a request limit.", "server", id, "limit", n.Limit)
-		}
-	case !n.LimitUnclear && g.limits.Clear(id, sentAt):
-		g.failures.Info(g.Log, "Backend server no longer names a request limit.", "server", id)
-	}
-}
-
-// forgetLimits drops the request limits of servers that are gone.
-func (g *Gateway) forgetLimits() {
-	if g.limits.Count() == 0 {
-		return
-	}
-	known := make(map[sumachead.ServerID]bool)
-	for _, r := range g.servers.Known() {
-		known[sumachead.ServerID(r.GetId())] = true
-	}
-	g.limits.Expire(func(id sumachead.ServerID) bool { return !known[id] })
-}
-
 // unwanted returns why a server is to be sent nothing. Between the choice of a server and the
 // send a request may wait for a grant, a trial and a connection, up to half a second each.
 func (g *Gateway) unwanted(id sumachead.ServerID) (why sumachead.Reason) {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -37,7 +37,7 @@
 	}
 	if !d.suspects.any() || !d.suspects.held(d.x.fingerprint()) {
 		few := rollout.Few(d.servers.OnTrial(service, d.homes), d.isWarm)
-		if l := d.placeAmong(few, d.tried); l != nil {
+		if l := d.placeAmong(few, d.tried); l != nil && d.admitted(l, &heldUp{}) {
 			d.metrics.samples.Inc()
 			return l
 		}
--- a/internal/gauge/gauge.go
+++ b/internal/gauge/gauge.go
@@ -2,9 +2,10 @@
 // one: what all of them have under way there ([place.Gauge]).
 //
 // Routers tell it when they send a request, when its answer begins, and when it ends; a
-// router that gets no answer in time chooses by what it knows itself. While the engine is
-// cold, it also counts what all routers send there, and grants no more than the engine
-// bears ([warmup.Gate]). It keeps nothing on disk, and passes nothing on.
+// router that gets no answer in time chooses by what it knows itself. It also grants the
+// permits for requests to servers that are cold or limit requests ([ratelimit.Permits]): to its
+// engine, and to servers of plain services that routers assign to it. It keeps nothing on
+// disk, and passes nothing on.
 package gauge
 
 import (
@@ -13,17 +14,23 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/boottime"
 	"sumachead/internal/place"
+	"sumachead/internal/ratelimit"
 	"sumachead/internal/warmup"
 )
 
 // Name is the name under which a [Service] takes calls.
 const Name = "Gauge"
 
-// keptGates is how many lives of the engine have a gate: the one that runs and the one
-// before it, and some that a router may take for it.
-const keptGates = 4
+const (
+	// limitTimeout is how long a request limit is remembered that no router mentions.
+	limitTimeout = time.Minute
+	// maxLimits bounds the servers whose limits are remembered before old ones are dropped.
+	maxLimits = 64
+)
 
 // Service takes routers' calls. Set the exported field before the first call.
 type Service struct {
@@ -31,56 +38,57 @@
 	// still be on its way.
 	Since time.Time
 
-	gauge place.Gauge
+	gauge  place.Gauge
+	limits ratelimit.Table
 
-	mu sync.Mutex // guards the fields below
-	// gates are by the engine's life, and lives lists these, oldest first.
-	gates map[string]*warmup.Gate
-	lives []string
+	mu      sync.Mutex // guards permits
+	permits ratelimit.Permits
 }
 
 // Ask answers a router that is about to choose.
 func (s *Service) Ask(q *wire.GaugeQuestion, answer *wire.GaugeAnswer) error {
 	a := s.gauge.Answer(q, time.Now())
 	proto.Merge(answer, a)
+	answer.Limit = s.limits.Get(sumachead.ServerID(q.GetServer())).ToWire(boottime.Clock{}.Now())
 	return nil
 }
 
 // Note takes in what a router tells of its requests.
 func (s *Service) Note(n *wire.GaugeNotes, _ *wire.Empty) error {
 	s.gauge.Note(n, time.Now())
+	for _, x := range n.GetNotes() {
+		s.noteLimit(sumachead.ServerID(n.GetServer()), x.GetLimit())
+	}
 	return nil
 }
 
-// Admit grants a router one request to the engine while that is cold.
+// Admit grants a router a permit for one request to a server that is cold or limits requests.
 func (s *Service) Admit(r *wire.AdmitRequest, reply *wire.AdmitReply) error {
-	granted, again := s.admit(r, time.Now())
+	id := sumachead.ServerID(r.GetIncarnation())
+	s.noteLimit(id, r.GetLimit())
+	limit := s.limits.Get(id)
+	b := warmup.Bound{Rate: r.GetRate(), Burst: r.GetBurst()}
+	granted, again := s.admit(r.GetServer(), b.And(ratelimit.BoundOf(limit.Rate)), r.GetUrgency())
 	reply.Granted, reply.AgainMicros = granted, again.Microseconds()
+	reply.Limit = limit.ToWire(boottime.Clock{}.Now())
 	return nil
 }
 
-func (s *Service) admit(r *wire.AdmitRequest, now time.Time) (granted bool, again time.Duration) {
+func (s *Service) admit(server string, b warmup.Bound, urgency uint32) (granted bool, again time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := warmup.Bound{Rate: r.GetRate(), Burst: r.GetBurst()}
-	g := s.gates[r.GetServer()]
-	if g == nil {
-		g = warmup.NewGate(s.Since, b, now)
-		s.keep(r.GetServer(), g)
-	}
-	return g.Admit(b, r.GetUrgency(), now)
+	s.permits.Since = s.Since
+	return s.permits.Admit(server, b, urgency, time.Now())
 }
 
-// keep adds a life's gate, and forgets the oldest where there are too many. The caller
-// holds mu.
-func (s *Service) keep(life string, g *warmup.Gate) {
-	if s.gates == nil {
-		s.gates = make(map[string]*warmup.Gate)
+// noteLimit takes in what a router knows of a server's request limit.
+func (s *Service) noteLimit(id sumachead.ServerID, m *wire.LimitObservation) {
+	if m == nil || id == "" {
+		return
 	}
-	s.gates[life] = g
-	s.lives = append(s.lives, life)
-	if len(s.lives) > keptGates {
-		delete(s.gates, s.lives[0])
-		s.lives = s.lives[1:]
+	now := boottime.Clock{}.Now()
+	if s.limits.Len() >= maxLimits {
+		s.limits.Expire(func(_ sumachead.ServerID, o ratelimit.Observation) bool { return now.Sub(o.At) > limitTimeout })
 	}
+	s.limits.Merge(id, ratelimit.FromWire(m, now))
 }
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -87,12 +87,19 @@
 	return n
 }
 
-// Expire drops the servers that keep reports as gone.
-func (t *Table) Expire(gone func(sumachead.ServerID) bool) {
+// Len returns how many servers something is known of.
+func (t *Table) Len() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id := range t.limits {
-		if gone(id) {
+	return len(t.limits)
+}
+
+// Expire drops the servers that gone reports as gone; it must not call the table.
+func (t *Table) Expire(gone func(sumachead.ServerID, Observation) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, o := range t.limits {
+		if gone(id, o) {
 			delete(t.limits, id)
 		}
 	}
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -58,7 +58,7 @@
 			if r := table.Get("b").Rate; r != 0 {
 				t.Errorf("another server is limited to %v", r)
 			}
-			table.Expire(func(id sumachead.ServerID) bool { return id == "a" })
+			table.Expire(func(id sumachead.ServerID, _ Observation) bool { return id == "a" })
 			if r := table.Get("a").Rate; r != 0 {
 				t.Errorf("a server that is gone is limited to %v", r)
 			}
--- a/internal/scenario/ratelimit_test.go
+++ b/internal/scenario/ratelimit_test.go
@@ -156,7 +156,7 @@
 func unserved(callers []*caller, limited bool) (out []string) {
 	for _, c := range callers {
 		atOnce := c.ended.Sub(c.sent) < time.Second && c.told && strings.Contains(c.refusal, "not_run")
-		if !c.whole && !(limited && atOnce) {
+		if !c.whole && (!limited || !atOnce) {
 			out = append(out, fmt.Sprintf("%s after %v: %s", c, c.ended.Sub(c.sent).Round(time.Millisecond), c.refusal))
 		}
 	}
--- a/internal/warmup/warmup.go
+++ b/internal/warmup/warmup.go
@@ -49,6 +49,17 @@
 	return Bound{Rate: rate, Burst: max((rate*overage+slack-rate)*burstPart, 1)}
 }
 
+// And returns the bound on what two bounds both allow.
+func (b Bound) And(c Bound) Bound {
+	switch {
+	case b.Rate == 0:
+		return c
+	case c.Rate == 0:
+		return b
+	}
+	return Bound{Rate: min(b.Rate, c.Rate), Burst: min(b.Burst, c.Burst)}
+}
+
 // Gate counts what all routers send to one server while it is cold. It is not safe for
 // concurrent use.
 type Gate struct{ bucket bucket.Bucket }
--- a/verdict.go
+++ b/verdict.go
@@ -45,6 +45,7 @@
 	ReasonBusy             Reason = "busy"
 	ReasonCold             Reason = "cold"
 	ReasonResting          Reason = "resting"
+	ReasonLimited          Reason = "limited"
 	ReasonShed             Reason = "shed"
 	ReasonLeaving          Reason = "leaving"
 	ReasonFenced           Reason = "fenced"
@@ -68,7 +69,7 @@
 		ReasonBadRequest, ReasonUnauthorized, ReasonTooLarge, ReasonHeadersTooLarge, ReasonDeadlinePassed,
 		ReasonUnknownPool, ReasonUnknownRoute, ReasonPoolForbidden, ReasonKeyConflict, ReasonBudgetExhausted,
 		ReasonNoBudget, ReasonLedgerUnreached, ReasonClaimUnavailable, ReasonSettingsStale,
-		ReasonNoServer, ReasonRouterFull, ReasonBusy, ReasonCold, ReasonResting, ReasonShed, ReasonLeaving, ReasonFenced,
+		ReasonNoServer, ReasonRouterFull, ReasonBusy, ReasonCold, ReasonResting, ReasonLimited, ReasonShed, ReasonLeaving, ReasonFenced,
 		ReasonServerUnreached, ReasonServerFailed, ReasonBadAnswer, ReasonEndsServers, ReasonSuspected, ReasonStuck,
 		ReasonInterrupted, ReasonAnswerGone, ReasonRunning, ReasonRetryBudget,
 		ReasonStopping, ReasonInternal,
