Soak: servers name request limits, and the sum over routers is checked

Limits begin, change, end and are lost with a start, for one server or a whole service, beside all other faults. What routers sent that had passed the limit on, half a second later and undisturbed, is counted from what servers saw.

--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -119,6 +119,13 @@
 	})
 	rollouts := rand.New(rand.NewPCG(s.rand.Uint64(), series+3)) // as above
 	all.Go(func() { s.rollOuts(rollouts, until) })
+	limits := rand.New(rand.NewPCG(s.rand.Uint64(), series+4)) // as above
+	all.Go(func() {
+		for time.Now().Before(until) {
+			s.limitFault(limits)
+			time.Sleep(time.Duration(limits.IntN(1500)) * time.Millisecond)
+		}
+	})
 	all.Wait()
 }
 
@@ -232,6 +239,7 @@
 	for _, r := range s.servers() {
 		r.Set(standin.ReplicaFaults{})
 		r.TurnAway(0)
+		r.NameLimit(0)
 	}
 	for _, name := range s.f.order {
 		if p := s.f.processes[name]; !p.running() {
@@ -260,6 +268,7 @@
 	}
 	s.checkEnds()
 	s.checkNotices()
+	s.checkLimits()
 	s.checkRollouts()
 }
 
--- a/internal/standin/limits.go
+++ b/internal/standin/limits.go
@@ -43,3 +43,10 @@
 	const bits = 64
 	h.Set("Server-Limit", strconv.FormatFloat(l.Rate, 'f', -1, bits))
 }
+
+// Starts returns when the replica has started after its first start, oldest first.
+func (r *Replica) Starts() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.starts)
+}
