A version that was rolled back gets nothing until it is ordered again

Callers got answers of a version found bad.

Cause: the book keeps the newest roll-out of a service only; the next order took the place of the one that had been rolled back, and its version counted among those that are used.

Change: a roll-out carries the versions that earlier ones rejected, 32 at most, without its own target; routers send them nothing in any phase, and the leading keeper does not count them among the servers to be replaced. Evidence: TestRolledBackVersionsStayRejected and three rows of TestVersionsAreUsedByTheirRollout failed before.

--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -244,12 +244,13 @@
 func (k *Keeper) fleetFor(r *wire.Rollout) *rollout.Fleet {
 	f := &rollout.Fleet{Routers: k.followers.nodesOf(RoleRouter), Known: k.servers.HeardOfAll(time.Now())}
 	for version, slots := range k.servers.Versions(r.GetService()) {
-		if version == r.GetTarget() {
+		switch {
+		case version == r.GetTarget():
 			f.Target += slots
-			continue
+		case !slices.Contains(r.GetRejected(), version):
+			f.Others += slots
+			f.Replaced = append(f.Replaced, version)
 		}
-		f.Others += slots
-		f.Replaced = append(f.Replaced, version)
 	}
 	slices.Sort(f.Replaced)
 	return f
--- a/internal/registry/versions.go
+++ b/internal/registry/versions.go
@@ -9,7 +9,7 @@
 
 // While a service is moved to another version, servers of the target version get requests only
 // as samples; once it has moved, those of the versions before get none, and after it was rolled
-// back those of the target version. Without an order all versions are used: servers may be
+// back those of the target version, until that is ordered again. Without an order all versions are used: servers may be
 // replaced by those of another version without one.
 
 // use is what servers of a version are for.
@@ -60,6 +60,9 @@
 	if o == nil {
 		return useAll
 	}
+	if slices.Contains(o.GetRejected(), r.GetSoftware()) {
+		return useNone
+	}
 	target := r.GetSoftware() == o.GetTarget()
 	switch o.GetPhase() {
 	case wire.RolloutPhase_ROLLOUT_PHASE_TRIAL:
--- a/internal/registry/versions_test.go
+++ b/internal/registry/versions_test.go
@@ -17,6 +17,12 @@
 	}}}
 }
 
+// rejecting adds versions that earlier roll-outs have rejected.
+func rejecting(s *wire.Rollouts, versions ...string) *wire.Rollouts {
+	s.Rollouts[0].Rejected = versions
+	return s
+}
+
 func TestVersionsAreUsedByTheirRollout(t *testing.T) {
 	const (
 		trial      = wire.RolloutPhase_ROLLOUT_PHASE_TRIAL
@@ -38,6 +44,9 @@
 		{"rolled back in the move", []*wire.Rollouts{rolledOut(3, "v2", rolledBack, "v1")}, []string{"other", "s1"}, nil},
 		{"back to the version before", []*wire.Rollouts{rolledOut(3, "v2", complete, "v1"), rolledOut(4, "v1", trial)}, []string{"other", "s2"}, []string{"s1"}},
 		{"an older word comes late", []*wire.Rollouts{rolledOut(3, "v2", rolledBack), rolledOut(1, "v2", trial)}, []string{"other", "s1"}, nil},
+		{"another version ordered after one was rolled back", []*wire.Rollouts{rolledOut(3, "v2", rolledBack), rejecting(rolledOut(4, "v3", trial), "v2")}, []string{"other", "s1"}, nil},
+		{"another version rolled back after one was", []*wire.Rollouts{rejecting(rolledOut(5, "v3", rolledBack), "v2")}, []string{"other", "s1"}, nil},
+		{"moved to another version after one was rolled back", []*wire.Rollouts{rejecting(rolledOut(5, "v1", complete, ""), "v2")}, []string{"s1"}, nil},
 		{"a target that no server has", []*wire.Rollouts{rolledOut(1, "v3", trial)}, []string{"other", "s1", "s2"}, nil},
 	}
 	for _, tt := range tests {
--- a/internal/rollout/book.go
+++ b/internal/rollout/book.go
@@ -11,8 +11,12 @@
 	"sumachead/api/wire"
 )
 
-// replayWithin is for how long after its start a process applies what was logged long ago.
-const replayWithin = 3 * time.Second
+const (
+	// replayWithin is for how long after its start a process applies what was logged long ago.
+	replayWithin = 3 * time.Second
+	// maxRejected bounds the versions that a service keeps as rejected; the oldest are dropped.
+	maxRejected = 32
+)
 
 // Book is the newest order of each service, as the fleet's log has it. What is logged depends on
 // no clock; for how long an order has stood is by the clock of this process. A Book is not safe
@@ -41,10 +45,21 @@
 	b.put(&wire.Rollout{
 		Service: o.GetService(), Target: o.GetTarget(), Revision: b.revision, Order: b.revision,
 		OrderedUnixMillis: o.GetOrderedUnixMillis(), DeadlineUnixMillis: o.GetDeadlineUnixMillis(),
+		Rejected: rejected(old, o.GetTarget()),
 	})
 	return &wire.RolloutReply{Taken: true}
 }
 
+// rejected returns the versions that stay rejected once a target is ordered after a roll-out.
+func rejected(old *wire.Rollout, target string) []string {
+	out := slices.Clone(old.GetRejected())
+	if old.GetPhase() == wire.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK {
+		out = append(out, old.GetTarget())
+	}
+	out = slices.DeleteFunc(out, func(v string) bool { return v == target })
+	return out[max(len(out)-maxRejected, 0):]
+}
+
 // Ended reports whether a roll-out, nil for none, goes on no more.
 func Ended(r *wire.Rollout) bool {
 	return r == nil || r.GetPhase() == wire.RolloutPhase_ROLLOUT_PHASE_COMPLETE || r.GetPhase() == wire.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK
--- a/internal/rollout/book_test.go
+++ b/internal/rollout/book_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,6 +74,51 @@
 	}
 }
 
+// A version that was rolled back is rejected until it is ordered again, whatever else is.
+func TestRolledBackVersionsStayRejected(t *testing.T) {
+	b, _ := newBook()
+	end := func(target string, p wire.RolloutPhase) {
+		t.Helper()
+		old := b.Get("s")
+		if !b.Order(&wire.RolloutOrder{Service: "s", Target: target, Against: old.GetRevision()}).GetTaken() {
+			t.Fatalf("the order for %s was not taken", target)
+		}
+		if !b.Step(&wire.RolloutStep{Service: "s", Order: b.Get("s").GetOrder(), Phase: p}).GetTaken() {
+			t.Fatalf("the end of %s was not taken", target)
+		}
+	}
+	const (
+		complete   = wire.RolloutPhase_ROLLOUT_PHASE_COMPLETE
+		rolledBack = wire.RolloutPhase_ROLLOUT_PHASE_ROLLED_BACK
+	)
+	steps := []struct {
+		target string
+		phase  wire.RolloutPhase
+		want   []string
+	}{
+		{"v2", rolledBack, nil},
+		{"v3", complete, []string{"v2"}},
+		{"v4", rolledBack, []string{"v2"}},
+		{"v5", complete, []string{"v2", "v4"}},
+		{"v2", complete, []string{"v4"}},
+		{"v6", rolledBack, []string{"v4"}},
+		{"v6", rolledBack, []string{"v4"}},
+		{"v7", complete, []string{"v4", "v6"}},
+	}
+	for _, tt := range steps {
+		end(tt.target, tt.phase)
+		if d := cmp.Diff(tt.want, b.Get("s").GetRejected()); d != "" {
+			t.Errorf("rejected once %s has ended (-want +got):\n%s", tt.target, d)
+		}
+	}
+	for i := range 3 * maxRejected {
+		end(fmt.Sprint("w", i), rolledBack)
+	}
+	if n := len(b.Get("s").GetRejected()); n != maxRejected {
+		t.Errorf("%d versions are kept as rejected, want %d", n, maxRejected)
+	}
+}
+
 func TestABookIsRestoredWhole(t *testing.T) {
 	b, c := newBook()
 	start := time.Now()
