Servers with a request limit are not asked for their health

A health check waits for a slot as a request does, so that checks of silent servers, 3 a second from each router, came on top of a limit. Found by reading; no run shows it.

--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -104,7 +104,7 @@
 		if since.IsZero() || d.last != nil {
 			return all, nil
 		}
-		if due := d.checks.due(all, d.rests.Left, now); len(due) > 0 {
+		if due := d.checks.due(all, d.unchecked, now); len(due) > 0 {
 			go d.check(due, d.x.service.GetHealthPath())
 		}
 		p := patience.Usual{Since: since, By: since.Add(d.Heartbeat)}
@@ -131,6 +131,15 @@
 	return r.GetState() != wire.ServerState_SERVER_STATE_SILENT
 }
 
+// unchecked returns for how much longer a server is not to be checked. One that limits requests
+// has answered, and a check would count as a request.
+func (g *Gateway) unchecked(id sumachead.ServerID) time.Duration {
+	if g.limits.Get(id).Rate > 0 {
+		return checkAgain
+	}
+	return g.rests.Left(id)
+}
+
 // check asks silent servers who they are. One that answers as it is known may be sent
 // to; where another life answers, the one that is known is over.
 func (g *Gateway) check(records []*wire.ServerRecord, path string) {
