backoff, linkload: the field's terms in names, comments and log lines

Behaviour is the same. backoff.Table.Ask, Left, Forget are Set, Remaining, Expire; linkload's Took, Parts, Aside are AddBytes, ShouldClose, Overloaded, as are the gateway's. For operators: sumachead_gateway_asides_total is sumachead_gateway_link_overloads_total; the line 'A backend server asks for rest.' is 'Backend server requested backoff.', 'Callers fill the link, or do no longer.' is 'Load of callers on the link changed.' (field overloaded, before aside).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,7 +93,7 @@
 	a.backend = newBackend(a.Config.Agent.Backend, a.health)
 	a.backend.rested = func(d time.Duration) {
 		a.metrics.rests.Inc()
-		if a.rests.Ask(a.Config.Agent.Server, d) {
+		if a.rests.Set(a.Config.Agent.Server, d) {
 			a.Log.Info("The backend server asks for rest.", "rest", d)
 		}
 	}
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -177,7 +177,7 @@
 	if r == nil {
 		return nil
 	}
-	if rest := a.rests.Left(server.ID); rest > 0 {
+	if rest := a.rests.Remaining(server.ID); rest > 0 {
 		return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonResting, "the backend server has asked for rest", now.Add(rest))
 	}
 	if !a.holdsEpoch(server.Epoch, sumachead.Epoch(r.GetEpoch())) {
@@ -229,7 +229,7 @@
 		Running: uint32(running), Queued: uint32(queued), Slots: uint32(slots),
 		FirstTokenMicros: a.backend.firstToken().Microseconds(),
 		Leaving:          a.stopping.Load(),
-		RestMillis:       a.rests.Left(a.Config.Agent.Server).Milliseconds(),
+		RestMillis:       a.rests.Remaining(a.Config.Agent.Server).Milliseconds(),
 	}
 	_, l.Stuck = a.suspect(time.Now())
 	if v := a.follower.View(); v != nil {
--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -1,10 +1,8 @@
-// Package backoff keeps until when backend servers want nothing from this process.
+// Package backoff keeps the backoff windows that backend servers have requested.
 //
-// A server that turns a request away may ask to be left alone for a time. It asks the process
-// that sent the request, and no other: the same server may take what others send. So a
-// [Table] belongs to one process. What a server asked for holds for the life that asked, and
-// for nothing less than that time: a shorter wish that comes later does not end a longer one.
-// Times are by [sumachead.Clock], since a rest goes on while this host is suspended.
+// A server that rejects a request may ask the process that sent it to send nothing for a time;
+// other processes are not meant. A window holds for the incarnation that requested it and never
+// shrinks. Times are by [sumachead.Clock], which goes on while the host is suspended.
 package backoff
 
 import (
@@ -14,23 +12,23 @@
 	"sumachead"
 )
 
-// Table holds the wishes of backend servers. It is safe for concurrent use. Set the exported
+// Table holds the backoff windows of servers. It is safe for concurrent use. Set the exported
 // field before the first call.
 type Table struct {
 	Clock sumachead.Clock
 
 	mu sync.Mutex // guards until
-	// until is until when lives of servers want nothing.
+	// until is when the windows end.
 	until map[sumachead.ServerID]sumachead.BootTime
 }
 
-// Ask takes in that a life of a server wants nothing for a time. It reports whether that is
-// longer than what was known.
-func (t *Table) Ask(id sumachead.ServerID, rest time.Duration) (longer bool) {
-	if rest <= 0 {
+// Set starts a backoff window for a server. It reports whether that ends later than the one
+// before.
+func (t *Table) Set(id sumachead.ServerID, window time.Duration) (extended bool) {
+	if window <= 0 {
 		return false
 	}
-	until := t.Clock.Now().Add(rest)
+	until := t.Clock.Now().Add(window)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.until == nil {
@@ -43,19 +41,18 @@
 	return true
 }
 
-// Left returns for how much longer a life of a server wants nothing; 0 for one that may be
-// sent to.
-func (t *Table) Left(id sumachead.ServerID) time.Duration {
+// Remaining returns how much of a server's backoff window is left; 0 for none.
+func (t *Table) Remaining(id sumachead.ServerID) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	until, ok := t.until[id]
 	if !ok {
-		return 0 // without a look at the clock, since that is so for nearly all
+		return 0 // without reading the clock: so it is for nearly all
 	}
 	return max(until.Sub(t.Clock.Now()), 0)
 }
 
-// Count returns how many servers want nothing at present.
+// Count returns how many servers are in a backoff window.
 func (t *Table) Count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -68,8 +65,8 @@
 	return n
 }
 
-// Forget drops what is over.
-func (t *Table) Forget() {
+// Expire drops the windows that have ended.
+func (t *Table) Expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.Clock.Now()
--- a/internal/backoff/backoff_test.go
+++ b/internal/backoff/backoff_test.go
@@ -35,19 +35,19 @@
 	}
 	for _, tt := range steps {
 		c.now = c.now.Add(tt.after)
-		if longer := table.Ask("a", tt.ask); longer != tt.longer {
+		if longer := table.Set("a", tt.ask); longer != tt.longer {
 			t.Errorf("%s: longer is %v", tt.name, longer)
 		}
-		if left, other := table.Left("a"), table.Left("b"); left != tt.left || other != 0 {
+		if left, other := table.Remaining("a"), table.Remaining("b"); left != tt.left || other != 0 {
 			t.Errorf("%s: left %v, want %v; of a server that asked nothing %v", tt.name, left, tt.left, other)
 		}
 		if n := table.Count(); n != tt.count {
 			t.Errorf("%s: %d rest, want %d", tt.name, n, tt.count)
 		}
-		table.Forget()
+		table.Expire()
 	}
 	c.now = c.now.Add(time.Hour)
-	table.Forget()
+	table.Expire()
 	if len(table.until) != 0 {
 		t.Errorf("%d are kept of which the rest is over", len(table.until))
 	}
@@ -63,14 +63,14 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			c.now = c.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "after")) * time.Millisecond)
 			ask := time.Duration(rapid.IntRange(-1000, 10_000).Draw(t, "ask")) * time.Millisecond
-			table.Ask("a", ask)
+			table.Set("a", ask)
 			if ask > 0 {
 				until = max(until, c.now.Add(ask))
 			}
 			if rapid.Bool().Draw(t, "forget") {
-				table.Forget()
+				table.Expire()
 			}
-			if got, want := table.Left("a"), max(until.Sub(c.now), 0); got != want {
+			if got, want := table.Remaining("a"), max(until.Sub(c.now), 0); got != want {
 				t.Fatalf("left %v, want %v", got, want)
 			}
 		}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -37,7 +37,7 @@
 	"A backend server's record has changed.":             fieldServer,
 	"A backend server leaves.":                           fieldServer,
 	"A backend server says in an answer that it leaves.": fieldServer,
-	"A backend server asks for rest.":                    fieldServer,
+	"Backend server requested backoff.":                  fieldServer,
 	"Backend server named a request limit.":              fieldServer,
 	"Backend server no longer names a request limit.":    fieldServer,
 	"A roll-out's phase is in force.":                    "",
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -137,7 +137,7 @@
 	if g.limits.Get(id).Rate > 0 {
 		return checkAgain
 	}
-	return g.rests.Left(id)
+	return g.rests.Remaining(id)
 }
 
 // check asks silent servers who they are. One that answers as it is known may be sent
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -135,7 +135,7 @@
 	now := time.Now()
 	held.note(id, again, now)
 	if limited {
-		d.limits.Denials.Ask(id, again)
+		d.limits.Denials.Set(id, again)
 	}
 	l.NotRun(now)
 	return false
@@ -210,7 +210,7 @@
 // anyLimited reports whether one of some servers has no permit left.
 func (d *dispatch) anyLimited(servers []*wire.ServerRecord) bool {
 	return slices.ContainsFunc(servers, func(r *wire.ServerRecord) bool {
-		return d.limits.Denials.Left(sumachead.ServerID(r.GetId())) > 0
+		return d.limits.Denials.Remaining(sumachead.ServerID(r.GetId())) > 0
 	})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,7 +121,7 @@
 		Servers: g.servers, Log: g.Log.Named("follow"), LendingAddress: g.lendingAddress, Suspects: &blame.Table{},
 		Rollouts: g.sampler,
 	}
-	g.link.BytesPerSecond, g.link.Changed = g.LinkBytes, g.noteAside
+	g.link.BytesPerSecond, g.link.Changed = g.LinkBytes, g.noteOverload
 	g.wake.Clock, g.wake.Refresh = boottime.Clock{}, g.client.Refresh
 	g.suspects.Node, g.suspects.Table, g.suspects.Take = g.Node, g.client.Suspects, g.client.TakeSuspects
 	g.suspects.Report, g.suspects.Try = g.client.ReportEnds, g.client.Try
@@ -148,7 +148,9 @@
 	}
 	g.chooser = place.NewChooser(g.Hall)
 	g.limits.Denials = &backoff.Table{Clock: boottime.Clock{}}
-	g.chooser.Rest = func(id sumachead.ServerID) time.Duration { return max(g.rests.Left(id), g.limits.Denials.Left(id)) }
+	g.chooser.Rest = func(id sumachead.ServerID) time.Duration {
+		return max(g.rests.Remaining(id), g.limits.Denials.Remaining(id))
+	}
 	g.gauges = &gauges{Address: g.GaugeAddress, Pool: g.Pool, Chooser: g.chooser, Limits: &g.limits.Table}
 	g.gauges.prepare()
 	g.handle = chain.Wrap(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.escrowFilter)
@@ -174,7 +176,7 @@
 			g.servers.Forget(time.Now())
 			g.checks.forget(time.Now())
 			g.ends.forget(time.Now())
-			g.rests.Forget()
+			g.rests.Expire()
 			g.forgetLimits()
 			g.suspects.expire(time.Now())
 		})
@@ -196,23 +198,23 @@
 
 // Ready reports whether new callers should be sent here.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.client.View() != nil && !g.link.Aside(time.Now())
+	return !g.stopping.Load() && g.client.View() != nil && !g.link.Overloaded(time.Now())
 }
 
-// noteAside tells operators that this router steps aside, or is back.
-func (g *Gateway) noteAside(aside bool) {
-	if aside {
-		g.metrics.asides.Inc()
+// noteOverload records that the callers' load on the link has become too high, or is not any more.
+func (g *Gateway) noteOverload(overloaded bool) {
+	if overloaded {
+		g.metrics.overloads.Inc()
 	}
-	g.lines.Info(g.Log, "Callers fill the link, or do no longer.", "aside", aside)
+	g.lines.Info(g.Log, "Load of callers on the link changed.", "overloaded", overloaded)
 }
 
-// Took notes bytes that passed between callers and this router.
-func (g *Gateway) Took(n int) { g.link.Took(n, time.Now()) }
+// AddBytes records bytes exchanged with callers.
+func (g *Gateway) AddBytes(n int) { g.link.AddBytes(n, time.Now()) }
 
-// Parts reports whether a caller's connection should end after the answer to the request that
-// has just come: the router stops, or other routers should be sent the next one.
-func (g *Gateway) Parts() bool { return g.stopping.Load() || g.link.Parts(time.Now()) }
+// ShouldClose reports whether a caller's connection should be closed after the answer to the
+// request that has just come: the router stops, or the next one should go to another router.
+func (g *Gateway) ShouldClose() bool { return g.stopping.Load() || g.link.ShouldClose(time.Now()) }
 
 // Limits returns what the declaration in force says of callers; 0 for what it does not
 // say.
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -62,7 +62,7 @@
 
 // forgetLimits drops the request limits of servers that are gone.
 func (g *Gateway) forgetLimits() {
-	g.limits.Denials.Forget()
+	g.limits.Denials.Expire()
 	if g.limits.Len() == 0 {
 		return
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -89,7 +89,7 @@
 	expect(0.5)
 	end := second.limits.Get("a").At.Add(2 * time.Second)
 	first.noteNotice("a", sumachead.ServerNotice{}, end)
-	second.limits.Denials.Forget()
+	second.limits.Denials.Expire()
 	expect(0)
 }
 
--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -22,11 +22,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			g := newGateway(t, wire.RouteKind_ROUTE_KIND_SINGLE, false, nil)
 			g.link.BytesPerSecond = tt.link
-			g.Took(tt.took)
+			g.AddBytes(tt.took)
 			if got := g.Ready(); got != tt.ready {
 				t.Errorf("ready: %t, want %t", got, tt.ready)
 			}
-			if g.Parts() {
+			if g.ShouldClose() {
 				t.Error("connections end before a balancer can have noticed")
 			}
 		})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,8 +34,8 @@
 	ledger prometheus.Histogram
 	// admits are of requests for cold servers, by whether there was a grant.
 	admits *prometheus.CounterVec
-	// asides counts how often the router stepped aside since callers fill its link.
-	asides prometheus.Counter
+	// overloads counts how often callers filled the link.
+	overloads prometheus.Counter
 	// underEnds counts requests under which a server has ended.
 	underEnds prometheus.Counter
 	// rests counts answers by which servers asked for rest, and keptBack the requests that
@@ -86,7 +86,7 @@
 		served:       counter("sumachead_gateway_served_total", "Requests with a whole answer."),
 		dials:        counter("sumachead_gateway_dials_total", "New connections to backend servers."),
 		admits:       counters("sumachead_gateway_cold_admits_total", "Requests that were to be sent to a cold backend server, by whether there was a grant.", "granted"),
-		asides:       counter("sumachead_gateway_asides_total", "Times that the router was not ready since callers filled its link."),
+		overloads:    counter("sumachead_gateway_link_overloads_total", "Times that the router was not ready because callers filled its link."),
 		underEnds:    counter("sumachead_gateway_under_ends_total", "Requests that a backend server may have been running when it ended."),
 		rests:        counter("sumachead_gateway_rests_total", "Answers by which a backend server asked this router to send nothing for a time."),
 		keptBack:     counters("sumachead_gateway_kept_back_total", "Requests that were not sent to the backend server that was chosen, since it has asked for rest or leaves since then.", "reason"),
@@ -118,7 +118,7 @@
 		m.admits.WithLabelValues(granted)
 		m.permits.WithLabelValues(granted)
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.asides, m.underEnds, m.rests, m.keptBack, m.leaving, m.unreadable, m.limitAnswers, m.limitedSends, m.permits, m.samples, m.overdue, rpc.Traffic{})
+	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.first, m.whole, m.pause, m.ledger, m.admits, m.overloads, m.underEnds, m.rests, m.keptBack, m.leaving, m.unreadable, m.limitAnswers, m.limitedSends, m.permits, m.samples, m.overdue, rpc.Traffic{})
 	m.gauges(g)
 	return m
 }
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -28,8 +28,8 @@
 		return
 	}
 	g.metrics.rests.Inc()
-	if rest := time.Until(n.RestUntil); g.rests.Ask(id, rest) {
-		g.failures.Info(g.Log, "A backend server asks for rest.", "server", id, "rest", rest)
+	if rest := time.Until(n.RestUntil); g.rests.Set(id, rest) {
+		g.failures.Info(g.Log, "Backend server requested backoff.", "server", id, "rest", rest)
 	}
 }
 
@@ -39,7 +39,7 @@
 	switch {
 	case g.servers.Closed(string(id)):
 		why = sumachead.ReasonLeaving
-	case g.rests.Left(id) > 0:
+	case g.rests.Remaining(id) > 0:
 		why = sumachead.ReasonResting
 	default:
 		return ""
--- a/internal/linkload/linkload.go
+++ b/internal/linkload/linkload.go
@@ -1,11 +1,9 @@
-// Package linkload decides when a router whose link callers fill is passed over: a balancer that
-// hashes callers sends all of a crowd to one router, whose link can't carry it, while those
-// beside it are idle. Such a router says that it is not ready, so that new connections come to
-// others, and ends connections that callers keep; what has arrived it serves.
+// Package linkload decides when a router whose link is filled by its callers is passed over.
 //
-// The load that it answers: one workspace's callers, at about twice what a link carries, beside
-// routers that have room. Without it all that comes to the router waits in the link, what it is
-// told by other processes included, until callers have given up.
+// A balancer that hashes callers sends all of a crowd to one router while its neighbours are
+// idle. A router whose callers take most of its link reports that it is not ready, so that new
+// connections go elsewhere, and closes some kept connections; requests that arrive are served.
+// docs/design/links.md has the load that this is for.
 package linkload
 
 import (
@@ -14,33 +12,32 @@
 )
 
 const (
-	// window is the time over which use is measured, and slice its parts.
+	// window is the time over which the load is measured, in steps of slice.
 	window = 500 * time.Millisecond
 	slice  = 50 * time.Millisecond
-	// fullPercent of the link, taken by callers, is as much as they get: the rest is what goes
-	// beside them, and the heads of packets.
+	// fullPercent of the link taken by callers make the router overloaded; the rest is needed
+	// for traffic between processes and packet headers.
 	fullPercent = 75
-	// clearPercent is what callers may take for new ones to be welcome again.
+	// clearPercent is the load below which it is ready again.
 	clearPercent = 50
-	// asideLeast is how long a router stays aside: the balancer takes some questions to see it.
-	asideLeast = 2500 * time.Millisecond
-	// noticed is when the balancer has seen it. A connection that is ended before then is only
-	// made anew.
-	noticed = 2 * time.Second
-	// partsOneIn of the answers ends its connection while the link is full: what is measured
-	// lags, and callers that all went at once would fill the next router's link.
-	partsOneIn = 10
+	// minOverloadTime is how long a router stays overloaded at least.
+	minOverloadTime = 2500 * time.Millisecond
+	// noticeTime is how long the balancer needs to notice. Connections closed earlier would only
+	// be opened to the same router again.
+	noticeTime = 2 * time.Second
+	// closeOneIn of the answers closes its connection while the link is full. Closing all
+	// connections at once would move the overload to another router.
+	closeOneIn = 10
 )
 
-// Link watches what callers take of a router's link. Set the exported fields before the first
-// call; it is safe for concurrent use.
+// Link measures the load that callers put on a router's link. Set the exported fields before the
+// first call; it is safe for concurrent use.
 type Link struct {
-	// BytesPerSecond is what the link carries each way; 0 if that is not known: the router is
-	// never aside then.
+	// BytesPerSecond is the capacity of the link in each direction; 0 if unknown, in which case
+	// the router is never overloaded.
 	BytesPerSecond int64
-	// Changed is told when the router steps aside or is back; nil for nobody. It must not call
-	// the link.
-	Changed func(aside bool)
+	// Changed is called when the state changes; may be nil. It must not call the link.
+	Changed func(overloaded bool)
 
 	mu sync.Mutex // guards the fields below
 	// begun is when the first slice began.
@@ -48,73 +45,72 @@
 	// used are the bytes of the newest slices, newest the number of the last one.
 	used   [window / slice]int64
 	newest int64
-	// asideAt is since when the router is aside, and clearAt since when its link is clear
-	// meanwhile; zero if it is not.
-	asideAt, clearAt time.Time
-	// answers are those that were given while connections were to end.
+	// overloadedAt is since when the router is overloaded, and clearAt since when its link has
+	// room again; zero if it is not, or has none.
+	overloadedAt, clearAt time.Time
+	// answers counts the answers given while connections were to be closed.
 	answers int
 }
 
-// Took notes bytes that passed between callers and this router. What a caller sends is passed on
-// to a server, and what a server answers to the caller, so that either takes as much of both ways
-// of the link.
-func (l *Link) Took(n int, now time.Time) {
+// AddBytes records bytes exchanged with callers. All of them are forwarded, so that they count for
+// both directions of the link.
+func (l *Link) AddBytes(n int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.look(now)
+	l.update(now)
 	l.used[l.newest%int64(len(l.used))] += int64(n)
 }
 
-// Aside reports whether new connections should come to other routers.
-func (l *Link) Aside(now time.Time) bool {
+// Overloaded reports whether new connections should go to other routers.
+func (l *Link) Overloaded(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.look(now)
-	return !l.asideAt.IsZero()
+	l.update(now)
+	return !l.overloadedAt.IsZero()
 }
 
-// Parts reports whether a connection should end after the answer that is about to be given, so
-// that the next request comes to another router.
-func (l *Link) Parts(now time.Time) bool {
+// ShouldClose reports whether the connection of the current answer should be closed, so that its
+// next request goes to another router.
+func (l *Link) ShouldClose(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.look(now)
-	if l.asideAt.IsZero() || now.Sub(l.asideAt) < noticed || l.percent() < fullPercent {
+	l.update(now)
+	if l.overloadedAt.IsZero() || now.Sub(l.overloadedAt) < noticeTime || l.percent() < fullPercent {
 		return false
 	}
 	l.answers++
-	return l.answers%partsOneIn == 0
+	return l.answers%closeOneIn == 0
 }
 
-// look brings the state up to a time. The caller holds mu.
-func (l *Link) look(now time.Time) {
-	l.forget(now)
+// update advances the state to a time. The caller holds mu.
+func (l *Link) update(now time.Time) {
+	l.advance(now)
 	percent := l.percent()
 	switch {
-	case l.asideAt.IsZero():
+	case l.overloadedAt.IsZero():
 		if percent >= fullPercent {
-			l.step(now)
+			l.setOverloaded(now)
 		}
 	case percent >= clearPercent:
 		l.clearAt = time.Time{}
 	case l.clearAt.IsZero():
 		l.clearAt = now
-	case now.Sub(l.clearAt) >= window && now.Sub(l.asideAt) >= asideLeast:
-		l.step(time.Time{})
+	case now.Sub(l.clearAt) >= window && now.Sub(l.overloadedAt) >= minOverloadTime:
+		l.setOverloaded(time.Time{})
 	}
 }
 
-// step makes the router one that is aside since a time, or back for the zero time. The caller
+// setOverloaded makes the router overloaded since a time, or ready for the zero time. The caller
 // holds mu.
-func (l *Link) step(asideAt time.Time) {
-	l.asideAt, l.clearAt = asideAt, time.Time{}
+func (l *Link) setOverloaded(overloadedAt time.Time) {
+	l.overloadedAt, l.clearAt = overloadedAt, time.Time{}
 	if l.Changed != nil {
-		l.Changed(!asideAt.IsZero())
+		l.Changed(!overloadedAt.IsZero())
 	}
 }
 
-// forget empties the slices that have passed since the newest one. The caller holds mu.
-func (l *Link) forget(now time.Time) {
+// advance clears the slices that have passed since the newest one. The caller holds mu.
+func (l *Link) advance(now time.Time) {
 	if l.begun.IsZero() {
 		l.begun = now
 	}
@@ -126,7 +122,7 @@
 	}
 }
 
-// percent returns which part of the link callers have taken lately. The caller holds mu.
+// percent returns the load in percent of the link. The caller holds mu.
 func (l *Link) percent() int64 {
 	if l.BytesPerSecond <= 0 {
 		return 0
--- a/internal/linkload/played_test.go
+++ b/internal/linkload/played_test.go
@@ -109,7 +109,7 @@
 // probe asks all routers whether they are ready, as the balancer does each second.
 func (h *hall) probe(now time.Time) {
 	for _, r := range h.routers {
-		if !r.link.Aside(now) {
+		if !r.link.Overloaded(now) {
 			r.missed, r.out = 0, false
 			continue
 		}
@@ -139,8 +139,8 @@
 		q := r.queue[0]
 		r.queue = r.queue[1:]
 		r.budget -= request
-		r.link.Took(request, now)
-		h.end(q, now, !q.by.keeps || r.link.Parts(now))
+		r.link.AddBytes(request, now)
+		h.end(q, now, !q.by.keeps || r.link.ShouldClose(now))
 	}
 	r.queue = slices.DeleteFunc(r.queue, func(q sent) bool {
 		late := now.Sub(q.at) >= gaveUp
@@ -223,7 +223,7 @@
 			if len(tt.crowds) > 0 && crowds < tt.least {
 				t.Errorf("%d%% of the crowds' requests come in time, want %d%%", crowds, tt.least)
 			}
-			// A crowd that moves on fills a link for the time in which that is noticed, a tenth of
+			// A crowd that moves on fills a link for the time in which that is noticeTime, a tenth of
 			// the play.
 			const slack = 10 // percent
 			if calm < calmBefore-slack {
