--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -102,6 +102,15 @@
 	return e.free
 }
 
+// runEvents lets everything happen that is due, in order, until nothing is.
+func (f *playedFleet) runEvents() {
+	for f.events.Len() > 0 {
+		e := heap.Pop(&f.events).(playedEvent)
+		f.now = e.at
+		e.do()
+	}
+}
+
 // play sends requests at a rate for some seconds and returns the part that is late.
 func (f *playedFleet) play(rate float64, lasts time.Duration) (late float64) {
 	requests, missed := 0, 0
@@ -124,11 +133,7 @@
 		heap.Push(&f.events, playedEvent{f.now.Add(next), arrive})
 	}
 	heap.Push(&f.events, playedEvent{f.now, arrive})
-	for f.events.Len() > 0 {
-		e := heap.Pop(&f.events).(playedEvent)
-		f.now = e.at
-		e.do()
-	}
+	f.runEvents()
 	return float64(missed) / float64(requests)
 }
 
--- a/internal/place/limits_test.go
+++ b/internal/place/limits_test.go
@@ -70,11 +70,7 @@
 		heap.Push(&f.events, playedEvent{f.now.Add(next), arrive})
 	}
 	heap.Push(&f.events, playedEvent{f.now, arrive})
-	for f.events.Len() > 0 {
-		e := heap.Pop(&f.events).(playedEvent)
-		f.now = e.at
-		e.do()
-	}
+	f.runEvents()
 	return p
 }
 
--- a/internal/place/rests_test.go
+++ b/internal/place/rests_test.go
@@ -86,11 +86,7 @@
 		heap.Push(&f.events, playedEvent{f.now.Add(next), arrive})
 	}
 	heap.Push(&f.events, playedEvent{f.now, arrive})
-	for f.events.Len() > 0 {
-		e := heap.Pop(&f.events).(playedEvent)
-		f.now = e.at
-		e.do()
-	}
+	f.runEvents()
 	for _, r := range f.routers {
 		p.told += r.toldOfRest
 	}
