--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -28,10 +28,12 @@
 	prepaid  int        // highest budget that was sent
 	faults   map[string]int
 	outcomes map[string]int
-	noted    []string // what was counted, and when
-	broken   []string
-	busy     map[string]bool // processes that a fault deals with
-	wiped    time.Time       // when the last disk that was lost came back
+	// machine counts what probes of the machine have noted.
+	machine map[string]int
+	noted   []string // what was counted, and when
+	broken  []string
+	busy    map[string]bool // processes that a fault deals with
+	wiped   time.Time       // when the last disk that was lost came back
 	// rolledOut are the roll-outs that have ended.
 	rolledOut []*rolledOut
 	// disturbed is when faults began and ended to deal with processes.
@@ -64,7 +66,7 @@
 	}
 	s := &fleetSoak{
 		t: t, f: startFleet(t, sh), rand: rand.New(rand.NewPCG(seed, 2)),
-		acked: 1, sent: 1, prepaid: sh.prepaid, faults: make(map[string]int), outcomes: make(map[string]int),
+		acked: 1, sent: 1, prepaid: sh.prepaid, faults: make(map[string]int), outcomes: make(map[string]int), machine: make(map[string]int),
 		busy: make(map[string]bool), disturbed: make(map[string][]time.Time),
 	}
 	s.run(time.Now().Add(lasts))
@@ -75,6 +77,7 @@
 // run causes faults and load until a moment.
 func (s *fleetSoak) run(until time.Time) {
 	var all sync.WaitGroup
+	all.Go(func() { s.probeMachine(until) })
 	const callers, readers = 12, 2
 	for i := range callers {
 		r := rand.New(rand.NewPCG(s.rand.Uint64(), uint64(i)))
