Read again: one rendezvous hash, one way to take in a gauge's word on a limit

- The choice of the process that grants a plain server's permits hashed two names as the choice of relays does: both call fleet.Rank, with the same result.
- A limit told by a gauge was merged in two places, each with its own check for none.
- Table.Clear read the table by hand beside Get.
- The soak kept a map of its probes that nobody read.
- Tests of the gateway found a free address in three places.

Ruled out as same logic: the other hashes of names (a digest, a spread, a lot of one name); the checks of refusals in limits_test and notices_test, whose bounds differ.

Tests of gateway, fleetclient, ratelimit, gauge, warmup, and lint: passed.

--- a/internal/fleet/followers.go
+++ b/internal/fleet/followers.go
@@ -177,7 +177,7 @@
 		}
 	}
 	for _, rs := range byHall {
-		slices.SortFunc(rs, func(a, b string) int { return cmp.Compare(rank(node, a), rank(node, b)) })
+		slices.SortFunc(rs, func(a, b string) int { return cmp.Compare(Rank(node, a), Rank(node, b)) })
 	}
 	var out []string
 	for i := 0; len(out) < relaysEach; i++ {
@@ -225,11 +225,12 @@
 	return out
 }
 
-// rank orders relays differently for each node.
-func rank(node, relay string) uint64 {
+// Rank orders choices differently for each chooser, and alike at all processes: the least is
+// chosen (rendezvous hashing).
+func Rank(chooser, choice string) uint64 {
 	h := fnv.New64a()
-	_, _ = h.Write([]byte(node))
+	_, _ = h.Write([]byte(chooser))
 	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(relay))
+	_, _ = h.Write([]byte(choice))
 	return h.Sum64()
 }
--- a/internal/gateway/choose_test.go
+++ b/internal/gateway/choose_test.go
@@ -36,15 +36,21 @@
 	return g
 }
 
-// gaugeSince starts a gauge that counts since a time, and returns its address.
-func gaugeSince(t *testing.T, since time.Time) string {
+// freeAddress returns an address at which nobody listens.
+func freeAddress(t *testing.T) string {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &rpc.Server{Address: lis.Addr().String()}
-	_ = lis.Close() // only its port is wanted
+	defer func() { _ = lis.Close() }()
+	return lis.Addr().String()
+}
+
+// gaugeSince starts a gauge that counts since a time, and returns its address.
+func gaugeSince(t *testing.T, since time.Time) string {
+	t.Helper()
+	s := &rpc.Server{Address: freeAddress(t)}
 	if err := errors.Join(s.Register(gauge.Name, &gauge.Service{Since: since}), s.Listen()); err != nil {
 		t.Fatal(err)
 	}
@@ -63,14 +69,7 @@
 		most  int32
 	}{
 		{"with a gauge", func(t *testing.T) string { return gaugeSince(t, time.Now().Add(-time.Minute)) }, 14},
-		{"the gauge is gone", func(t *testing.T) string {
-			lis, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = lis.Close() }()
-			return lis.Addr().String()
-		}, 0},
+		{"the gauge is gone", freeAddress, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/gateway/gauges.go
+++ b/internal/gateway/gauges.go
@@ -129,12 +129,17 @@
 	}
 	now := time.Now()
 	g.took(now.Sub(begun))
-	if m := a.GetLimit(); m != nil {
-		g.Limits.Merge(sumachead.ServerID(r.GetId()), ratelimit.FromWire(m, boottime.Clock{}.Now()))
-	}
+	g.noteLimit(sumachead.ServerID(r.GetId()), a.GetLimit())
 	g.Chooser.Told(sumachead.ServerID(r.GetId()), w, a, now)
 }
 
+// noteLimit takes in what a gauge knows of a server's request limit; nil for nothing.
+func (g *gauges) noteLimit(id sumachead.ServerID, m *wire.LimitObservation) {
+	if m != nil {
+		g.Limits.Merge(id, ratelimit.FromWire(m, boottime.Clock{}.Now()))
+	}
+}
+
 // admit asks the gauge at an address for a permit. A gauge that does not answer grants nothing,
 // and neither does a permit that comes too late: it would be used beside those of later times.
 // What a server bears is counted by the name that all its lives have: one that has started
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
-	"hash/fnv"
 	"time"
 
 	"sumachead"
 	"sumachead/api/wire"
 	"sumachead/internal/backoff"
 	"sumachead/internal/boottime"
+	"sumachead/internal/fleet"
 	"sumachead/internal/ratelimit"
 	"sumachead/internal/registry"
 	"sumachead/internal/warmup"
@@ -92,22 +92,13 @@
 			continue
 		}
 		a := g.gauges.Address(e)
-		if k := pairHash(registry.Name(r), a); a != "" && (best == "" || k < least) {
+		if k := fleet.Rank(registry.Name(r), a); a != "" && (best == "" || k < least) {
 			best, least = a, k
 		}
 	}
 	return best
 }
 
-// pairHash hashes two names together, alike in all processes.
-func pairHash(a, b string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(a)) // a hash takes everything
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(b))
-	return h.Sum64()
-}
-
 // permit asks for a permit to send a request to a server of which a limit is known, or that is
 // cold and within a bound of its own. Otherwise it returns when to ask again.
 func (d *dispatch) permit(r *wire.ServerRecord, cold warmup.Bound) (granted bool, again time.Duration) {
@@ -121,9 +112,7 @@
 			Incarnation: r.GetId(), Limit: limit.ToWire(now),
 		})
 		if ok {
-			if m := reply.GetLimit(); m != nil {
-				d.limits.Merge(id, ratelimit.FromWire(m, boottime.Clock{}.Now()))
-			}
+			d.gauges.noteLimit(id, reply.GetLimit())
 			return reply.GetGranted(), time.Duration(reply.GetAgainMicros()) * time.Microsecond
 		}
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -18,17 +18,6 @@
 	return g
 }
 
-// nowhere returns an address at which nobody listens.
-func nowhere(t *testing.T) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = lis.Close() }()
-	return lis.Addr().String()
-}
-
 // name makes a gateway see an answer of a server that names a limit.
 func name(g *Gateway, id sumachead.ServerID, limit sumachead.RequestRate) {
 	g.noteNotice(id, sumachead.ServerNotice{Limit: limit}, 0)
@@ -45,7 +34,7 @@
 		min, max int32
 	}{
 		{"with a gauge", func(t *testing.T) string { return gaugeSince(t, time.Now().Add(-time.Minute)) }, 18, 26},
-		{"the gauge is gone", nowhere, 1, 10},
+		{"the gauge is gone", freeAddress, 1, 10},
 		{"no gauge at all", func(*testing.T) string { return "" }, 3, 20},
 	}
 	for _, tt := range tests {
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -42,10 +42,8 @@
 // Clear records that an answer to a request sent at a time named no limit. It reports whether
 // that ended a limit.
 func (t *Table) Clear(id sumachead.ServerID, sentAt sumachead.BootTime) (ended bool) {
-	t.mu.Lock()
-	o, ok := t.limits[id]
-	t.mu.Unlock()
-	if !ok || o.Rate == 0 || sentAt.Sub(o.At) < minAbsence {
+	o := t.Get(id)
+	if o.Rate == 0 || sentAt.Sub(o.At) < minAbsence {
 		return false
 	}
 	return t.Merge(id, Observation{At: sentAt})
--- a/internal/scenario/fleetsoak_machine_test.go
+++ b/internal/scenario/fleetsoak_machine_test.go
@@ -42,7 +42,9 @@
 		longestSync, longestWake = max(longestSync, sync), max(longestWake, wake)
 		if max(sync, wake) >= slowProbe {
 			slow++
-			s.note(s.machine, fmt.Sprintf("machine: a sync took %v, waking up %v longer", sync.Round(time.Millisecond), wake.Round(time.Millisecond)))
+			s.mu.Lock()
+			s.keep(fmt.Sprintf("machine: a sync took %v, waking up %v longer", sync.Round(time.Millisecond), wake.Round(time.Millisecond)))
+			s.mu.Unlock()
 		}
 	}
 	s.t.Logf("machine: longest sync %v, longest delay of waking up %v, %d probes over %v",
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -28,12 +28,10 @@
 	prepaid  int        // highest budget that was sent
 	faults   map[string]int
 	outcomes map[string]int
-	// machine counts what probes of the machine have noted.
-	machine map[string]int
-	noted   []string // what was counted, and when
-	broken  []string
-	busy    map[string]bool // processes that a fault deals with
-	wiped   time.Time       // when the last disk that was lost came back
+	noted    []string // what was counted, and when
+	broken   []string
+	busy     map[string]bool // processes that a fault deals with
+	wiped    time.Time       // when the last disk that was lost came back
 	// rolledOut are the roll-outs that have ended.
 	rolledOut []*rolledOut
 	// disturbed is when faults began and ended to deal with processes.
@@ -66,7 +64,7 @@
 	}
 	s := &fleetSoak{
 		t: t, f: startFleet(t, sh), rand: rand.New(rand.NewPCG(seed, 2)),
-		acked: 1, sent: 1, prepaid: sh.prepaid, faults: make(map[string]int), outcomes: make(map[string]int), machine: make(map[string]int),
+		acked: 1, sent: 1, prepaid: sh.prepaid, faults: make(map[string]int), outcomes: make(map[string]int),
 		busy: make(map[string]bool), disturbed: make(map[string][]time.Time),
 	}
 	s.run(time.Now().Add(lasts))
@@ -137,6 +135,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counts[what]++
+	s.keep(what)
+}
+
+// keep adds a line to what is kept with the logs. The caller holds mu.
+func (s *fleetSoak) keep(what string) {
 	s.noted = append(s.noted, time.Now().UTC().Format("15:04:05.000 ")+what)
 }
 
