gateway: request lines name the software version; count resumed streams

Lines have software, last_event and resumes; the counter sumachead_gateway_resumed_streams_total says whether a stream was resumed within a response or by another request, and at the same or another version. No decision changes.

--- a/callers.go
+++ b/callers.go
@@ -38,6 +38,9 @@
 	// LastEvent is the event after which a stream is to be resumed; empty to start from the
 	// beginning.
 	LastEvent string
+	// Resumes is the ID of the request that received the first event of the stream that is to be
+	// resumed; empty if the caller does not name it.
+	Resumes RequestID
 }
 
 // CallerResponse receives the response to one request. Calls do not overlap.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -194,9 +194,12 @@
 	if x.view != nil {
 		fields = append(fields, "declaration", x.view.Number)
 	}
+	if x.request.LastEvent != "" {
+		fields = append(fields, "last_event", x.request.LastEvent, "resumes", x.request.Resumes)
+	}
 	if l := x.placement; l != nil {
 		first, backlog := l.Predicted()
-		fields = append(fields, "server", l.Record.GetId(), "home", l.Preferred, "prompt", x.request.PromptTokens,
+		fields = append(fields, "server", l.Record.GetId(), "software", l.Record.GetSoftware(), "home", l.Preferred, "prompt", x.request.PromptTokens,
 			"unread", l.UncachedTokens(), "backlog", backlog, "expected", first.Sub(x.arrived), "running", l.Running, "told", l.LoadAge, "cold", l.Cold)
 		if x.limit > 0 {
 			fields = append(fields, "limit", x.limit)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -56,6 +56,9 @@
 	malformedNotices prometheus.Counter
 	// canaryRequests counts requests sent to canary servers.
 	canaryRequests prometheus.Counter
+	// resumedStreams counts streams that were resumed, by whether that was within one response and by
+	// how the version of the server's software compares with that of the server before.
+	resumedStreams *prometheus.CounterVec
 	// overdueLoans counts tokens of escrow lent to other routers that count as spent because no bill
 	// arrived.
 	overdueLoans prometheus.Counter
@@ -100,6 +103,7 @@
 		permits:          counters("sumachead_gateway_permits_total", "Permits requested for a backend server with a request limit, by whether one was granted.", "granted"),
 		limitedSends:     counter("sumachead_gateway_limited_sends_total", "Requests sent to backend servers with a request limit."),
 		canaryRequests:   counter("sumachead_gateway_samples_total", "Requests sent to canary backend servers."),
+		resumedStreams:   counters("sumachead_gateway_resumed_streams_total", "Streams resumed at another backend server, within one response or by another request of the caller, by how the version of its software compares with that of the server that began the stream: same, other, unknown.", "within", "version"),
 		overdueLoans:     counter("sumachead_gateway_overdue_loan_tokens_total", "Escrow lent to other routers that counts as spent because no bill arrived."),
 		firstByte:        histogram("sumachead_gateway_first_byte_seconds", "Time to the first byte of a response."),
 		responseTime:     histogram("sumachead_gateway_answer_seconds", "Time to the end of a complete response."),
@@ -118,11 +122,15 @@
 	for _, r := range []sumachead.Reason{sumachead.ReasonResting, sumachead.ReasonLeaving} {
 		m.withheldSends.WithLabelValues(string(r))
 	}
+	for _, version := range []string{versionSame, versionOther, versionUnknown} {
+		m.resumedStreams.WithLabelValues(withinResponse, version)
+		m.resumedStreams.WithLabelValues(withinRequests, version)
+	}
 	for _, granted := range []string{"true", "false"} {
 		m.coldGrants.WithLabelValues(granted)
 		m.permits.WithLabelValues(granted)
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.firstByte, m.responseTime, m.maxGap, m.ledgerReports, m.coldGrants, m.overloads, m.loadCloses, m.crashes, m.backoffs, m.withheldSends, m.leavingNotices, m.malformedNotices, m.limitResponses, m.limitedSends, m.permits, m.canaryRequests, m.overdueLoans, rpc.TrafficCollector{})
+	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.firstByte, m.responseTime, m.maxGap, m.ledgerReports, m.coldGrants, m.overloads, m.loadCloses, m.crashes, m.backoffs, m.withheldSends, m.leavingNotices, m.malformedNotices, m.limitResponses, m.limitedSends, m.permits, m.canaryRequests, m.resumedStreams, m.overdueLoans, rpc.TrafficCollector{})
 	m.registerGauges(g)
 	return m
 }
@@ -203,6 +211,15 @@
 	outcomeIncomplete     = "not_whole"
 )
 
+// Where streams are resumed, and how the software versions of their servers compare.
+const (
+	withinResponse = "response"
+	withinRequests = "requests"
+	versionSame    = "same"
+	versionOther   = "other"
+	versionUnknown = "unknown"
+)
+
 // Resources that requests wait for.
 const (
 	waitDeclaration = "declaration"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sumachead"
+	"sumachead/api/wire"
 	"sumachead/internal/place"
 	"sumachead/internal/upstream"
 )
@@ -65,8 +66,12 @@
 	// lastID is the ID of the last event that the caller has; initially the event after which the
 	// caller asked to resume.
 	lastID string
-	// header is the header of the first server's response; nil until the first event.
-	header http.Header
+	// header is the header of the first server's response, and software the version of that server's
+	// software; nil and empty until the first event.
+	header   http.Header
+	software string
+	// server is the server that sent the last event; empty until the first event.
+	server sumachead.ServerID
 	// buffer holds bytes that were read but not passed on yet: part of an event.
 	buffer []byte
 }
@@ -122,8 +127,9 @@
 	part := s.buffer[:end]
 	now := time.Now()
 	l.RecordFirstEvent(now)
+	d.recordResumed(l.Record)
 	if s.header == nil {
-		s.header = a.Header
+		s.header, s.software = a.Header, l.Record.GetSoftware()
 		d.x.start(a.Status, a.Header, sizeUnknown)
 	}
 	if d.x.recordEvent(now) {
@@ -139,6 +145,24 @@
 	return nil
 }
 
+// recordResumed counts the stream as resumed if this is the first event of a server that continues
+// it.
+func (d *dispatch) recordResumed(r *wire.ServerRecord) {
+	s, id := d.stream, sumachead.ServerID(r.GetId())
+	if s.server == id {
+		return
+	}
+	switch {
+	case s.header != nil && s.software == r.GetSoftware():
+		d.metrics.resumedStreams.WithLabelValues(withinResponse, versionSame).Inc()
+	case s.header != nil:
+		d.metrics.resumedStreams.WithLabelValues(withinResponse, versionOther).Inc()
+	case d.x.request.LastEvent != "":
+		d.metrics.resumedStreams.WithLabelValues(withinRequests, versionUnknown).Inc()
+	}
+	s.server = id
+}
+
 // track counts an event and records its ID.
 func (s *eventStream) track(event []byte, x *exchange) {
 	if len(event) == 0 {
