--- a/internal/scenario/fleetcall_test.go
+++ b/internal/scenario/fleetcall_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +28,10 @@
 	cancelAfter time.Duration
 	// client reuses connections; nil opens a new connection for each request.
 	client *http.Client
+	// lastEvent is the event after which a stream is resumed; 0 to start one. resumes is the id of
+	// the request that received the first event.
+	lastEvent int
+	resumes   string
 }
 
 // caller is the outcome of a request as its caller saw it, kept for checks at the end.
@@ -40,6 +46,11 @@
 	retryAfter     float64
 	// hasRetryAfter reports whether the response has a Retry-After, which may be zero.
 	hasRetryAfter bool
+	// lastEvent is the last event received, and versions are the software versions that its events
+	// name, each once. streamID is the id of the request that received the first event of the stream.
+	lastEvent int
+	versions  []string
+	streamID  string
 	// refusal is the body of an unsuccessful response.
 	refusal string
 	err     error
@@ -80,6 +91,7 @@
 	f.mu.Lock()
 	f.requestCount++
 	c := &caller{id: fmt.Sprintf("q%05d", f.requestCount), workspace: workspaceOf(q.key), kind: q.kind, router: q.router, sentAt: time.Now()}
+	c.lastEvent, c.streamID = q.lastEvent, cmp.Or(q.resumes, c.id)
 	f.callers = append(f.callers, c)
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), q.timeout+time.Second)
@@ -113,6 +125,10 @@
 	if q.kind == "stream" {
 		r.Header.Set("Token-Usage", fmt.Sprintf("%d,%d", q.prompt, q.events))
 	}
+	if q.lastEvent > 0 {
+		r.Header.Set("Last-Event-Id", strconv.Itoa(q.lastEvent))
+		r.Header.Set("Resumes", q.resumes)
+	}
 	client := q.client
 	if client == nil {
 		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
@@ -150,28 +166,64 @@
 // readEvents reads a stream and checks that its event ids are consecutive.
 func (c *caller) readEvents(body io.Reader, q fleetRequest) {
 	s := bufio.NewScanner(body)
-	last := 0
 	for s.Scan() {
+		if v, ok := strings.CutPrefix(s.Text(), "data: "); ok && !slices.Contains(c.versions, v) {
+			c.versions = append(c.versions, v)
+		}
 		v, ok := strings.CutPrefix(s.Text(), "id: ")
 		if !ok {
 			continue
 		}
 		n, _ := strconv.Atoi(v)
-		if n != last+1 {
-			c.err = fmt.Errorf("event %d follows event %d", n, last)
+		if n != c.lastEvent+1 {
+			c.err = fmt.Errorf("event %d follows event %d", n, c.lastEvent)
 			return
 		}
-		if last == 0 {
+		if c.lastEvent == 0 {
 			c.receivedTokens += q.prompt
 		}
-		last = n
+		c.lastEvent = n
 		c.receivedTokens++
 	}
 	c.err = s.Err()
-	c.complete = c.err == nil && last == q.events
+	c.complete = c.err == nil && c.lastEvent == q.events
 	if c.err == nil && !c.complete {
-		c.err = fmt.Errorf("the stream ended normally after event %d of %d", last, q.events)
+		c.err = fmt.Errorf("the stream ended normally after event %d of %d", c.lastEvent, q.events)
+	}
+}
+
+// resume resumes a stream that broke off after an event, at one router after the other, until it is
+// complete. It returns the last attempt.
+func (f *fleet) resume(q fleetRequest, broken *caller, routers []string) *caller {
+	c := broken
+	for _, name := range routers {
+		if c.complete {
+			break
+		}
+		q.router, q.lastEvent, q.resumes = name, c.lastEvent, c.streamID
+		c = f.do(q)
+	}
+	return c
+}
+
+// mixedStreams describes the streams whose events name more than one software version, in one
+// response or over the requests of their callers. The caller holds mu.
+func (f *fleet) mixedStreams() (out []string) {
+	versions := make(map[string][]string)
+	for _, c := range f.callers {
+		for _, v := range c.versions {
+			if !slices.Contains(versions[c.streamID], v) {
+				versions[c.streamID] = append(versions[c.streamID], v)
+			}
+		}
+	}
+	for id, vs := range versions {
+		if len(vs) > 1 {
+			out = append(out, fmt.Sprintf("the stream that began as %s has events of versions %v", id, vs))
+		}
 	}
+	slices.Sort(out)
+	return out
 }
 
 // violations checks the invariants against what callers and backend servers saw and describes
@@ -179,7 +231,7 @@
 func (f *fleet) violations(prepaid int) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var violations []string
+	violations := f.mixedStreams()
 	runs, workspaces := make(map[string]int), make(map[string]string)
 	for _, c := range f.callers {
 		workspaces[c.id] = c.workspace
--- a/internal/scenario/rollout_test.go
+++ b/internal/scenario/rollout_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -95,10 +96,15 @@
 	return added
 }
 
-// addVersionOf starts a server like another one but of a given version, and returns it.
+// addVersionOf starts a server on the host of another one, like it but of a given version, and
+// returns it.
 func (f *fleet) addVersionOf(old *standin.Replica, id, version string, faults standin.ReplicaFaults) *standin.Replica {
+	host, _, err := net.SplitHostPort(old.Address)
+	if err != nil {
+		panic(err) // all servers of a fleet have valid addresses
+	}
 	r := &standin.Replica{
-		ID: id, Service: old.Service, Hall: old.Hall, Address: fmt.Sprintf("%s:%d", f.serverHost(), freePort()),
+		ID: id, Service: old.Service, Hall: old.Hall, Address: fmt.Sprintf("%s:%d", host, freePort()),
 		ControlAddresses: f.controlAddresses, HeartbeatInterval: old.HeartbeatInterval, EventInterval: old.EventInterval, ResponseTime: old.ResponseTime, Version: version,
 	}
 	r.SetFaults(faults)
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -283,7 +283,7 @@
 }
 
 // stream sends one event per token that the request allows, starting after the last
-// event that the caller has received.
+// event that the caller has received. Each event has the version of the replica as its data.
 func (r *Replica) stream(w http.ResponseWriter, q *http.Request, f ReplicaFaults, usage string, every time.Duration, run *ReplicaRun) {
 	prompt, limit, _ := strings.Cut(usage, ",")
 	n, _ := strconv.Atoi(limit)
@@ -299,7 +299,7 @@
 		if !r.sleep(q, every) {
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: t\n\n", i); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.Version); err != nil {
 			return
 		}
 		_ = control.Flush() // the next write returns the error
