Streams continue only at the software version that began them

What callers saw: a stream held events from servers of two software versions, in one response (its server broke off, the router went on at any other) or over two requests (the caller came back to another router).

Cause: the choice of a server knew which were tried and which data halls are allowed, and nothing of the version that had written the beginning; a route that is split could even change the service. What a router knew of a stream ended with its request.

Change: the first event fixes the origin of a stream, its service and software version. Within a response only servers of that version continue it. The origin is also recorded, under a hash of workspace and request id, with the processes beside two engines in two data halls, which any router finds by rendezvous hashing (internal/origin). A request that resumes a stream is pinned to what they say; where that is not known or no server of the version is left, it is refused at once as not run (origin_unknown, version_gone), never continued by guess. Streams of a version on trial need a canary grant for each further attempt.

--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -100,6 +100,9 @@
 	for {
 		changed := d.servers.Changed()
 		all := d.known()
+		if err := d.checkVersionServed(all); err != nil {
+			return nil, err
+		}
 		now := time.Now()
 		since := d.checks.recordAvailability(d.scope(), !slices.ContainsFunc(all, isReporting), now)
 		if since.IsZero() || d.lastFailure != nil {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -59,8 +59,12 @@
 		d.stream = newEventStream(x)
 	}
 	g.retries.recordRequest(time.Now(), g.client.Routers())
+	if err := d.findOrigin(); err != nil {
+		return err
+	}
 	err := d.run()
 	if err != nil {
+		d.republishOrigin()
 		d.awaitPropagation()
 	}
 	d.reportTrialResult(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"sumachead/internal/lending"
 	"sumachead/internal/linkload"
 	"sumachead/internal/loop"
+	"sumachead/internal/origin"
 	"sumachead/internal/place"
 	"sumachead/internal/quarantine"
 	"sumachead/internal/registry"
@@ -94,6 +95,7 @@
 	backoffs   *backoff.Table
 	limits     requestLimits
 	sampler    *rollout.Sampler
+	origins    *origin.Directory
 	link       linkload.Link
 	metrics    *Metrics
 	// handle runs the filters around dispatch.
@@ -154,6 +156,7 @@
 	g.scheduler.Limited = func(id sumachead.ServerID) bool { return g.limits.Get(id).Rate > 0 }
 	g.trackers = &trackerClient{Address: g.TrackerAddress, Pool: g.Pool, Scheduler: g.scheduler, Limits: &g.limits.Table}
 	g.trackers.prepare()
+	g.origins = &origin.Directory{Hall: g.Hall, Holders: g.originHolders, Pool: g.Pool}
 	g.handle = chain.Wrap(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.escrowFilter)
 	g.retries = &retryBudget{ratio: g.RetryRatio, extra: g.RetryExtra, window: g.RetryWindow}
 }
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -36,10 +36,17 @@
 	service string
 	// halls are their names, joined; empty for all.
 	halls string
+	// resumed is set if only servers of the version software are included.
+	resumed  bool
+	software string
 }
 
 func (d *dispatch) scope() scope {
-	return scope{d.x.service.GetName(), strings.Join(d.halls, ",")}
+	s := scope{service: d.x.service.GetName(), halls: strings.Join(d.halls, ",")}
+	if o := d.origin(); o != nil {
+		s.resumed, s.software = true, o.Software
+	}
+	return s
 }
 
 // known returns the known servers that the request may be sent to. The list must not be changed.
@@ -49,7 +56,10 @@
 	if len(all) == 0 && d.sampler.Overdue(service) {
 		// The deadline of the rollout order has passed, all other servers are gone, and this router
 		// has not heard the result.
-		return d.servers.CanaryServers(service, d.halls)
+		all = d.servers.CanaryServers(service, d.halls)
+	}
+	if o := d.origin(); o != nil {
+		return ofVersion(all, o.Software)
 	}
 	return all
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/origin"
 	"sumachead/internal/place"
 	"sumachead/internal/upstream"
 )
@@ -66,10 +67,11 @@
 	// lastID is the ID of the last event that the caller has; initially the event after which the
 	// caller asked to resume.
 	lastID string
-	// header is the header of the first server's response, and software the version of that server's
-	// software; nil and empty until the first event.
-	header   http.Header
-	software string
+	// header is the header of the first server's response; nil until the first event.
+	header http.Header
+	// origin is where the stream began: only servers of that version may send further events. It is
+	// nil until the first event of a stream that is not resumed.
+	origin *origin.Origin
 	// server is the server that sent the last event; empty until the first event.
 	server sumachead.ServerID
 	// buffer holds bytes that were read but not passed on yet: part of an event.
@@ -129,7 +131,8 @@
 	l.RecordFirstEvent(now)
 	d.recordResumed(l.Record)
 	if s.header == nil {
-		s.header, s.software = a.Header, l.Record.GetSoftware()
+		s.header = a.Header
+		d.recordOrigin(l.Record)
 		d.x.start(a.Status, a.Header, sizeUnknown)
 	}
 	if d.x.recordEvent(now) {
@@ -152,15 +155,20 @@
 	if s.server == id {
 		return
 	}
-	switch {
-	case s.header != nil && s.software == r.GetSoftware():
-		d.metrics.resumedStreams.WithLabelValues(withinResponse, versionSame).Inc()
-	case s.header != nil:
-		d.metrics.resumedStreams.WithLabelValues(withinResponse, versionOther).Inc()
-	case d.x.request.LastEvent != "":
-		d.metrics.resumedStreams.WithLabelValues(withinRequests, versionUnknown).Inc()
+	within := withinResponse
+	if s.server == "" {
+		within = withinRequests
 	}
 	s.server = id
+	switch {
+	case within == withinRequests && d.x.request.LastEvent == "":
+	case s.origin == nil:
+		d.metrics.resumedStreams.WithLabelValues(within, versionUnknown).Inc()
+	case s.origin.Software != r.GetSoftware():
+		d.metrics.resumedStreams.WithLabelValues(within, versionOther).Inc()
+	default:
+		d.metrics.resumedStreams.WithLabelValues(within, versionSame).Inc()
+	}
 }
 
 // track counts an event and records its ID.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -27,12 +27,11 @@
 	basePrefillTokens = 1000
 )
 
-// placeCanary places the request on a canary server if it is sampled for one; nil otherwise. Only
-// first attempts are sampled: a retry or a resumed stream goes to servers of the trusted version.
-// So does a request that may crash servers.
+// placeCanary places the request on a canary server if it is sampled for one; nil otherwise. A
+// request that may crash servers goes to servers of the trusted version.
 func (d *dispatch) placeCanary() *place.Placement {
 	service := d.x.service.GetName()
-	if d.lastFailure != nil || d.stream != nil && d.stream.lastID != "" || !d.sampler.SampleRequest(service, d.x.route.GetName()) {
+	if !d.sampleCanary(service) {
 		return nil
 	}
 	if !d.suspects.hasAny() || !d.suspects.isSuspect(d.x.fingerprint()) {
@@ -46,6 +45,16 @@
 	return nil
 }
 
+// sampleCanary reports whether an attempt may go to a canary server. Only first attempts are sampled;
+// a stream that began at the target version needs a grant for each further attempt.
+func (d *dispatch) sampleCanary(service string) bool {
+	route := d.x.route.GetName()
+	if o := d.origin(); o != nil {
+		return d.sampler.SampleResumed(service, route, o.Software)
+	}
+	return d.lastFailure == nil && (d.stream == nil || d.stream.lastID == "") && d.sampler.SampleRequest(service, route)
+}
+
 // isWarm reports whether a server has sent a heartbeat recently and is not cold: a cold server is
 // slow whatever its version.
 func (d *dispatch) isWarm(r *wire.ServerRecord) bool {
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -8,6 +8,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/origin"
 )
 
 // setSoftware sets the software versions of servers that newGateway has registered.
@@ -56,3 +57,93 @@
 		})
 	}
 }
+
+// A stream whose origin is not known, or whose version is gone, must be refused at once and not be
+// continued at another version.
+func TestResumedStreamRunsOnlyAtItsOrigin(t *testing.T) {
+	began := origin.KeyOf("clerks", "first")
+	tests := []struct {
+		name string
+		// recorded is the origin of the stream that request "first" of the workspace clerks began; nil
+		// for none.
+		recorded *origin.Origin
+		resumes  sumachead.RequestID
+		key      string
+		// software is the version of the only server.
+		software string
+		want     sumachead.Reason
+	}{
+		{"the version serves", &origin.Origin{Service: "pool", Software: "v1"}, "first", "k", "v1", ""},
+		{"servers that report no version", &origin.Origin{Service: "pool"}, "first", "k", "", ""},
+		{"another version serves", &origin.Origin{Service: "pool", Software: "v1"}, "first", "k", "v2", sumachead.ReasonVersionGone},
+		{"the route leads to another service", &origin.Origin{Service: "old", Software: "v1"}, "first", "k", "v1", sumachead.ReasonVersionGone},
+		{"not recorded", nil, "first", "k", "v1", sumachead.ReasonOriginUnknown},
+		{"the caller names no request", &origin.Origin{Service: "pool", Software: "v1"}, "", "k", "v1", sumachead.ReasonOriginUnknown},
+		{"the caller names another request", &origin.Origin{Service: "pool", Software: "v1"}, "second", "k", "v1", sumachead.ReasonOriginUnknown},
+		{"the stream of another workspace", &origin.Origin{Service: "pool", Software: "v1"}, "first", "n", "v1", sumachead.ReasonOriginUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := &backend{id: "a"}
+			servers := map[string]string{"a": b.listen(t, events(1, 4, true))}
+			g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, true, servers)
+			setSoftware(t, g, servers, map[string]string{"a": tt.software})
+			if tt.recorded != nil {
+				g.origins.Record(began, *tt.recorded, time.Now().Add(time.Minute))
+			}
+			begun := time.Now()
+			w, _, err := sendRequest(g, "next", func(r *sumachead.CallerRequest) {
+				r.LastEvent, r.Resumes, r.Key = "2", tt.resumes, tt.key
+			})
+			if tt.want == "" {
+				if diff := cmp.Diff("id: 3\ndata: x\n\nid: 4\ndata: x\n\n", w.body.String()); err != nil || diff != "" {
+					t.Errorf("error %v, events (-want +got):\n%s", err, diff)
+				}
+				return
+			}
+			f := refusalOf(t, err)
+			if diff := cmp.Diff([]any{tt.want, sumachead.NotRun, int32(0)}, []any{f.Reason, f.Verdict, b.runs.Load()}); diff != "" {
+				t.Errorf("reason, verdict and runs (-want +got):\n%s", diff)
+			}
+			if d := time.Since(begun); d > testHeartbeat/4 {
+				t.Errorf("refused after %v", d)
+			}
+		})
+	}
+}
+
+// A caller that resumes twice must stay at the version that began the stream, whether or not its
+// second request received events.
+func TestThirdRequestOfAStreamKeepsItsVersion(t *testing.T) {
+	tests := []struct {
+		name string
+		// second serves the second request.
+		second func(*backend, *testing.T) string
+		last   string
+	}{
+		{"the second brought events", func(b *backend, t *testing.T) string { return b.listen(t, events(3, 4, false)) }, "4"},
+		{"the second brought none", func(b *backend, t *testing.T) string { return b.listen(t, closeConnection) }, "2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			second, other := &backend{id: "a"}, &backend{id: "b"}
+			servers := map[string]string{"a": tt.second(second, t), "b": other.listen(t, events(1, 6, true))}
+			g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, true, servers)
+			setSoftware(t, g, servers, map[string]string{"a": "v1", "b": "v2"})
+			g.origins.Record(origin.KeyOf("clerks", "first"), origin.Origin{Service: "pool", Software: "v1"}, time.Now().Add(time.Minute))
+			resume := func(id, last string) error {
+				_, _, err := sendRequest(g, id, func(r *sumachead.CallerRequest) { r.LastEvent, r.Resumes = last, "first" })
+				return err
+			}
+			if err := resume("second", "2"); err == nil {
+				t.Error("the second request was not broken off")
+			}
+			if err := resume("third", tt.last); err == nil {
+				t.Error("the third request was not broken off")
+			}
+			if diff := cmp.Diff(int32(0), other.runs.Load()); diff != "" {
+				t.Errorf("requests at the other version (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/rollout/sampler.go
+++ b/internal/rollout/sampler.go
@@ -126,6 +126,21 @@
 	return sampled
 }
 
+// SampleResumed reports whether a stream that began at a version may be resumed there now: the
+// version is the target of an order whose canary requests are limited, and there is a grant for one
+// more.
+func (s *Sampler) SampleResumed(service, route, version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.orders[service]
+	if t == nil || t.target != version || t.phase != wire.RolloutPhase_ROLLOUT_PHASE_TRIAL {
+		return false
+	}
+	now := s.Clock.Now()
+	t.expire(now)
+	return t.spendGrant(route, now)
+}
+
 // spendGrant takes one request out of the grants, if one is available for the route.
 func (t *activeOrder) spendGrant(route string, now sumachead.BootTime) bool {
 	first := len(t.scarce) == 0 || slices.Contains(t.scarce, route)
--- a/verdict.go
+++ b/verdict.go
@@ -43,6 +43,8 @@
 	ReasonClaimUnavailable Reason = "claim_unavailable"
 	ReasonSettingsStale    Reason = "settings_stale"
 	ReasonNoServer         Reason = "no_server"
+	ReasonOriginUnknown    Reason = "origin_unknown"
+	ReasonVersionGone      Reason = "version_gone"
 	ReasonRouterFull       Reason = "router_full"
 	ReasonBusy             Reason = "busy"
 	ReasonCold             Reason = "cold"
@@ -71,7 +73,7 @@
 		ReasonBadRequest, ReasonUnauthorized, ReasonTooLarge, ReasonHeadersTooLarge, ReasonDeadlinePassed,
 		ReasonUnknownPool, ReasonUnknownRoute, ReasonPoolForbidden, ReasonKeyConflict, ReasonBudgetExhausted,
 		ReasonBudgetReserved, ReasonBudgetInUse, ReasonNoBudget, ReasonLedgerUnreached, ReasonClaimUnavailable, ReasonSettingsStale,
-		ReasonNoServer, ReasonRouterFull, ReasonBusy, ReasonCold, ReasonResting, ReasonLimited, ReasonShed, ReasonLeaving, ReasonFenced,
+		ReasonNoServer, ReasonOriginUnknown, ReasonVersionGone, ReasonRouterFull, ReasonBusy, ReasonCold, ReasonResting, ReasonLimited, ReasonShed, ReasonLeaving, ReasonFenced,
 		ReasonServerUnreached, ReasonServerFailed, ReasonBadAnswer, ReasonEndsServers, ReasonSuspected, ReasonStuck,
 		ReasonInterrupted, ReasonAnswerGone, ReasonRunning, ReasonRetryBudget,
 		ReasonStopping, ReasonInternal,
