place: cached prompt parts are fetched only within a software version

An engine was told to fetch the KV cache of shared parts from whichever server had most of them, also one of another software version, whose memory it cannot be expected to read.

The source is now the server with most of the parts among those of the same version. Two new cases of TestSharedPartsAreFetched fail without the change; with one version in a service the choice is as before.

--- a/internal/place/candidates.go
+++ b/internal/place/candidates.go
@@ -122,7 +122,7 @@
 			continue
 		}
 		s := c.server(id)
-		all = append(all, ranked{r, c.rank(r, s, w, &o, c.estimate(s, w, &o, now), now)})
+		all = append(all, ranked{r, c.rank(r, s, w, &o, c.estimate(r, s, w, &o, now), now)})
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
 		if a.rank.less(b.rank) {
--- a/internal/place/parts.go
+++ b/internal/place/parts.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -80,11 +81,41 @@
 	// without parts.
 	preferred string
 	// cached is the number of tokens of the shared parts at the server that has most of them as
-	// far as is known, and holder and holderAddress are that server; 0 and empty if none has
-	// any.
-	cached        sumachead.Tokens
-	holder        string
-	holderAddress string
+	// far as is known; 0 if none has any.
+	cached sumachead.Tokens
+	// sources are, for each software version, the server that has most of them: servers can only
+	// use what their own version has cached.
+	sources []fetchSource
+}
+
+// fetchSource is a server from which others of its software version may fetch shared parts.
+type fetchSource struct {
+	software, id, address string
+	cached                sumachead.Tokens
+}
+
+// addSource adds a server that has a number of tokens of the shared parts cached.
+func (o *partLocations) addSource(r *wire.ServerRecord, cached sumachead.Tokens) {
+	o.cached = max(o.cached, cached)
+	h := fetchSource{r.GetSoftware(), r.GetId(), r.GetAddress(), cached}
+	i := slices.IndexFunc(o.sources, func(x fetchSource) bool { return x.software == h.software })
+	switch {
+	case i < 0:
+		o.sources = append(o.sources, h)
+	case cached > o.sources[i].cached:
+		o.sources[i] = h
+	}
+}
+
+// sourceFor returns the server from which r may fetch shared parts; the zero value if
+// there is none.
+func (o *partLocations) sourceFor(r *wire.ServerRecord) fetchSource {
+	for _, h := range o.sources {
+		if h.software == r.GetSoftware() && h.id != r.GetId() {
+			return h
+		}
+	}
+	return fetchSource{}
 }
 
 // locateParts finds where a request's shared parts are cached. The caller holds mu.
@@ -104,8 +135,8 @@
 		if a := affinityHash(key, s); o.preferred == "" || a < lowest {
 			o.preferred, lowest = r.GetId(), a
 		}
-		if has := s.cachedTokens(o.shared); has > o.cached && !now.Before(s.ejectedUntil) {
-			o.cached, o.holderAddress, o.holder = has, r.GetAddress(), r.GetId()
+		if has := s.cachedTokens(o.shared); has > 0 && !now.Before(s.ejectedUntil) {
+			o.addSource(r, has)
 		}
 	}
 	return o
--- a/internal/place/scheduler.go
+++ b/internal/place/scheduler.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		s := c.server(id)
-		e := c.estimate(s, w, &o, now)
+		e := c.estimate(r, s, w, &o, now)
 		if k := c.rank(r, s, w, &o, e, now); best == nil || k.less(bestRank) {
 			best, bestRank, expected = r, k, e
 		}
@@ -146,7 +146,7 @@
 		scheduler: c, server: c.server(sumachead.ServerID(best.GetId())), request: w, estimate: expected,
 	}
 	if l.fetched > 0 {
-		l.FetchFrom = o.holderAddress
+		l.FetchFrom = o.sourceFor(best).address
 	}
 	c.begin(l, &o, now)
 	return l
@@ -235,13 +235,13 @@
 }
 
 // estimate predicts how a request runs at a server. The caller holds mu.
-func (c *Scheduler) estimate(s *server, w *Request, o *partLocations, now time.Time) estimate {
+func (c *Scheduler) estimate(r *wire.ServerRecord, s *server, w *Request, o *partLocations, now time.Time) estimate {
 	has := s.cachedTokens(o.shared)
 	own := max(s.cachedTokens(o.parts)-has, 0) // a continued prompt has its own part cached there too
 	e := estimate{backlog: s.backlog(now)}
 	var fetchTime time.Duration
-	if rate := w.Engine.GetFetchTokensPerSecond(); rate > 0 && o.holder != string(s.id) && o.cached >= has+minFetchTokens {
-		e.fetched = o.cached - has
+	if source := o.sourceFor(r); w.Engine.GetFetchTokensPerSecond() > 0 && source.cached >= has+minFetchTokens {
+		e.fetched = source.cached - has
 		fetchTime = c.prefill.FetchTime(e.fetched)
 	}
 	e.uncached = max(w.PromptTokens-has-e.fetched-own, 0)
--- a/internal/place/scheduler_test.go
+++ b/internal/place/scheduler_test.go
@@ -82,17 +82,21 @@
 		chosen string
 		// silent is a server from which nothing may be fetched.
 		silent string
-		rate   int64
-		want   string
+		// software are the versions of servers that differ from the others.
+		software map[string]string
+		rate     int64
+		want     string
 	}{
-		{"no server has them", nil, "b", "", 100_000, ""},
-		{"another has them", map[string][]string{"a": {"doc", "more"}}, "b", "", 100_000, "a:1"},
-		{"engines cannot fetch", map[string][]string{"a": {"doc", "more"}}, "b", "", 0, ""},
-		{"the chosen one has them too", map[string][]string{"a": {"doc", "more"}, "b": {"doc", "more"}}, "b", "", 100_000, ""},
-		{"another has more", map[string][]string{"a": {"doc", "more"}, "b": {"doc"}}, "b", "", 100_000, "a:1"},
-		{"the other is silent", map[string][]string{"a": {"doc", "more"}}, "b", "a", 100_000, ""},
-		{"the one with most is silent", map[string][]string{"a": {"doc", "more"}, "c": {"doc"}}, "b", "a", 100_000, "c:1"},
-		{"a part without its predecessors is useless", map[string][]string{"c": {"more"}}, "b", "", 100_000, ""},
+		{"no server has them", nil, "b", "", nil, 100_000, ""},
+		{"another has them", map[string][]string{"a": {"doc", "more"}}, "b", "", nil, 100_000, "a:1"},
+		{"engines cannot fetch", map[string][]string{"a": {"doc", "more"}}, "b", "", nil, 0, ""},
+		{"the chosen one has them too", map[string][]string{"a": {"doc", "more"}, "b": {"doc", "more"}}, "b", "", nil, 100_000, ""},
+		{"another has more", map[string][]string{"a": {"doc", "more"}, "b": {"doc"}}, "b", "", nil, 100_000, "a:1"},
+		{"the other is silent", map[string][]string{"a": {"doc", "more"}}, "b", "a", nil, 100_000, ""},
+		{"the one with most is silent", map[string][]string{"a": {"doc", "more"}, "c": {"doc"}}, "b", "a", nil, 100_000, "c:1"},
+		{"another version has them", map[string][]string{"a": {"doc", "more"}}, "b", "", map[string]string{"a": "v2"}, 100_000, ""},
+		{"another version has more", map[string][]string{"a": {"doc", "more"}, "c": {"doc"}}, "b", "", map[string]string{"a": "v2"}, 100_000, "c:1"},
+		{"a part without its predecessors is useless", map[string][]string{"c": {"more"}}, "b", "", nil, 100_000, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -100,6 +104,7 @@
 			servers := engines("a", "b", "c")
 			var tried []sumachead.ServerID
 			for _, r := range servers {
+				r.Software = tt.software[r.GetId()]
 				if r.GetId() == tt.silent {
 					r.State = silent
 				}
