Soak: servers of several versions side by side, callers who resume streams

Engines are replaced by those of three further versions throughout, engines break all streams off for a while, and callers resume broken streams at up to three random routers. A stream with events of two versions is a violation. The outcome lines say why a resumed stream was refused.

--- a/internal/scenario/fleetcall_test.go
+++ b/internal/scenario/fleetcall_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -63,6 +64,17 @@
 // String formats the outcome as scripts match it.
 func (c *caller) String() string { return fmt.Sprintf("status=%d whole=%t", c.status, c.complete) }
 
+// refusalReason returns the reason that an unsuccessful response names; empty if it names none.
+func (c *caller) refusalReason() string {
+	var d struct {
+		Error string `json:"error"`
+	}
+	if json.Unmarshal([]byte(c.refusal), &d) != nil {
+		return ""
+	}
+	return d.Error
+}
+
 // doWithRetry sends a request and retries as long as responses have a Retry-After and the
 // caller's timeout allows. Each attempt has its own id.
 func (f *fleet) doWithRetry(q fleetRequest) *caller {
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -130,6 +130,8 @@
 		}
 	})
 	s.spendScarce(&all, until)
+	releases, breaks := rand.New(rand.NewPCG(s.rand.Uint64(), series+5)), rand.New(rand.NewPCG(s.rand.Uint64(), series+6)) // as above
+	s.runVersions(&all, releases, breaks, until)
 	all.Wait()
 }
 
@@ -169,6 +171,7 @@
 		}
 		c := s.f.do(q)
 		s.count(s.outcomes, q.kind+" "+c.String())
+		s.resumeStream(r, q, c)
 		pause := time.Duration(r.IntN(40)) * time.Millisecond
 		if !c.complete {
 			pause += 100 * time.Millisecond
