--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -76,7 +76,8 @@
 	pendingTerm  uint64
 	appliedIndex uint64
 	snapIndex    uint64
-	wasLeader    bool
+	// wasLeader and wasCampaigning are the role as of the last step.
+	wasLeader, wasCampaigning bool
 	// pendingSnapshot is the snapshot that is being written, or nil.
 	pendingSnapshot *snapshotWrite
 	// publishedMembers is the configuration in status.
@@ -325,6 +326,7 @@
 // updateLeadership logs changes of leadership and fails the pending proposals when this
 // member loses it.
 func (n *Node) updateLeadership() {
+	n.logCampaign()
 	isLeader := n.core.role == Leader
 	if isLeader {
 		if !n.wasLeader {
@@ -343,6 +345,17 @@
 	}
 }
 
+// logCampaign logs that this member begins to campaign, with what decides who votes for it.
+func (n *Node) logCampaign() {
+	c := n.core
+	campaigning := c.role == PreCandidate || c.role == Candidate
+	if campaigning && !n.wasCampaigning {
+		n.Log.Info("Campaigning.", "term", c.term, "voter", c.isVoter(c.cfg.ID), "last_term", c.lastTerm(), "last_index", c.lastIndex(),
+			"members", len(c.members.GetMembers()))
+	}
+	n.wasCampaigning = campaigning
+}
+
 func (n *Node) failPending(err error) {
 	for i, p := range n.pending {
 		delete(n.pending, i)
