gateway: callers that do not name the request that began their stream may resume it

Cause: the older protocol has no such name, and its callers are served by one version of the software. Change: without Resumes a stream continues if its route leads to one service, all of whose servers, those that have left lately included, have one version, and the leading keeper has replied within 3 s. With two versions it is refused as before; a caller that names a request is never served by inference. The origin is recorded under the name only of requests that resume.

--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -19,6 +19,9 @@
 const (
 	// originRetention is how long after its caller's deadline the origin of a stream is kept.
 	originRetention = 10 * time.Second
+	// maxServersAge is the time since the leading keeper last responded after which a router may have
+	// missed servers of another version.
+	maxServersAge = 3 * time.Second
 	// unreachedOriginDelay is the delay before a caller may retry because some processes that may
 	// know the origin of its stream did not reply: a connection is replaced by then.
 	unreachedOriginDelay = 500 * time.Millisecond
@@ -56,14 +59,17 @@
 	if x.request.LastEvent == "" || !x.route.GetResumable() {
 		return nil
 	}
-	o, result := origin.Origin{}, origin.Unknown
+	var o origin.Origin
+	var result origin.Result
 	if x.request.Resumes != "" {
 		o, result = d.origins.Find(d.ctx, origin.KeyOf(x.workspace(), x.request.Resumes))
+	} else {
+		o, result = d.inferOrigin(time.Now())
 	}
 	now := time.Now()
 	switch {
 	case result == origin.Unreachable:
-		return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonOriginUnknown, "the processes that know which version began the stream were not reached",
+		return sumachead.Refuse(sumachead.NotRun, sumachead.ReasonOriginUnknown, "what knows which version began the stream was not reached",
 			waitpolicy.JitteredRetryAt(now.Add(unreachedOriginDelay), x.deadlines(), x.urgency(), now))
 	case result == origin.Unknown:
 		return refusePermanently(sumachead.ReasonOriginUnknown, "it is not known which version began the stream")
@@ -74,6 +80,24 @@
 	return nil
 }
 
+// inferOrigin returns the only origin that the stream of a caller can have that does not name the
+// request that began it: its route leads to one service, whose servers all have one version, as far
+// as the leading keeper knows at present.
+func (d *dispatch) inferOrigin(now time.Time) (origin.Origin, origin.Result) {
+	if len(d.x.route.GetShares()) != 1 {
+		return origin.Origin{}, origin.Unknown
+	}
+	if now.Sub(d.client.LastResponseAt()) > maxServersAge {
+		return origin.Origin{}, origin.Unreachable
+	}
+	service := d.x.route.GetShares()[0].GetService()
+	software, ok := d.servers.OnlyVersion(service)
+	if !ok {
+		return origin.Origin{}, origin.Unknown
+	}
+	return origin.Origin{Service: service, Software: software}, origin.Found
+}
+
 // leadsTo reports whether requests on a route may be sent to a service.
 func leadsTo(r *wire.Route, service string) bool {
 	return slices.ContainsFunc(r.GetShares(), func(s *wire.ServiceShare) bool { return s.GetService() == service && s.GetWeight() > 0 })
@@ -91,15 +115,14 @@
 	d.publishOrigin()
 }
 
-// publishOrigin records the origin of the stream under the ID of the request, and under that of the
-// request that began the stream.
+// publishOrigin records the origin of the stream under the ID of the request and, if it resumes the
+// stream, under that of the request that began it.
 func (d *dispatch) publishOrigin() {
 	x := d.x
 	until := timeutil.Later(x.request.Deadline, x.deadline).Add(originRetention)
-	for _, id := range []sumachead.RequestID{x.request.ID, x.request.Resumes} {
-		if id != "" {
-			d.origins.Record(origin.KeyOf(x.workspace(), id), *d.stream.origin, until)
-		}
+	d.origins.Record(origin.KeyOf(x.workspace(), x.request.ID), *d.stream.origin, until)
+	if x.request.LastEvent != "" {
+		d.origins.Record(origin.KeyOf(x.workspace(), x.request.Resumes), *d.stream.origin, until)
 	}
 }
 
--- a/internal/gateway/streamversion_test.go
+++ b/internal/gateway/streamversion_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -78,7 +79,7 @@
 		{"another version serves", &origin.Origin{Service: "pool", Software: "v1"}, "first", "k", "v2", sumachead.ReasonVersionGone},
 		{"the route leads to another service", &origin.Origin{Service: "old", Software: "v1"}, "first", "k", "v1", sumachead.ReasonVersionGone},
 		{"not recorded", nil, "first", "k", "v1", sumachead.ReasonOriginUnknown},
-		{"the caller names no request", &origin.Origin{Service: "pool", Software: "v1"}, "", "k", "v1", sumachead.ReasonOriginUnknown},
+		{"the caller names no request, and no keeper responds", &origin.Origin{Service: "pool", Software: "v1"}, "", "k", "v1", sumachead.ReasonOriginUnknown},
 		{"the caller names another request", &origin.Origin{Service: "pool", Software: "v1"}, "second", "k", "v1", sumachead.ReasonOriginUnknown},
 		{"the stream of another workspace", &origin.Origin{Service: "pool", Software: "v1"}, "first", "n", "v1", sumachead.ReasonOriginUnknown},
 	}
@@ -147,3 +148,45 @@
 		})
 	}
 }
+
+// Callers that do not name the request that began their stream must be served only where all servers
+// have one version.
+func TestVersionIsInferredOnlyIfThereIsOne(t *testing.T) {
+	tests := []struct {
+		name string
+		// versions are those of servers, and left that of a server that has left; "-" for none.
+		versions []string
+		left     string
+		want     origin.Result
+	}{
+		{"one version", []string{"v1", "v1"}, "-", origin.Found},
+		{"two versions", []string{"v1", "v2"}, "-", origin.Unknown},
+		{"a server of another version has left", []string{"v1"}, "v2", origin.Unknown},
+		{"a server of the same version has left", []string{"v1"}, "v1", origin.Found},
+		{"no servers", nil, "-", origin.Unknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, true, nil)
+			now := time.Now()
+			reply := &wire.FollowReply{Whole: true, History: "h", Version: 1}
+			for i, v := range append(tt.versions, tt.left) {
+				if v == "-" {
+					continue
+				}
+				r := &wire.ServerRecord{Id: fmt.Sprint("e", i), Service: "pool", Address: fmt.Sprint("127.0.0.1:", i+1), Hall: "hall-1", Software: v}
+				if i == len(tt.versions) {
+					r.State = wire.ServerState_SERVER_STATE_LEAVING
+				}
+				reply.Servers = append(reply.Servers, r)
+			}
+			g.servers.Apply(reply, now)
+			x := &exchange{request: &sumachead.CallerRequest{}, route: g.client.View().Route("h", "/r/x")}
+			d := &dispatch{Gateway: g, x: x}
+			_, got := d.inferOrigin(g.client.LastResponseAt().Add(time.Second))
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/registry/versions.go
+++ b/internal/registry/versions.go
@@ -117,6 +117,23 @@
 	return out
 }
 
+// OnlyVersion returns the software version of a service if all of its known servers have the same
+// one, including those that are leaving or have left in the last minutes.
+func (t *Table) OnlyVersion(service string) (software string, ok bool) {
+	t.lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		switch r := e.record; {
+		case r.GetService() != service:
+		case !ok:
+			software, ok = r.GetSoftware(), true
+		case software != r.GetSoftware():
+			return "", false
+		}
+	}
+	return software, ok
+}
+
 // SlotsByVersion returns the slots of a service's ready servers by version. Silent servers are
 // included with no slots.
 func (t *Table) SlotsByVersion(service string) map[string]uint32 {
