origin: hash each holder once when the list is made; no record under an empty id

By reading: the order of holders hashed both addresses of each comparison, and a caller that resumes without naming a request caused a record under the empty id, which nobody asks for. The list is kept for a second. Tests of origin, gateway and TestResumedStreamNeverMixesVersions pass.

--- a/internal/gateway/streamorigin.go
+++ b/internal/gateway/streamorigin.go
@@ -115,13 +115,13 @@
 	d.publishOrigin()
 }
 
-// publishOrigin records the origin of the stream under the ID of the request and, if it resumes the
-// stream, under that of the request that began it.
+// publishOrigin records the origin of the stream under the ID of the request and, if the request names
+// another one that it resumes, under that ID.
 func (d *dispatch) publishOrigin() {
 	x := d.x
 	until := timeutil.Later(x.request.Deadline, x.deadline).Add(originRetention)
 	d.origins.Record(origin.KeyOf(x.workspace(), x.request.ID), *d.stream.origin, until)
-	if x.request.LastEvent != "" {
+	if x.request.LastEvent != "" && x.request.Resumes != "" {
 		d.origins.Record(origin.KeyOf(x.workspace(), x.request.Resumes), *d.stream.origin, until)
 	}
 }
--- a/internal/origin/directory.go
+++ b/internal/origin/directory.go
@@ -24,7 +24,7 @@
 	// holderBackoff is how long a holder that did not reply is replaced by its substitute.
 	holderBackoff = time.Second
 	// holdersTTL is how long a list of holders is used before it is computed again.
-	holdersTTL = 500 * time.Millisecond
+	holdersTTL = time.Second
 )
 
 // Directory records and finds the origins of streams for one router. Set the exported fields before
@@ -36,9 +36,9 @@
 	Pool    *rpc.Pool
 
 	// local holds the origins of the streams that began or were resumed here.
-	local   Table
-	records outbox.Outbox[string, record]
-	initial sync.Once
+	local    Table
+	records  outbox.Outbox[string, record]
+	initOnce sync.Once
 
 	mu sync.Mutex // guards the fields below
 	// holders is the list that is used until holdersExpireAt.
@@ -59,7 +59,7 @@
 
 // Record records the origin of a stream until a time, and does not wait until that is done.
 func (d *Directory) Record(k Key, o Origin, until time.Time) {
-	d.initial.Do(func() { d.records.MaxBatch, d.records.Send = maxRecordsPerCall, d.send })
+	d.initOnce.Do(func() { d.records.MaxBatch, d.records.Send = maxRecordsPerCall, d.send })
 	now := time.Now()
 	d.local.Put(k, o, until, now)
 	for _, h := range chooseHalls(rankHolders(k, d.currentHolders(now)), d.Hall) {
--- a/internal/origin/holders.go
+++ b/internal/origin/holders.go
@@ -19,22 +19,29 @@
 	Hall    sumachead.HallID
 }
 
-// limitHolders returns the holders that are used: each address once, and in each data hall those
-// with the lowest hashes. Routers that know nearly the same holders use nearly the same ones.
+// limitHolders returns the holders that are used, sorted by data hall: each address once, and in each
+// hall those with the lowest hashes. Routers that know nearly the same holders use nearly the same
+// ones.
 func limitHolders(all []Holder) []Holder {
-	all = slices.Clone(all)
-	slices.SortFunc(all, func(a, b Holder) int {
-		return cmp.Or(cmp.Compare(a.Hall, b.Hall), cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)), cmp.Compare(a.Address, b.Address))
+	type hashed struct {
+		Holder
+		hash uint64
+	}
+	sorted := make([]hashed, 0, len(all))
+	for _, h := range all {
+		sorted = append(sorted, hashed{h, xxhash.Sum64String(h.Address)})
+	}
+	slices.SortFunc(sorted, func(a, b hashed) int {
+		return cmp.Or(cmp.Compare(a.Hall, b.Hall), cmp.Compare(a.hash, b.hash), cmp.Compare(a.Address, b.Address))
 	})
-	all = slices.Compact(all)
-	var out []Holder
+	out := make([]Holder, 0, len(all))
 	inHall := 0
-	for i, h := range all {
-		if i == 0 || all[i-1].Hall != h.Hall {
+	for i, h := range slices.Compact(sorted) {
+		if i == 0 || out[len(out)-1].Hall != h.Hall {
 			inHall = 0
 		}
 		if inHall++; inHall <= maxHoldersPerHall {
-			out = append(out, h)
+			out = append(out, h.Holder)
 		}
 	}
 	return out
