Soak: released versions are new ones

Trace: the soak releases engines of one of three fixed versions; a rollout of the pool to v2 had completed before and replaced all three, so that the engines released later got no requests, as is right, and the last of v2 was replaced by one of them. The fault is the soak's: a version that a rollout has replaced needs an order to come back.

Three consecutive replacements have the same new version; there are four engines. No check changes.

--- a/internal/scenario/fleetsoak_versions_test.go
+++ b/internal/scenario/fleetsoak_versions_test.go
@@ -14,10 +14,11 @@
 // rollout order, and callers resume the streams that break off.
 
 const (
-	// softwareReleases is the number of versions that replacements have, and maxResumes how often a
-	// caller resumes one stream.
-	softwareReleases = 3
-	maxResumes       = 3
+	// serversPerRelease is the number of consecutive replacements that have the same version, fewer
+	// than there are engines: a version gets no requests once a rollout has replaced it.
+	serversPerRelease = 3
+	// maxResumes is how often a caller resumes one stream.
+	maxResumes = 3
 )
 
 // releaseServers replaces engines by those of other versions until the given time.
@@ -30,7 +31,7 @@
 		}
 		s.count(s.faults, "release a server")
 		old := engines[r.IntN(len(engines))]
-		version := fmt.Sprintf("r%d", r.IntN(softwareReleases))
+		version := fmt.Sprintf("r%d", i/serversPerRelease)
 		s.f.addVersionOf(old, fmt.Sprintf("%s+%s-%d", strings.Split(old.ID, "+")[0], version, i), version, standin.ReplicaFaults{})
 		s.drain(old)
 	}
