--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -162,6 +162,7 @@
 	s.server = id
 	switch {
 	case within == withinRequests && d.x.request.LastEvent == "":
+		// The stream begins here.
 	case s.origin == nil:
 		d.metrics.resumedStreams.WithLabelValues(within, versionUnknown).Inc()
 	case s.origin.Software != r.GetSoftware():
