gateway: log and count how servers' responses end

The lines of the routers could not tell whether the end of a connection was taken for the end of a response, or a cut response with a length or chunks was read as complete, or a known break was finished for the caller.

Request lines name the framing of the server's response and the bytes after its last complete event, and sumachead_gateway_response_ends_total counts ends by framing and by complete, in_event and broken. What is passed on is unchanged.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"sumachead/internal/chain"
 	"sumachead/internal/place"
 	"sumachead/internal/timeutil"
+	"sumachead/internal/upstream"
 	"sumachead/internal/waitpolicy"
 )
 
@@ -47,6 +48,10 @@
 	limit sumachead.RequestRate
 	// events counts the events sent to the caller.
 	events int64
+	// framing is how the end of the last response of a server is marked, and partialBytes how many
+	// bytes followed its last complete event.
+	framing      upstream.Framing
+	partialBytes int
 	// cachedFingerprint is the request's fingerprint if hasFingerprint is set; most requests need
 	// none.
 	cachedFingerprint sumachead.Fingerprint
@@ -201,6 +206,9 @@
 		first, backlog := l.Predicted()
 		fields = append(fields, "server", l.Record.GetId(), "software", l.Record.GetSoftware(), "home", l.Preferred, "prompt", x.request.PromptTokens,
 			"unread", l.UncachedTokens(), "backlog", backlog, "expected", first.Sub(x.arrived), "running", l.Running, "told", l.LoadAge, "cold", l.Cold)
+		if x.framing != "" {
+			fields = append(fields, "framing", x.framing, "partial_bytes", x.partialBytes)
+		}
 		if x.limit > 0 {
 			fields = append(fields, "limit", x.limit)
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"sumachead"
 	"sumachead/internal/escrow"
 	"sumachead/internal/rpc"
+	"sumachead/internal/upstream"
 )
 
 // Metrics holds a gateway's metrics.
@@ -59,6 +60,8 @@
 	// resumedStreams counts streams that were resumed, by whether that was within one response and by
 	// how the version of the server's software compares with that of the server before.
 	resumedStreams *prometheus.CounterVec
+	// responseEnds counts the ends of servers' responses by framing and whether they were complete.
+	responseEnds *prometheus.CounterVec
 	// overdueLoans counts tokens of escrow lent to other routers that count as spent because no bill
 	// arrived.
 	overdueLoans prometheus.Counter
@@ -104,6 +107,7 @@
 		limitedSends:     counter("sumachead_gateway_limited_sends_total", "Requests sent to backend servers with a request limit."),
 		canaryRequests:   counter("sumachead_gateway_samples_total", "Requests sent to canary backend servers."),
 		resumedStreams:   counters("sumachead_gateway_resumed_streams_total", "Streams resumed at another backend server, within one response or by another request of the caller, by how the version of its software compares with that of the server that began the stream: same, other, unknown.", "within", "version"),
+		responseEnds:     counters("sumachead_gateway_response_ends_total", "Ends of responses of backend servers, by how the end of the body is marked (length, chunked, close) and how they ended: complete, in_event (within an event of a stream), broken (before the marked end, or reset).", "framing", "end"),
 		overdueLoans:     counter("sumachead_gateway_overdue_loan_tokens_total", "Escrow lent to other routers that counts as spent because no bill arrived."),
 		firstByte:        histogram("sumachead_gateway_first_byte_seconds", "Time to the first byte of a response."),
 		responseTime:     histogram("sumachead_gateway_answer_seconds", "Time to the end of a complete response."),
@@ -126,11 +130,16 @@
 		m.resumedStreams.WithLabelValues(withinResponse, version)
 		m.resumedStreams.WithLabelValues(withinRequests, version)
 	}
+	for _, f := range upstream.Framings() {
+		for _, end := range []string{endComplete, endInEvent, endBroken} {
+			m.responseEnds.WithLabelValues(string(f), end)
+		}
+	}
 	for _, granted := range []string{"true", "false"} {
 		m.coldGrants.WithLabelValues(granted)
 		m.permits.WithLabelValues(granted)
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.firstByte, m.responseTime, m.maxGap, m.ledgerReports, m.coldGrants, m.overloads, m.loadCloses, m.crashes, m.backoffs, m.withheldSends, m.leavingNotices, m.malformedNotices, m.limitResponses, m.limitedSends, m.permits, m.canaryRequests, m.resumedStreams, m.overdueLoans, rpc.TrafficCollector{})
+	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.firstByte, m.responseTime, m.maxGap, m.ledgerReports, m.coldGrants, m.overloads, m.loadCloses, m.crashes, m.backoffs, m.withheldSends, m.leavingNotices, m.malformedNotices, m.limitResponses, m.limitedSends, m.permits, m.canaryRequests, m.resumedStreams, m.responseEnds, m.overdueLoans, rpc.TrafficCollector{})
 	m.registerGauges(g)
 	return m
 }
@@ -220,6 +229,13 @@
 	versionUnknown = "unknown"
 )
 
+// How the responses of servers end.
+const (
+	endComplete = "complete"
+	endInEvent  = "in_event"
+	endBroken   = "broken"
+)
+
 // Resources that requests wait for.
 const (
 	waitDeclaration = "declaration"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -41,6 +41,7 @@
 // breaks off can be requested from another server.
 func (d *dispatch) relayBuffered(a *upstream.Response) error {
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
+	d.recordEnd(a, err, 0)
 	switch {
 	case err != nil:
 		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonInterrupted, Err: fmt.Errorf("the answer broke off after %d bytes: %w", len(body), err)}
@@ -51,6 +52,20 @@
 	return d.write(body)
 }
 
+// recordEnd counts the end of a server's response: an error if it ended before its framing says so.
+// partialBytes is the number of bytes after its last complete event.
+func (d *dispatch) recordEnd(a *upstream.Response, err error, partialBytes int) {
+	d.x.framing, d.x.partialBytes = a.Framing, partialBytes
+	end := endComplete
+	switch {
+	case err != nil:
+		end = endBroken
+	case partialBytes > 0:
+		end = endInEvent
+	}
+	d.metrics.responseEnds.WithLabelValues(string(a.Framing), end).Inc()
+}
+
 // write sends a part of the response to the caller.
 func (d *dispatch) write(part []byte) error {
 	begun := time.Now()
@@ -107,8 +122,12 @@
 			return werr
 		}
 		if errors.Is(err, io.EOF) {
+			d.recordEnd(a, nil, len(s.buffer))
 			return d.endStream(a)
 		}
+		if err != nil {
+			d.recordEnd(a, err, len(s.buffer))
+		}
 		if err != nil && d.writeBlocked >= slowReaderThreshold {
 			return sumachead.Refuse(sumachead.Ran, sumachead.ReasonInterrupted, "the caller reads too slowly, and the server has cut the stream off", time.Time{})
 		}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -42,9 +42,10 @@
 
 // Response is the head of a server's response, and a reader of its body. Close it.
 type Response struct {
-	Status int
-	Header http.Header
-	Head   sumachead.ResponseHead
+	Status  int
+	Header  http.Header
+	Head    sumachead.ResponseHead
+	Framing Framing
 
 	body   io.ReadCloser
 	pool   *Pool
@@ -194,8 +195,8 @@
 		}
 		if a.Head.ID == r.ID || (a.Head.ID == "" && (a.Head.NotRun || a.Head.Stale)) {
 			a.Status, a.Header = resp.StatusCode, resp.Header
-			a.body = resp.Body
-			a.reusable = !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0)
+			a.body, a.Framing = resp.Body, framingOf(resp)
+			a.reusable = !resp.Close && a.Framing != FramingClose
 			return nil
 		}
 		if resp.Close || discardBody(resp.Body) != nil {
