gateway: streams that end with their connection may be broken off

Cause: a response with neither a length nor chunks ends with its connection, and the end of the connection was taken for the end of the response, however it came about. What was left after the last whole event was passed on, and the response finished; the bill, the success and the server's health followed.

Evidence: TestBrokenStreamIsNeverComplete failed at all 30 cuts without a length or chunks, and passed with them.

Change: such a response is complete if its last event is the end marker of model APIs, or if it ends after whole events and its server still accepts connections; a plain one if its server does. All else has broken off: the stream is resumed after its last whole event where the route allows it, and the caller's connection is aborted otherwise. What is probed is a new connection, which replaces the one that the response has used up, so that it costs a round trip and no connection. Servers that leave have finished what they send. Events may end their lines with LF, CR or CRLF (package eventstream); responses on streaming routes that are no event streams are read whole, as those of other routes.

The row 'only a comment' of TestCompleteStreamIsPassedOn is now expected for marked ends only: a server that has sent nothing but a comment before its connection ended has sent no event.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -9,6 +9,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/upstream"
 )
 
 const (
@@ -24,8 +25,8 @@
 // at the address of a crashed server. Set the exported field before the first call; it is safe for
 // concurrent use.
 type crashDetector struct {
-	// RefusesConnections reports whether nobody accepts connections at an address.
-	RefusesConnections func(ctx context.Context, address string) bool
+	// Probe finds out whether a server accepts connections.
+	Probe func(ctx context.Context, s upstream.Server) upstream.Liveness
 
 	// probes merges concurrent probes of one incarnation.
 	probes singleflight.Group
@@ -37,17 +38,22 @@
 
 // hasCrashed reports whether a server whose connection has just broken has crashed.
 func (e *crashDetector) hasCrashed(r *wire.ServerRecord) bool {
+	return e.liveness(r) == upstream.Refusing
+}
+
+// liveness finds out whether a server whose connection has just ended still runs.
+func (e *crashDetector) liveness(r *wire.ServerRecord) upstream.Liveness {
 	id := sumachead.ServerID(r.GetId())
 	if e.recentlyCrashed(id) {
-		return true
+		return upstream.Refusing
 	}
-	refused, _, _ := e.probes.Do(r.GetId(), func() (any, error) {
+	result, _, _ := e.probes.Do(r.GetId(), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 		defer cancel()
-		return e.RefusesConnections(ctx, r.GetAddress()), nil
+		return e.Probe(ctx, upstream.Server{ID: id, Address: r.GetAddress()}), nil
 	})
-	if !refused.(bool) {
-		return false
+	if l := result.(upstream.Liveness); l != upstream.Refusing {
+		return l
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -55,7 +61,7 @@
 		e.crashedAt = make(map[sumachead.ServerID]time.Time)
 	}
 	e.crashedAt[id] = time.Now()
-	return true
+	return upstream.Refusing
 }
 
 // recentlyCrashed reports whether a crash of an incarnation is known.
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"sumachead"
@@ -262,14 +261,14 @@
 		}
 		drain(a)
 		return &upstream.Failure{Verdict: sumachead.NotRun, Reason: reason, Err: errors.New("the backend server did not run the request")}
-	case !d.stream.unstarted() && a.Status != http.StatusOK:
+	case !d.stream.unstarted() && !sendsEvents(a):
 		// The caller has the beginning of a stream: only its events may follow.
 		drain(a)
 		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonServerFailed, Err: errors.New("the backend server did not go on with the stream")}
 	case a.Head.Failed && d.x.idempotent() && d.stream.unstarted() && d.canTryAnother():
 		drain(a)
 		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonServerFailed, Err: errors.New("the backend server failed")}
-	case d.stream != nil && !a.Head.Failed:
+	case d.stream != nil && sendsEvents(a):
 		return d.relayEvents(l, a)
 	}
 	return d.relayBuffered(a)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,7 +144,7 @@
 	g.upstream = &upstream.Pool{
 		Dialect: g.Dialect, OnDial: g.metrics.dials.Inc, OnNotice: g.handleNotice, BlockReason: g.withholdReason,
 	}
-	g.crashes.RefusesConnections = g.upstream.RefusesConnections
+	g.crashes.Probe = g.upstream.Probe
 	g.servers.OnSuperseded = func(r *wire.ServerRecord) {
 		g.upstream.CloseServer(upstream.Server{ID: sumachead.ServerID(r.GetId()), Address: r.GetAddress()})
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +9,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/eventstream"
 	"sumachead/internal/origin"
 	"sumachead/internal/place"
 	"sumachead/internal/upstream"
@@ -41,6 +41,9 @@
 // breaks off can be requested from another server.
 func (d *dispatch) relayBuffered(a *upstream.Response) error {
 	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
+	if err == nil && len(body) <= maxBufferedBytes && !d.isComplete(responseEnd{framing: a.Framing}) {
+		err = io.ErrUnexpectedEOF
+	}
 	d.recordEnd(a, err, 0)
 	switch {
 	case err != nil:
@@ -89,8 +92,12 @@
 	origin *origin.Origin
 	// server is the server that sent the last event; empty until the first event.
 	server sumachead.ServerID
-	// buffer holds bytes that were read but not passed on yet: part of an event.
-	buffer []byte
+	// splitter splits the response of the current server.
+	splitter eventstream.Splitter
+	// hasData is set once the current server has sent an event with data, and endMarked if the last
+	// event marks the end of the stream.
+	hasData   bool
+	endMarked bool
 }
 
 // newEventStream returns the state before the first event.
@@ -102,50 +109,56 @@
 // response.
 func (s *eventStream) unstarted() bool { return s == nil || s.header == nil }
 
-var (
-	eventEnd  = []byte("\n\n")
-	idPrefix  = []byte("id:")
-	lineBreak = []byte("\n")
-)
-
 // relayEvents passes complete events on as they arrive. A stream that breaks off may be resumed at
 // another server after the last event that was passed on.
 func (d *dispatch) relayEvents(l *place.Placement, a *upstream.Response) error {
 	s := d.stream
-	s.buffer = s.buffer[:0]
+	s.splitter, s.hasData, s.endMarked = eventstream.Splitter{}, false, false
 	const readSize = 4 << 10
 	chunk := make([]byte, readSize)
 	for {
 		n, err := a.Read(chunk)
-		s.buffer = append(s.buffer, chunk[:n]...)
+		s.splitter.Append(chunk[:n])
 		if werr := d.forwardEvents(l, a); werr != nil {
 			return werr
 		}
-		if errors.Is(err, io.EOF) {
-			d.recordEnd(a, nil, len(s.buffer))
-			return d.endStream(a)
+		if err == nil {
+			continue
 		}
-		if err != nil {
-			d.recordEnd(a, err, len(s.buffer))
+		if errors.Is(err, io.EOF) {
+			if d.isComplete(s.end(a.Framing)) {
+				d.recordEnd(a, nil, len(s.splitter.Rest()))
+				return d.endStream(a)
+			}
+			err = io.ErrUnexpectedEOF
 		}
-		if err != nil && d.writeBlocked >= slowReaderThreshold {
+		d.recordEnd(a, err, len(s.splitter.Rest()))
+		if d.writeBlocked >= slowReaderThreshold {
 			return sumachead.Refuse(sumachead.Ran, sumachead.ReasonInterrupted, "the caller reads too slowly, and the server has cut the stream off", time.Time{})
 		}
-		if err != nil {
-			return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonInterrupted, Err: fmt.Errorf("the stream broke off: %w", err)}
-		}
+		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonInterrupted, Err: fmt.Errorf("the stream broke off: %w", err)}
+	}
+}
+
+// end returns what the bytes of the stream show about its end.
+func (s *eventStream) end(f upstream.Framing) responseEnd {
+	rest := s.splitter.Rest()
+	return responseEnd{
+		framing: f, stream: true, hasData: s.hasData, partial: len(rest) > 0, marked: s.endMarked || eventstream.IsEndMarker(rest),
 	}
 }
 
-// forwardEvents passes on the complete events in the buffer.
+// forwardEvents passes on the complete events that have arrived.
 func (d *dispatch) forwardEvents(l *place.Placement, a *upstream.Response) error {
 	s := d.stream
-	end := bytes.LastIndex(s.buffer, eventEnd)
-	if end < 0 {
+	var part []byte
+	for event, ok := s.splitter.Next(); ok; event, ok = s.splitter.Next() {
+		s.track(event, d.x)
+		part = append(part, event...)
+	}
+	if len(part) == 0 {
 		return nil
 	}
-	end += len(eventEnd)
-	part := s.buffer[:end]
 	now := time.Now()
 	l.RecordFirstEvent(now)
 	d.recordResumed(l.Record)
@@ -157,14 +170,7 @@
 	if d.x.recordEvent(now) {
 		l.RecordLate()
 	}
-	for event := range bytes.SplitAfterSeq(part, eventEnd) {
-		s.track(event, d.x)
-	}
-	if err := d.write(part); err != nil {
-		return err
-	}
-	s.buffer = append(s.buffer[:0], s.buffer[end:]...)
-	return nil
+	return d.write(part)
 }
 
 // recordResumed counts the stream as resumed if this is the first event of a server that continues
@@ -193,25 +199,24 @@
 
 // track counts an event and records its ID.
 func (s *eventStream) track(event []byte, x *exchange) {
-	if len(event) == 0 {
-		return
-	}
 	x.events++
-	for line := range bytes.SplitSeq(event, lineBreak) {
-		if id, ok := bytes.CutPrefix(line, idPrefix); ok {
-			s.lastID = string(bytes.TrimSpace(id))
-		}
+	if id, ok := eventstream.ID(event); ok {
+		s.lastID = id
 	}
+	s.hasData = s.hasData || eventstream.HasData(event)
+	s.endMarked = eventstream.IsEndMarker(event)
 }
 
-// endStream finishes a stream that the server has ended.
+// endStream finishes a complete stream. What its server has sent after the last blank line is passed
+// on as well.
 func (d *dispatch) endStream(a *upstream.Response) error {
 	s := d.stream
 	if s.header == nil {
 		d.x.start(a.Status, a.Header, sizeUnknown)
 	}
-	if len(s.buffer) == 0 {
+	rest := s.splitter.Rest()
+	if len(rest) == 0 {
 		return nil
 	}
-	return d.write(s.buffer)
+	return d.write(rest)
 }
--- /dev/null
+++ b/internal/gateway/responseend.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"mime"
+	"net/http"
+
+	"sumachead/internal/upstream"
+)
+
+// A response with neither a length nor chunks ends with its connection, also if its server crashes or
+// gives up. Its completeness is inferred from its bytes and from whether the server still runs.
+
+// responseEnd is what is known when the body of a response has ended as its framing allows.
+type responseEnd struct {
+	framing upstream.Framing
+	// stream is set for an event stream; the fields below apply to streams only.
+	stream bool
+	// hasData is set if the server has sent an event with data.
+	hasData bool
+	// partial is set if bytes follow the last blank line.
+	partial bool
+	// marked is set if the last event marks the end of the stream.
+	marked bool
+}
+
+// isComplete reports whether the response is complete. The function liveness returns whether its
+// server still runs; it is only called if the bytes leave that open.
+func (e responseEnd) isComplete(liveness func() upstream.Liveness) bool {
+	switch {
+	case e.framing != upstream.FramingClose, e.marked:
+		return true
+	case e.stream && (e.partial || !e.hasData):
+		return false
+	}
+	return liveness() == upstream.Accepting
+}
+
+// isComplete reports whether the response of the last attempt's server is complete.
+func (d *dispatch) isComplete(e responseEnd) bool {
+	return e.isComplete(func() upstream.Liveness {
+		r := d.x.placement.Record
+		if d.servers.IsLeaving(r.GetId()) {
+			// It closes its listener before it has finished its responses.
+			return upstream.Accepting
+		}
+		return d.crashes.liveness(r)
+	})
+}
+
+// sendsEvents reports whether a response is an event stream. Servers may omit its content type.
+func sendsEvents(a *upstream.Response) bool {
+	if a.Status != http.StatusOK {
+		return false
+	}
+	contentType := a.Header.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && mediaType == "text/event-stream"
+}
--- a/internal/gateway/responseend_test.go
+++ b/internal/gateway/responseend_test.go
@@ -170,7 +170,7 @@
 		{"carriage returns and line feeds", strings.ReplaceAll(twoEvents, "\n", "\r\n"), true},
 		{"carriage returns", strings.ReplaceAll(twoEvents, "\n", "\r"), true},
 		{"a comment as its last line", twoEvents + ": ping\n\n", true},
-		{"only a comment", ": ping\n\n", true},
+		{"only a comment", ": ping\n\n", false},
 		{"end marker", "data: x\n\ndata: [DONE]\n\n", true},
 		{"end marker without a blank line", "data: x\n\ndata: [DONE]\n", true},
 		{"end marker without a line end", "data: x\n\ndata: [DONE]", true},
--- a/internal/upstream/broken.go
+++ b/internal/upstream/broken.go
@@ -19,16 +19,34 @@
 	return false
 }
 
-// RefusesConnections reports whether an address refuses connections. A host that does not
-// respond at all does not count, since a server may run there.
-func (p *Pool) RefusesConnections(ctx context.Context, address string) bool {
-	c, err := dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+// Liveness is what a probe shows about the server at an address.
+type Liveness int
+
+const (
+	// LivenessUnknown means that the host did not respond at all: a server may run there.
+	LivenessUnknown Liveness = iota
+	// Accepting means that a server accepts connections.
+	Accepting
+	// Refusing means that no server accepts connections.
+	Refusing
+)
+
+// Probe connects to a server to see whether it accepts connections. The connection is kept for the
+// next request.
+func (p *Pool) Probe(ctx context.Context, s Server) Liveness {
+	c, err := dial(ctx, s.Address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refusing
+	case err != nil:
+		return LivenessUnknown
 	}
-	_ = c.Close()
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	return false
+	p.mu.Lock()
+	p.connsOf(s).open++
+	p.mu.Unlock()
+	p.release(s, c)
+	return Accepting
 }
--- a/internal/upstream/framing.go
+++ b/internal/upstream/framing.go
@@ -18,8 +18,8 @@
 // Framings lists each framing once.
 func Framings() []Framing { return []Framing{FramingLength, FramingChunked, FramingClose} }
 
-// framingOf returns the framing of a response that http.ReadResponse has read.
-func framingOf(r *http.Response) Framing {
+// FramingOf returns the framing of a response that http.ReadResponse has read.
+func FramingOf(r *http.Response) Framing {
 	switch {
 	case len(r.TransferEncoding) > 0:
 		return FramingChunked
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -77,11 +77,8 @@
 	Address string
 }
 
-// acquireIdle returns an idle connection; nil if there is none, and then it reserves the place
-// of a new one.
-func (p *Pool) acquireIdle(s Server, maxConns int, now time.Time) (*conn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// connsOf returns the connections to a server. The caller holds mu.
+func (p *Pool) connsOf(s Server) *serverConns {
 	if p.servers == nil {
 		p.servers = make(map[Server]*serverConns)
 	}
@@ -90,6 +87,15 @@
 		sc = &serverConns{}
 		p.servers[s] = sc
 	}
+	return sc
+}
+
+// acquireIdle returns an idle connection; nil if there is none, and then it reserves the place
+// of a new one.
+func (p *Pool) acquireIdle(s Server, maxConns int, now time.Time) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sc := p.connsOf(s)
 	sc.usedAt = now
 	for len(sc.idle) > 0 {
 		c := sc.idle[len(sc.idle)-1]
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -62,7 +62,8 @@
 	reusable bool
 }
 
-// Read reads the body. io.EOF means that the body is complete.
+// Read reads the body. io.EOF means that the body has ended as its framing says; with [FramingClose]
+// it may be incomplete.
 func (a *Response) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if errors.Is(err, io.EOF) {
@@ -195,7 +196,7 @@
 		}
 		if a.Head.ID == r.ID || (a.Head.ID == "" && (a.Head.NotRun || a.Head.Stale)) {
 			a.Status, a.Header = resp.StatusCode, resp.Header
-			a.body, a.Framing = resp.Body, framingOf(resp)
+			a.body, a.Framing = resp.Body, FramingOf(resp)
 			a.reusable = !resp.Close && a.Framing != FramingClose
 			return nil
 		}
