intake: an aborted response does not look complete to HTTP/1.0 callers

What callers saw: a caller that speaks HTTP/1.0 saw a stream that broke off as complete.

Cause: the same as for servers' responses, on the callers' side: a response without a length or chunks ends with its connection, and both kinds of router abort a response by closing the connection.

Evidence: TestAbortedResponseIsNotComplete failed for both forms of HTTP/1.0 with a closed connection, and passes with a reset.

Change: the connection of an HTTP/1.0 caller is reset. HTTP/1.1 callers miss the last chunk, as before.

--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sumachead"
+	"sumachead/internal/intake"
 	"sumachead/internal/strictjson"
 )
 
@@ -83,5 +84,5 @@
 		_, _ = x.w.Write([]byte("event: error\ndata: " + string(body) + "\n\n"))
 		_ = http.NewResponseController(x.w).Flush()
 	}
-	panic(http.ErrAbortHandler) // the caller must see an aborted transfer, not a regular end
+	intake.Abort(x.w, x.r)
 }
