agent: plain responses that end with their connection may be cut by a crash

What callers saw: a plain response of a service beside which an agent runs could reach them cut, as complete, if the service sent neither a length nor chunks and crashed.

Cause: the same as for routers: the end of the connection was taken for the end of the response. Streams of engines are not affected, as they end with a marker, nor are unstreamed ones, which are checked as JSON.

Evidence: TestResponseCutByACrashIsNotComplete fails for 'no length, the server crashes' without the check.

Change: such a response is complete if the service still accepts connections.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -215,9 +215,9 @@
 	if err := checkEcho(resp, r); err != nil {
 		return 0, err
 	}
-	data, err := io.ReadAll(body)
+	data, err := readBody(resp, body)
 	if err != nil {
-		return 0, trace.Wrap(err)
+		return 0, err
 	}
 	if len(data) > maxResponseBytes {
 		return 0, badResponse("the answer is too large")
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -88,9 +88,9 @@
 // relayRejected relays the response of an engine that rejects the request as
 // invalid: a complete response that used no tokens.
 func relayRejected(x *run, resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
-	data, err := io.ReadAll(body)
+	data, err := readBody(resp, body)
 	if err != nil {
-		return 0, trace.Wrap(err)
+		return 0, err
 	}
 	x.setHead(resp.StatusCode, resp.Header.Get("Content-Type"))
 	x.write(data)
