Soak: responses of every framing, broken off at random bytes

Servers now mark the ends of their responses by a length, chunks or the end of the connection, and some responses break off at a random byte: their connection is closed or reset, or their process crashes. Where nothing but the bytes could tell (a stream without a marked end, of a server that runs on), the cut is within an event.

--- /dev/null
+++ b/internal/scenario/fleetsoak_framing_test.go
@@ -0,0 +1,28 @@
+package scenario
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"sumachead/internal/standin"
+)
+
+// Responses of every framing in the soak test, some of which break off.
+
+// frameResponses makes servers mark the ends of their responses in different ways and break some of
+// them off at random bytes, one server after the other, until the given time.
+func (s *fleetSoak) frameResponses(r *rand.Rand, until time.Time) {
+	whole := standin.ReplicaFaults{Framing: "any"}
+	for _, server := range s.servers() {
+		server.SetFaults(whole)
+	}
+	for time.Now().Before(until) {
+		f := whole
+		f.CutOneIn, f.CutCrashes = 2+r.IntN(8), r.IntN(4) == 0
+		_, server := s.randomServer(r)
+		s.count(s.faults, "break responses off")
+		server.SetFaults(f)
+		time.Sleep(time.Duration(100+r.IntN(600)) * time.Millisecond)
+		server.SetFaults(whole)
+	}
+}
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -132,6 +132,8 @@
 	s.spendScarce(&all, until)
 	releases, breaks := rand.New(rand.NewPCG(s.rand.Uint64(), series+5)), rand.New(rand.NewPCG(s.rand.Uint64(), series+6)) // as above
 	s.runVersions(&all, releases, breaks, until)
+	framings := rand.New(rand.NewPCG(s.rand.Uint64(), series+7)) // as above
+	all.Go(func() { s.frameResponses(framings, until) })
 	all.Wait()
 }
 
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -91,6 +91,7 @@
 	r.down = true
 	r.crashes[body]++
 	_ = r.process.Close() // its connections are meant to break
+	r.closeFramed(false)
 }
 
 // restart starts the next incarnation of the replica, under a new ID or the same one.
@@ -122,6 +123,9 @@
 	if r.process != nil {
 		r.down, r.restartNow = true, true
 		_ = r.process.Close() // its connections are meant to break
+		// The next incarnation accepts connections at once, so that only a reset shows that a response
+		// without a marked end is incomplete.
+		r.closeFramed(true)
 	}
 }
 
@@ -132,6 +136,7 @@
 	r.down, r.stopped = true, true
 	if r.process != nil {
 		_ = r.process.Close() // its connections are meant to break
+		r.closeFramed(false)
 	}
 }
 
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -34,6 +35,13 @@
 	BadOneIn int
 	BadOn    string
 	Slower   int
+	// Framing is how the ends of responses are marked: length, chunked, close, or any for one of them
+	// at random; empty for length with plain responses and chunked with streams.
+	Framing string
+	// CutOneIn breaks one in this many responses off at a random byte, if Framing is set: its connection
+	// is closed or reset or, with CutCrashes, the process crashes.
+	CutOneIn   int
+	CutCrashes bool
 }
 
 // ReplicaRun is a replica's record of one request.
@@ -105,6 +113,8 @@
 	leavingSince time.Time
 	// limits are the request limits that its responses reported, oldest first.
 	limits []ReplicaLimit
+	// framed are the connections of responses in flight with a chosen framing.
+	framed map[net.Conn]struct{}
 }
 
 // coldSpan is a time span in which a replica was cold.
@@ -269,6 +279,12 @@
 		r.sendTwice(w, q, body)
 		return
 	}
+	if f.Framing != "" {
+		if x := r.frame(w, f, len(body), 1); x != nil {
+			defer x.finish(true)
+			w = x
+		}
+	}
 	_, _ = fmt.Fprint(w, body) // a disconnected caller cancels the context
 }
 
@@ -289,6 +305,16 @@
 	n, _ := strconv.Atoi(limit)
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
+	if f.Framing != "" && n > from {
+		length := 0
+		for i := from + 1; i <= n; i++ {
+			length += len(r.event(i))
+		}
+		if x := r.frame(w, f, length, n-from); x != nil {
+			defer func() { x.finish(run.LastEvent == n) }()
+			w = x
+		}
+	}
 	control := http.NewResponseController(w)
 	for i := from + 1; i <= n; i++ {
 		if f.BreakAfter > 0 && i > f.BreakAfter {
@@ -299,7 +325,7 @@
 		if !r.sleep(q, every) {
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.Version); err != nil {
+		if _, err := io.WriteString(w, r.event(i)); err != nil {
 			return
 		}
 		_ = control.Flush() // the next write returns the error
@@ -310,6 +336,9 @@
 	}
 }
 
+// event returns an event of a stream.
+func (r *Replica) event(i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i, r.Version) }
+
 // sendTwice sends a response twice, as some faulty servers do.
 func (r *Replica) sendTwice(w http.ResponseWriter, q *http.Request, body string) {
 	conn, buffered, err := http.NewResponseController(w).Hijack()
