gateway: lines of crashes name the prompt's blocks and for how long the server had been writing

The lines of the routers could not tell a shared prompt block from load or from retries, since they name neither blocks nor how long a request had been answered when its server crashed. No decision has changed.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -203,6 +203,7 @@
 	t := &sumachead.Attempt{Server: id, Workspace: x.workspace(), Deadline: x.deadline, Urgency: x.urgency(), FetchFrom: l.FetchFrom}
 	if d.stream != nil {
 		t.LastEvent = d.stream.lastID
+		d.stream.beginAttempt()
 	}
 	x.attempts++
 	d.sentAt = time.Now()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -92,8 +92,10 @@
 	origin *origin.Origin
 	// server is the server that sent the last event; empty until the first event.
 	server sumachead.ServerID
-	// splitter splits the response of the current server.
-	splitter eventstream.Splitter
+	// splitter splits the response of the current server, whose first event arrived at firstEventAt; zero
+	// before.
+	splitter     eventstream.Splitter
+	firstEventAt time.Time
 	// hasData is set once the current server has sent an event with data, and endMarked if the last
 	// event marks the end of the stream.
 	hasData   bool
@@ -105,6 +107,11 @@
 	return &eventStream{lastID: x.request.LastEvent}
 }
 
+// beginAttempt resets what is known of the current server's response.
+func (s *eventStream) beginAttempt() {
+	s.splitter, s.firstEventAt, s.hasData, s.endMarked = eventstream.Splitter{}, time.Time{}, false, false
+}
+
 // unstarted reports whether nothing of a stream has been passed on; it is also true for a plain
 // response.
 func (s *eventStream) unstarted() bool { return s == nil || s.header == nil }
@@ -113,7 +120,6 @@
 // another server after the last event that was passed on.
 func (d *dispatch) relayEvents(l *place.Placement, a *upstream.Response) error {
 	s := d.stream
-	s.splitter, s.hasData, s.endMarked = eventstream.Splitter{}, false, false
 	const readSize = 4 << 10
 	chunk := make([]byte, readSize)
 	for {
@@ -161,6 +167,9 @@
 	}
 	now := time.Now()
 	l.RecordFirstEvent(now)
+	if s.firstEventAt.IsZero() {
+		s.firstEventAt = now
+	}
 	d.recordResumed(l.Record)
 	if s.header == nil {
 		s.header = a.Header
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -216,7 +216,10 @@
 	l := &crashCheck{done: make(chan struct{})}
 	now := time.Now()
 	e := observedCrash{d.x.fingerprint(), sumachead.ServerID(r.GetId()), now, d.suspects.served.Contains(d.x.workspace(), d.x.request, now)}
-	fields := append(d.x.fields(), "fingerprint", e.fingerprint.String(), "ran", time.Since(d.sentAt))
+	fields := append(d.x.fields(), "fingerprint", e.fingerprint.String(), "ran", time.Since(d.sentAt), "blocks", d.x.blockIDs())
+	if d.stream != nil && !d.stream.firstEventAt.IsZero() {
+		fields = append(fields, "writing_for", now.Sub(d.stream.firstEventAt))
+	}
 	go func() {
 		defer close(l.done)
 		if l.crashed = d.crashes.hasCrashed(r); !l.crashed {
@@ -328,3 +331,12 @@
 	}
 	return x.cachedFingerprint
 }
+
+// blockIDs returns the IDs of the prompt's blocks but the last, which is the request's or its session's
+// own.
+func (x *exchange) blockIDs() (ids []string) {
+	for _, b := range x.request.Parts[:max(len(x.request.Parts)-1, 0)] {
+		ids = append(ids, b.ID)
+	}
+	return ids
+}
