--- a/internal/scenario/fleetcall_test.go
+++ b/internal/scenario/fleetcall_test.go
@@ -17,12 +17,14 @@
 
 // fleetRequest is one request to a fleet.
 type fleetRequest struct {
-	kind    string // stream, hold or check
-	router  string
-	key     string
-	path    string
-	body    string
-	prompt  int
+	kind   string // stream, hold or check
+	router string
+	key    string
+	path   string
+	body   string
+	prompt int
+	// blocks are the IDs of the prompt's blocks; none for a prompt that shares nothing.
+	blocks  []string
 	events  int
 	timeout time.Duration
 	// cancelAfter is when the caller disconnects, or 0 for never.
@@ -137,6 +139,9 @@
 	if q.kind == "stream" {
 		r.Header.Set("Token-Usage", fmt.Sprintf("%d,%d", q.prompt, q.events))
 	}
+	if len(q.blocks) > 0 {
+		r.Header.Set("Prompt-Prefix", strings.Join(q.blocks, ":10,")+":10")
+	}
 	if q.lastEvent > 0 {
 		r.Header.Set("Last-Event-Id", strconv.Itoa(q.lastEvent))
 		r.Header.Set("Resumes", q.resumes)
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"sumachead/internal/loop"
@@ -77,6 +79,38 @@
 	r.crashPrefix, r.sameID = body, sameID
 }
 
+// CrashOnBlock makes the replica's process crash soon after it has begun to write a response to a
+// prompt with the given block, and restart after a delay under a new ID. An empty ID turns this off.
+func (r *Replica) CrashOnBlock(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashBlock = id
+}
+
+// crashesOnBlock crashes the process if the prompt of a request has the block on which it crashes. It
+// reports whether it did.
+func (r *Replica) crashesOnBlock(q *http.Request) bool {
+	r.mu.Lock()
+	block := r.crashBlock
+	r.mu.Unlock()
+	if block == "" || !hasBlock(q, block) {
+		return false
+	}
+	time.Sleep(crashDelay)
+	r.crash(block)
+	return true
+}
+
+// hasBlock reports whether the prompt of a request has a block.
+func hasBlock(q *http.Request, id string) bool {
+	for b := range strings.SplitSeq(q.Header.Get("Prompt-Prefix"), ",") {
+		if name, _, _ := strings.Cut(b, ":"); name == id {
+			return true
+		}
+	}
+	return false
+}
+
 // crash crashes the process while it runs a request with the body: its connections are lost and
 // new ones are refused.
 func (r *Replica) crash(body string) {
@@ -86,10 +120,10 @@
 		return
 	}
 	if r.crashes == nil {
-		r.crashes = make(map[string]int)
+		r.crashes = make(map[string][]time.Time)
 	}
 	r.down = true
-	r.crashes[body]++
+	r.crashes[body] = append(r.crashes[body], time.Now())
 	_ = r.process.Close() // its connections are meant to break
 	r.closeFramed(false)
 }
@@ -151,5 +185,12 @@
 func (r *Replica) CrashCount(body string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.crashes[body]
+	return len(r.crashes[body])
+}
+
+// CrashTimes returns when the replica's process crashed on a body or a prompt block.
+func (r *Replica) CrashTimes(cause string) []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.crashes[cause])
 }
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -52,6 +52,8 @@
 	At        time.Time
 	// Done is when the replica finished the request; zero before.
 	Done time.Time
+	// Blocks are the blocks of the prompt, as the request names them.
+	Blocks string
 	// Prompt is the number of prompt tokens of a stream, and LastEvent the id of the last event
 	// that was sent; 0 while there was none.
 	Prompt, LastEvent int
@@ -97,9 +99,11 @@
 	// then restarts under the same ID.
 	crashPrefix string
 	sameID      bool
-	// crashes counts the crashes of the process by request body. down is set until it has
-	// restarted. process is the running server.
-	crashes map[string]int
+	// crashBlock is the prompt block on which the process crashes; empty for none.
+	crashBlock string
+	// crashes are the crashes of the process by request body or prompt block. down is set until it
+	// has restarted. process is the running server.
+	crashes map[string][]time.Time
 	down    bool
 	process *http.Server
 	// restartNow is set if the process must restart at once, stopped if it must not restart.
@@ -219,7 +223,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	run := &ReplicaRun{ID: q.Header.Get("Request-Id"), Workspace: q.Header.Get("Tenant"), Replica: id, At: time.Now()}
+	run := &ReplicaRun{ID: q.Header.Get("Request-Id"), Workspace: q.Header.Get("Tenant"), Replica: id, At: time.Now(), Blocks: q.Header.Get("Prompt-Prefix")}
 	r.mu.Lock()
 	r.runs = append(r.runs, run)
 	r.mu.Unlock()
@@ -333,6 +337,9 @@
 		run.Prompt, _ = strconv.Atoi(prompt)
 		run.LastEvent = i
 		r.mu.Unlock()
+		if i == from+1 && r.crashesOnBlock(q) {
+			return
+		}
 	}
 }
 
