quarantine: evidence about crashes by prompt block

Cause: evidence about crashes was kept by whole requests. Requests that share a block and nothing else have as many fingerprints as there are requests; none is near a second crash but the bystanders, which are retried, become suspects, and cost the trials that are left.

Change: group testing over the blocks of the prompts that a server may just have begun to respond to when it crashes (docs/design/crashing-blocks.md): a block that is in pools at two times under two requests and that no router has seen survive is suspected, its requests run on trial, and it is barred by a crash on trial or by its lead over all others. Barred blocks explain the crashes of what ran beside them. The wire messages, the standings in the log, the tool and the lines know blocks beside requests; barred suspects are evicted last.

--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -17,6 +17,8 @@
 const (
 	// sweepInterval is the interval at which the leader checks for silent servers.
 	sweepInterval = time.Second
+	// suspectInterval is the interval at which the leader decides on suspects that have been on trial.
+	suspectInterval = 100 * time.Millisecond
 	// copyPollWait is how long the leader may hold a keeper's follow request.
 	copyPollWait = 800 * time.Millisecond
 	// copyTimeout bounds the call of such a request.
@@ -105,6 +107,15 @@
 	})
 }
 
+// suspectLoop decides on suspects that have been on trial, while this keeper leads.
+func (k *Keeper) suspectLoop(ctx context.Context) error {
+	return loop.Every(ctx, suspectInterval, func() {
+		if k.crashTracker.HasPending() && k.node.IsLeader() && k.requireLeadership() == nil {
+			k.decideSuspects(time.Now())
+		}
+	})
+}
+
 // copyLoop keeps a copy of the leader's server records, so that this keeper can take over with
 // them.
 func (k *Keeper) copyLoop(ctx context.Context) error {
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -138,7 +138,7 @@
 	tasks, work := errgroup.WithContext(work)
 	tasks.Go(k.RPC.Run)
 	tasks.Go(func() error { return k.node.Run(work) })
-	for _, f := range []func(context.Context) error{k.joinLoop, k.membersLoop, k.sweepLoop, k.copyLoop, k.reportsLoop, k.forwardLoop, k.recordsLoop, k.rolloutsLoop} {
+	for _, f := range []func(context.Context) error{k.joinLoop, k.membersLoop, k.sweepLoop, k.suspectLoop, k.copyLoop, k.reportsLoop, k.forwardLoop, k.recordsLoop, k.rolloutsLoop} {
 		tasks.Go(func() error { return f(work) })
 	}
 	k.Log.Info("Serving.", "address", k.Address, "incarnation", k.identity.GetIncarnation(), "founder", k.identity.GetFounders() != nil)
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -55,10 +55,10 @@
 	gauge("sumachead_reserved_budgets", "Workspaces whose last part of the budget is reserved for urgent requests, at the leader.", func() float64 {
 		return float64(k.activeReserves())
 	})
-	gauge("sumachead_suspected_requests", "Suspected requests, which run only on trial because servers have crashed under them.", func() float64 {
+	gauge("sumachead_suspected_requests", "Suspected requests and prompt blocks, which run only on trial because servers have crashed under them.", func() float64 {
 		return float64(k.machine.CountSuspects(wire.Standing_STANDING_SUSPECTED))
 	})
-	gauge("sumachead_barred_requests", "Barred requests, which are not run because servers crash under them.", func() float64 {
+	gauge("sumachead_barred_requests", "Barred requests and prompt blocks, which are not run because servers crash under them.", func() float64 {
 		return float64(k.machine.CountSuspects(wire.Standing_STANDING_BARRED))
 	})
 	for phase, name := range map[wire.RolloutPhase]string{
--- a/internal/fleet/suspects.go
+++ b/internal/fleet/suspects.go
@@ -9,10 +9,10 @@
 	"sumachead/api/wire"
 )
 
-// The standing of requests that crash servers is replicated by the log, so that it survives the
-// crashes of keepers, and so that a router knows it before it accepts its first caller. It costs
-// one commit for each request that becomes suspected, barred or cleared, and nothing until two
-// servers have crashed while they ran the same request.
+// The standing of requests and prompt blocks that crash servers is replicated by the log, so that it
+// survives the crashes of keepers, and so that a router knows it before it accepts its first caller. It
+// costs one commit for each report by which some become suspected, barred or cleared, and nothing until
+// two servers have crashed under the same one.
 
 // Suspects returns the suspects that changed after a revision.
 func (m *StateMachine) Suspects(since uint64) *wire.Suspects {
@@ -88,7 +88,7 @@
 	}
 	for _, x := range changes {
 		k.limitedLog.Info(k.Log, "Standing of a request changed.", "fingerprint", sumachead.Fingerprint(x.GetFingerprint()).String(),
-			"standing", x.GetStanding().String(), "servers", x.GetServers(), "told_by", from)
+			"standing", x.GetStanding().String(), "block", x.GetBlock().GetId(), "servers", x.GetServers(), "told_by", from)
 	}
 	_, err := k.propose(&wire.FleetCommand{Command: &wire.FleetCommand_Suspects{Suspects: &wire.Suspects{Suspects: changes}}})
 	return err
@@ -101,3 +101,11 @@
 		k.limitedLog.Info(k.Log, "Failed to commit expired standings of suspects.", "error", err)
 	}
 }
+
+// decideSuspects commits the changes that become due some time after a crash.
+func (k *Keeper) decideSuspects(now time.Time) {
+	if err := k.commitStandings(k.crashTracker.DecidePending(k.machine.Standing, now), ""); err != nil {
+		// The next check retries it.
+		k.limitedLog.Info(k.Log, "Failed to commit standings of suspects.", "error", err)
+	}
+}
--- a/internal/fleetclient/apply.go
+++ b/internal/fleetclient/apply.go
@@ -54,9 +54,13 @@
 	if c.Suspects == nil || s == nil {
 		return
 	}
-	for _, x := range c.Suspects.Merge(s) {
+	changed := c.Suspects.Merge(s)
+	for _, x := range changed {
 		c.limitedLog.Info(c.Log, "Standing of a request in force.", "fingerprint", sumachead.Fingerprint(x.GetFingerprint()).String(),
-			"standing", x.GetStanding().String(), "servers", x.GetServers(), "revision", x.GetRevision())
+			"standing", x.GetStanding().String(), "block", x.GetBlock().GetId(), "servers", x.GetServers(), "revision", x.GetRevision())
+	}
+	if len(changed) > 0 && c.OnSuspects != nil {
+		c.OnSuspects(changed)
 	}
 }
 
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -80,6 +80,8 @@
 	// Suspects is updated with the standings of requests that crash servers; nil for a node that
 	// sends no requests.
 	Suspects *quarantine.Table
+	// OnSuspects is called with the suspects whose standing has changed; nil for none.
+	OnSuspects func(changed []*wire.Suspect)
 	// Rollouts is updated with the rollouts that the leader sends; nil for a node that sends no
 	// requests.
 	Rollouts *rollout.Sampler
--- a/internal/gateway/candidates.go
+++ b/internal/gateway/candidates.go
@@ -100,7 +100,7 @@
 	for {
 		changed := d.servers.Changed()
 		all := d.known()
-		if err := d.checkVersionServed(all); err != nil {
+		if err := d.checkServed(all); err != nil {
 			return nil, err
 		}
 		now := time.Now()
@@ -130,6 +130,15 @@
 	}
 }
 
+// checkServed returns the final error of a request that none of the servers may run now or later; known
+// are those that it may be sent to.
+func (d *dispatch) checkServed(known []*wire.ServerRecord) error {
+	if err := d.checkBarredBlocks(); err != nil {
+		return err
+	}
+	return d.checkVersionServed(known)
+}
+
 // isReporting reports whether a server has sent a heartbeat recently.
 func isReporting(r *wire.ServerRecord) bool {
 	return r.GetState() != wire.ServerState_SERVER_STATE_SILENT
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -21,8 +21,9 @@
 type dispatch struct {
 	*Gateway
 	x *exchange
-	// ctx ends with the caller's context or at the request's deadline.
-	ctx context.Context
+	// ctx ends with the caller's context, at the request's deadline, or with cancel.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 	// tried lists the servers of the attempts so far.
 	tried []sumachead.ServerID
 	// mayHaveRun is set if an earlier attempt may have run.
@@ -44,16 +45,20 @@
 	// trialNumber is the number of the request's trial: it is a suspect and runs nowhere else in
 	// the fleet; 0 for none.
 	trialNumber uint64
+	// trialSubjects are the fingerprints of the suspects on the trial.
+	trialSubjects [][]byte
 	// stream is the state of an event stream; nil for a plain response.
 	stream *eventStream
 }
 
 // dispatch runs a request and relays its response. It is the end of the filter chain.
 func (g *Gateway) dispatch(x *exchange) error {
-	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
+	cancelable, cancelCause := context.WithCancelCause(x.ctx)
+	defer cancelCause(nil)
+	ctx, cancel := context.WithDeadline(cancelable, x.deadline)
 	defer cancel()
 	x.service = x.view.Service(catalog.PickService(x.route))
-	d := &dispatch{Gateway: g, x: x, ctx: ctx, halls: g.allowedHalls(x)}
+	d := &dispatch{Gateway: g, x: x, ctx: ctx, cancel: cancelCause, halls: g.allowedHalls(x)}
 	if x.route.GetKind() == wire.RouteKind_ROUTE_KIND_STREAM {
 		d.stream = newEventStream(x)
 	}
@@ -61,6 +66,8 @@
 	if err := d.findOrigin(); err != nil {
 		return err
 	}
+	g.blockRequests.add(d)
+	defer g.blockRequests.remove(d)
 	err := d.run()
 	if err != nil {
 		d.republishOrigin()
@@ -164,6 +171,9 @@
 	if d.x.ctx.Err() != nil {
 		return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonInterrupted, "the caller has gone", time.Time{})
 	}
+	if errors.Is(context.Cause(d.ctx), errBlockBarred) {
+		return d.refuseBarredBlock()
+	}
 	if !d.mayHaveRun && d.x.attempts == 0 {
 		return refusePermanently(sumachead.ReasonNoServer, "the time is up, and the request was not sent")
 	}
@@ -182,6 +192,8 @@
 	id := sumachead.ServerID(l.Record.GetId())
 	d.tried = append(d.tried, id)
 	d.x.placement = l
+	d.blockRequests.setSoftware(d, l.Record.GetSoftware())
+	defer d.blockRequests.setSoftware(d, "")
 	a, err := d.send(l, id)
 	if err != nil {
 		d.recordOutcome(l, nil, err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,27 +77,29 @@
 	TrackerAddress func(*wire.ServerRecord) string
 	Log            hclog.Logger
 
-	client     *fleetclient.Client
-	wallet     *escrow.Wallet
-	reporter   *fleetclient.Reporter
-	lender     *lending.Lender
-	borrower   *lending.Borrower
-	servers    *registry.Table
-	upstream   *upstream.Pool
-	scheduler  *place.Scheduler
-	trackers   *trackerClient
-	retries    *retryBudget
-	checks     healthChecks
-	crashes    crashDetector
-	suspects   suspects
-	suspension suspensionDetector
-	cold       rateShares
-	backoffs   *backoff.Table
-	limits     requestLimits
-	sampler    *rollout.Sampler
-	origins    *origin.Directory
-	link       linkload.Link
-	metrics    *Metrics
+	client    *fleetclient.Client
+	wallet    *escrow.Wallet
+	reporter  *fleetclient.Reporter
+	lender    *lending.Lender
+	borrower  *lending.Borrower
+	servers   *registry.Table
+	upstream  *upstream.Pool
+	scheduler *place.Scheduler
+	trackers  *trackerClient
+	retries   *retryBudget
+	checks    healthChecks
+	crashes   crashDetector
+	suspects  suspects
+	// blockRequests are the requests in flight whose prompts share blocks.
+	blockRequests blockRequests
+	suspension    suspensionDetector
+	cold          rateShares
+	backoffs      *backoff.Table
+	limits        requestLimits
+	sampler       *rollout.Sampler
+	origins       *origin.Directory
+	link          linkload.Link
+	metrics       *Metrics
 	// handle runs the filters around dispatch.
 	handle handler
 	// servedLog limits log lines of served requests, failureLog those of failed ones, of which more
@@ -126,6 +128,7 @@
 	g.link.BytesPerSecond, g.link.Changed = g.LinkBytes, g.recordOverload
 	g.suspension.Clock, g.suspension.Refresh = boottime.Clock{}, g.client.Refresh
 	g.suspects.Node, g.suspects.Table, g.suspects.ApplySuspects = g.Node, g.client.Suspects, g.client.ApplySuspects
+	g.client.OnSuspects = g.applySuspects
 	g.suspects.ReportCrashes, g.suspects.RequestTrial = g.client.ReportCrashes, g.client.RequestTrial
 	g.wallet = &escrow.Wallet{Node: g.Node}
 	g.reporter = &fleetclient.Reporter{Client: g.client, Wallet: g.wallet, Log: g.Log.Named("escrow")}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -161,7 +161,7 @@
 	gauge("sumachead_gateway_limited_servers", "Backend servers that currently limit requests.", func() float64 { return float64(g.limits.Count()) })
 	gauge("sumachead_gateway_neighbors_link_percent", "Mean use of the links of the other routers of the data hall, in percent; 0 if unknown.", func() float64 { return float64(g.neighborsPercent()) })
 	gauge("sumachead_gateway_vacated_halls", "Data halls known to be vacated.", func() float64 { return float64(g.servers.VacatedCount()) })
-	gauge("sumachead_gateway_suspects", "Known active suspects: requests under which backend servers have crashed.", func() float64 { return float64(g.client.Suspects.ActiveCount()) })
+	gauge("sumachead_gateway_suspects", "Known active suspects: requests and prompt blocks under which backend servers have crashed.", func() float64 { return float64(g.client.Suspects.ActiveCount()) })
 	gauge("sumachead_gateway_relayed", "1 while the leading keeper is reached through a relay.", func() float64 {
 		if w, _ := g.client.Path(); w.Relay != "" {
 			return 1
--- a/internal/gateway/regions.go
+++ b/internal/gateway/regions.go
@@ -50,7 +50,11 @@
 }
 
 // known returns the known servers that the request may be sent to. The list must not be changed.
-func (d *dispatch) known() []*wire.ServerRecord {
+func (d *dispatch) known() []*wire.ServerRecord { return d.withoutBarred(d.allowedServers()) }
+
+// allowedServers returns the known servers of the service, data halls and version that the request may
+// be sent to. The list must not be changed.
+func (d *dispatch) allowedServers() []*wire.ServerRecord {
 	service := d.x.service.GetName()
 	all := d.servers.Servers(service, d.halls)
 	if len(all) == 0 && d.sampler.Overdue(service) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,7 @@
 	"sumachead/internal/eventstream"
 	"sumachead/internal/origin"
 	"sumachead/internal/place"
+	"sumachead/internal/quarantine"
 	"sumachead/internal/upstream"
 )
 
@@ -96,6 +97,8 @@
 	// before.
 	splitter     eventstream.Splitter
 	firstEventAt time.Time
+	// survived is set once the current server is known not to crash on the prompt.
+	survived bool
 	// hasData is set once the current server has sent an event with data, and endMarked if the last
 	// event marks the end of the stream.
 	hasData   bool
@@ -109,7 +112,7 @@
 
 // beginAttempt resets what is known of the current server's response.
 func (s *eventStream) beginAttempt() {
-	s.splitter, s.firstEventAt, s.hasData, s.endMarked = eventstream.Splitter{}, time.Time{}, false, false
+	s.splitter, s.firstEventAt, s.survived, s.hasData, s.endMarked = eventstream.Splitter{}, time.Time{}, false, false, false
 }
 
 // unstarted reports whether nothing of a stream has been passed on; it is also true for a plain
@@ -170,6 +173,10 @@
 	if s.firstEventAt.IsZero() {
 		s.firstEventAt = now
 	}
+	if !s.survived && now.Sub(s.firstEventAt) >= quarantine.SurvivalTime {
+		s.survived = true
+		d.recordSurvival(now)
+	}
 	d.recordResumed(l.Record)
 	if s.header == nil {
 		s.header = a.Header
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -36,7 +36,12 @@
 	}
 	if !d.suspects.hasAny() || !d.suspects.isSuspect(d.x.fingerprint()) {
 		canaries := rollout.CanaryServers(d.servers.CanaryServers(service, d.halls), d.isWarm)
-		if l := d.placeOnBest(canaries, d.tried); l != nil && d.tryAdmit(l, &deniedServers{}) {
+		l := d.placeOnBest(canaries, d.tried)
+		if l != nil && !d.allowsBlocks(l) {
+			l.CancelNotRun(time.Now())
+			l = nil
+		}
+		if l != nil && d.tryAdmit(l, &deniedServers{}) {
 			d.metrics.canaryRequests.Inc()
 			return l
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -61,8 +61,10 @@
 	// tracker counts the crashes that this router has seen: it decides which successes to report,
 	// and which requests to refuse while no keeper is reachable.
 	tracker quarantine.Tracker
-	// served are the requests that have recently succeeded here.
-	served quarantine.RecentSuccesses
+	// served are the requests that have recently succeeded here, and survived the prompt blocks that
+	// servers have responded to.
+	served   quarantine.RecentSuccesses
+	survived quarantine.SurvivedBlocks
 
 	mu sync.Mutex // guards the fields below
 	// local are the standings according to tracker.
@@ -74,9 +76,10 @@
 // crashBatch is a report that is being collected or sent.
 type crashBatch struct {
 	crashes []observedCrash
-	// succeeded and releasedTrials hold fingerprints: of suspects that have succeeded, and of those
-	// whose trial has ended without a result.
+	// succeeded, recalled and releasedTrials hold fingerprints: of suspects that have succeeded, of
+	// suspected blocks that had survived before, and of suspects whose trial has ended without a result.
 	succeeded      [][]byte
+	recalled       [][]byte
 	releasedTrials [][]byte
 	// done is closed once the leading keeper has responded or none is reachable.
 	done chan struct{}
@@ -85,9 +88,11 @@
 // observedCrash is the crash of a server while it ran a request, as seen by this router.
 type observedCrash struct {
 	fingerprint sumachead.Fingerprint
-	server      sumachead.ServerID
+	server      *wire.ServerRecord
 	at          time.Time
 	served      bool
+	// blocks are those that the server may just have begun to respond to.
+	blocks []*wire.CrashBlock
 }
 
 // hasAny reports whether crashes are recorded against any request, here or in the fleet.
@@ -122,6 +127,7 @@
 	b := s.pending
 	b.crashes = append(b.crashes, added.crashes...)
 	b.succeeded = append(b.succeeded, added.succeeded...)
+	b.recalled = append(b.recalled, added.recalled...)
 	b.releasedTrials = append(b.releasedTrials, added.releasedTrials...)
 	return b.done
 }
@@ -163,10 +169,11 @@
 
 // toWire returns the report as of now.
 func (b *crashBatch) toWire(n sumachead.NodeID) *wire.EndsReport {
-	r := &wire.EndsReport{Node: string(n), Survived: b.succeeded, Untried: b.releasedTrials}
+	r := &wire.EndsReport{Node: string(n), Survived: b.succeeded, Recalled: b.recalled, Untried: b.releasedTrials}
 	for _, e := range b.crashes {
 		r.Ends = append(r.Ends, &wire.ServerEnd{
-			Fingerprint: e.fingerprint[:], Server: string(e.server), AgeMillis: time.Since(e.at).Milliseconds(), Served: e.served,
+			Fingerprint: e.fingerprint[:], Server: e.server.GetId(), AgeMillis: time.Since(e.at).Milliseconds(), Served: e.served,
+			Service: e.server.GetService(), Software: e.server.GetSoftware(), Blocks: e.blocks,
 		})
 	}
 	return r
@@ -180,12 +187,20 @@
 	r.Node = string(s.Node)
 	reply, err := s.RequestTrial(ctx, r)
 	if err != nil {
-		s.enqueue(crashBatch{releasedTrials: [][]byte{r.GetFingerprint()}})
+		s.enqueue(crashBatch{releasedTrials: trialSubjects(r)})
 		return wire.Trial_TRIAL_REFUSED
 	}
 	return reply.GetTrial()
 }
 
+// trialSubjects returns the fingerprints of the suspects on a trial.
+func trialSubjects(r *wire.TrialRequest) [][]byte {
+	if len(r.GetFingerprint()) == 0 {
+		return r.GetBlocks()
+	}
+	return append([][]byte{r.GetFingerprint()}, r.GetBlocks()...)
+}
+
 // crashCheck finds out whether the server of a broken attempt has crashed.
 type crashCheck struct {
 	// done is closed when it is known whether the server has crashed and, if so, the leading keeper
@@ -215,7 +230,7 @@
 	}
 	l := &crashCheck{done: make(chan struct{})}
 	now := time.Now()
-	e := observedCrash{d.x.fingerprint(), sumachead.ServerID(r.GetId()), now, d.suspects.served.Contains(d.x.workspace(), d.x.request, now)}
+	e := observedCrash{d.x.fingerprint(), r, now, d.suspects.served.Contains(d.x.workspace(), d.x.request, now), d.crashBlocks(now)}
 	fields := append(d.x.fields(), "fingerprint", e.fingerprint.String(), "ran", time.Since(d.sentAt), "blocks", d.x.blockIDs())
 	if d.stream != nil && !d.stream.firstEventAt.IsZero() {
 		fields = append(fields, "writing_for", now.Sub(d.stream.firstEventAt))
@@ -264,26 +279,37 @@
 // errOtherTrial means that a request must be sent to another server than the chosen one.
 var errOtherTrial = errors.New("the server runs a trial of another suspect")
 
-// acquireTrial requests a trial at the chosen server if the request is a suspect. The error is
-// errOtherTrial or the final one of the request.
+// acquireTrial requests a trial at the chosen server if the request or a block of its prompt is a
+// suspect. The error is errOtherTrial or the final one of the request.
 func (d *dispatch) acquireTrial(l *place.Placement) error {
-	if !d.suspects.hasAny() || d.suspects.standing(d.x.fingerprint()) != wire.Standing_STANDING_SUSPECTED {
+	if !d.suspects.hasAny() {
+		return nil
+	}
+	f := d.x.fingerprint()
+	r := &wire.TrialRequest{Server: l.Record.GetId(), DeadlineMillis: time.Until(d.x.deadline).Milliseconds()}
+	if d.suspects.standing(f) == wire.Standing_STANDING_SUSPECTED {
+		r.Fingerprint = f[:]
+	}
+	r.Blocks, _ = d.blockStandings(l.Record.GetSoftware())
+	if d.trialSubjects = trialSubjects(r); len(d.trialSubjects) == 0 {
+		d.trialNumber = 0
 		return nil
 	}
 	if d.trialNumber == 0 {
 		d.trialNumber = max(rand.Uint64(), 1)
 	}
-	f := d.x.fingerprint()
-	switch d.suspects.requestTrial(d.ctx, &wire.TrialRequest{
-		Fingerprint: f[:], Server: l.Record.GetId(), Number: d.trialNumber, DeadlineMillis: time.Until(d.x.deadline).Milliseconds(),
-	}) {
+	r.Number = d.trialNumber
+	switch d.suspects.requestTrial(d.ctx, r) {
 	case wire.Trial_TRIAL_GRANTED:
 		return nil
 	case wire.Trial_TRIAL_APART:
 		return errOtherTrial
 	}
 	d.trialNumber = 0
-	return d.refuseSuspect(d.suspects.standing(f))
+	if s := d.suspects.standing(f); s == wire.Standing_STANDING_BARRED {
+		return d.refuseSuspect(s)
+	}
+	return d.refuseSuspect(wire.Standing_STANDING_SUSPECTED)
 }
 
 // refuseSuspect returns the final error of a request that is believed to crash servers.
@@ -302,27 +328,32 @@
 // reportTrialResult reports to the keepers that a suspect has succeeded or that its trial is
 // released; a crash of its server has been reported before.
 func (d *dispatch) reportTrialResult(err error) {
+	check := d.crashCheck
 	if err == nil {
+		check = nil // an earlier attempt's
 		d.suspects.served.Add(d.x.workspace(), d.x.request, time.Now())
+		if d.stream != nil && d.stream.hasData {
+			d.recordSurvival(time.Now())
+		}
+		if d.suspects.hasAny() && d.suspects.isSuspect(d.x.fingerprint()) {
+			f := d.x.fingerprint()
+			d.suspects.enqueue(crashBatch{succeeded: [][]byte{f[:]}})
+		}
 	}
-	switch {
-	case err == nil && d.suspects.hasAny() && d.suspects.isSuspect(d.x.fingerprint()):
-		f := d.x.fingerprint()
-		d.suspects.enqueue(crashBatch{succeeded: [][]byte{f[:]}})
-	case err != nil && d.trialNumber != 0:
-		go d.releaseTrial(d.x.fingerprint(), d.crashCheck)
+	if d.trialNumber != 0 {
+		go d.releaseTrial(d.trialSubjects, check)
 	}
 }
 
 // releaseTrial releases a trial without a result, once it is known that its server has not crashed.
-func (d *dispatch) releaseTrial(f sumachead.Fingerprint, l *crashCheck) {
+func (d *dispatch) releaseTrial(subjects [][]byte, l *crashCheck) {
 	if l != nil {
 		<-l.done
 		if l.crashed {
 			return
 		}
 	}
-	d.suspects.enqueue(crashBatch{releasedTrials: [][]byte{f[:]}})
+	d.suspects.enqueue(crashBatch{releasedTrials: subjects})
 }
 
 func (x *exchange) fingerprint() sumachead.Fingerprint {
@@ -331,12 +362,3 @@
 	}
 	return x.cachedFingerprint
 }
-
-// blockIDs returns the IDs of the prompt's blocks but the last, which is the request's or its session's
-// own.
-func (x *exchange) blockIDs() (ids []string) {
-	for _, b := range x.request.Parts[:max(len(x.request.Parts)-1, 0)] {
-		ids = append(ids, b.ID)
-	}
-	return ids
-}
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -133,3 +135,135 @@
 		t.Errorf("after a success: %v, active suspects: %t", err, g.suspects.hasAny())
 	}
 }
+
+// withBlocks sets the blocks of a prompt; the last one is the request's own.
+func withBlocks(ids ...string) func(*sumachead.CallerRequest) {
+	return func(r *sumachead.CallerRequest) {
+		r.Body = []byte(ids[len(ids)-1])
+		for _, id := range ids {
+			r.Parts = append(r.Parts, sumachead.PromptPart{ID: id, Tokens: 1})
+		}
+	}
+}
+
+// suspectBlock returns a suspect that is a prompt block of the test service.
+func suspectBlock(id, software string, s wire.Standing) *wire.Suspect {
+	b := &wire.PromptBlock{Service: "pool", Software: software, Id: id}
+	f := quarantine.BlockFingerprint(b)
+	return &wire.Suspect{Fingerprint: f[:], Standing: s, Block: b}
+}
+
+// Requests that share nothing but a prompt block that crashes servers must not crash one server each.
+func TestBlockThatCrashesServersIsBarred(t *testing.T) {
+	const requests = 12
+	var ids []string
+	for i := range requests {
+		ids = append(ids, string(rune('a'+i)))
+	}
+	backends, addresses := crashingServers(t, ids...)
+	g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, false, addresses)
+	keeper := &fakeKeeper{}
+	keeper.connect(g)
+	var last *sumachead.Refusal
+	for i := range requests {
+		_, _, err := sendRequest(g, ids[i], withBlocks("shared", "dead", ids[i]))
+		last = refusalOf(t, err)
+		const betweenCrashes = 300 * time.Millisecond
+		time.Sleep(betweenCrashes)
+		keeper.mu.Lock()
+		keeper.list.Apply(&wire.Suspects{Suspects: keeper.tracker.DecidePending(keeper.list.Standing, time.Now())})
+		keeper.mu.Unlock()
+		g.client.ApplySuspects(keeper.list.Since(0))
+	}
+	// Both shared blocks are in all pools, and none survives, so that they are barred together.
+	const maxRuns = 5
+	if n := totalRuns(backends); n > maxRuns {
+		t.Errorf("%d servers crashed, want at most %d", n, maxRuns)
+	}
+	want := &sumachead.Refusal{Verdict: sumachead.NotRun, Reason: sumachead.ReasonEndsServers, Detail: "servers crash when they respond to a block of this prompt"}
+	if diff := cmp.Diff(want, last); diff != "" {
+		t.Errorf("the last response (-want +got):\n%s", diff)
+	}
+}
+
+// A barred block must hold requests back at its version only, whether they are new or in flight.
+func TestBarredBlockHoldsRequestsBack(t *testing.T) {
+	tests := []struct {
+		name     string
+		software string
+		blocks   []string
+		inFlight bool
+		want     sumachead.Reason
+		verdict  sumachead.Verdict
+	}{
+		{"new request", "v1", []string{"dead", "own"}, false, sumachead.ReasonEndsServers, sumachead.NotRun},
+		{"request in flight", "v1", []string{"dead", "own"}, true, sumachead.ReasonEndsServers, sumachead.MayHaveRun},
+		{"new request, another version", "v2", []string{"dead", "own"}, false, "", ""},
+		{"request in flight, another version", "v2", []string{"dead", "own"}, true, "", ""},
+		{"another block", "v1", []string{"other", "own"}, true, "", ""},
+		{"its own last block", "v1", []string{"other", "dead"}, true, "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := &backend{id: "a"}
+			bar := func(g *Gateway) {
+				s := suspectBlock("dead", "v1", wire.Standing_STANDING_BARRED)
+				s.Revision = 1
+				g.client.ApplySuspects(&wire.Suspects{Revision: 1, Suspects: []*wire.Suspect{s}})
+			}
+			servers := map[string]string{"a": b.listen(t, func(c net.Conn, r *http.Request) {
+				const untilCanceled = 100 * time.Millisecond
+				time.Sleep(untilCanceled)
+				events(1, 2, true)(c, r)
+			})}
+			g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, true, servers)
+			setSoftware(t, g, servers, map[string]string{"a": tt.software})
+			if tt.inFlight {
+				b.onRequest = func() { bar(g) }
+			} else {
+				bar(g)
+			}
+			begun := time.Now()
+			_, _, err := sendRequest(g, "1", withBlocks(tt.blocks...))
+			if tt.want == "" {
+				if err != nil {
+					t.Error(err)
+				}
+				return
+			}
+			f := refusalOf(t, err)
+			if diff := cmp.Diff([]any{tt.want, tt.verdict}, []any{f.Reason, f.Verdict}); diff != "" {
+				t.Errorf("reason and verdict (-want +got):\n%s", diff)
+			}
+			const atOnce = 80 * time.Millisecond
+			if d := time.Since(begun); d > atOnce || !f.RetryAt.IsZero() {
+				t.Errorf("refused after %v, to retry at %v", d, f.RetryAt)
+			}
+		})
+	}
+}
+
+// A router that has seen a suspected block survive must report that at once.
+func TestSurvivedBlockIsRecalled(t *testing.T) {
+	a := &backend{id: "a"}
+	g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, true, map[string]string{"a": a.listen(t, events(1, 2, true))})
+	reports := make(chan *wire.EndsReport, 1)
+	g.suspects.ReportCrashes = func(_ context.Context, r *wire.EndsReport) (*wire.Suspects, error) {
+		reports <- r
+		return &wire.Suspects{}, nil
+	}
+	if _, _, err := sendRequest(g, "1", withBlocks("sound", "own")); err != nil {
+		t.Fatal(err)
+	}
+	s := suspectBlock("sound", "", wire.Standing_STANDING_SUSPECTED)
+	s.Revision = 1
+	g.client.ApplySuspects(&wire.Suspects{Revision: 1, Suspects: []*wire.Suspect{s, suspectBlock("unknown", "", wire.Standing_STANDING_SUSPECTED)}})
+	select {
+	case r := <-reports:
+		if diff := cmp.Diff([][]byte{s.GetFingerprint()}, r.GetRecalled()); diff != "" {
+			t.Errorf("recalled blocks (-want +got):\n%s", diff)
+		}
+	case <-time.After(time.Second):
+		t.Error("nothing was reported")
+	}
+}
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -1,7 +1,9 @@
-// Package quarantine detects requests that crash the backend servers that run them.
+// Package quarantine detects requests, and blocks of prompts, that crash the backend servers that run
+// them.
 //
 // A caller that retries such a request may use another request ID. So requests are identified by
-// their workspace and content: their [Fingerprint].
+// their workspace and content: their [Fingerprint]. Requests that share nothing but a prompt block that
+// crashes servers have different contents, so evidence is also kept by block ([BlockFingerprint]).
 package quarantine
 
 import (
@@ -12,6 +14,7 @@
 	"hash"
 
 	"sumachead"
+	"sumachead/api/wire"
 )
 
 // keySize is the size of a key in bytes, the same as that of a fingerprint.
@@ -35,6 +38,16 @@
 	return sumachead.Fingerprint(h.Sum(nil)[:len(sumachead.Fingerprint{})])
 }
 
+// BlockFingerprint returns the fingerprint of a prompt block at one software version of a service:
+// another version may respond to it.
+func BlockFingerprint(b *wire.PromptBlock) sumachead.Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{"block", b.GetService(), b.GetSoftware(), b.GetId()} {
+		writePart(h, []byte(part))
+	}
+	return sumachead.Fingerprint(h.Sum(nil)[:len(sumachead.Fingerprint{})])
+}
+
 // writePart writes a part prefixed with its length, so that different lists of parts never yield
 // the same bytes.
 func writePart(h hash.Hash, part []byte) {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -11,12 +11,12 @@
 	"sumachead/api/wire"
 )
 
-// maxSuspects bounds the suspects that a fleet keeps; beyond it, those with the oldest change are
-// removed. A fleet has that many only if servers crash by the dozen.
+// maxSuspects bounds the suspects that a fleet keeps; beyond it, cleared ones are removed first and
+// barred ones last, each by the oldest change. A fleet has that many only if servers crash by the dozen.
 const maxSuspects = 1024
 
 // suspectMap holds suspects by fingerprint, including cleared ones; the messages are replaced, never
-// modified. It evicts the one with the oldest change if there are too many.
+// modified. It evicts one if there are too many.
 type suspectMap map[sumachead.Fingerprint]*wire.Suspect
 
 // put sets a suspect and returns the one that is evicted for it; nil for none.
@@ -25,7 +25,7 @@
 	if len(s) <= maxSuspects {
 		return nil
 	}
-	evicted = slices.MinFunc(slices.Collect(maps.Values(s)), byRevision)
+	evicted = slices.MinFunc(slices.Collect(maps.Values(s)), byStanding)
 	delete(s, sumachead.Fingerprint(evicted.GetFingerprint()))
 	return evicted
 }
@@ -33,6 +33,11 @@
 // byRevision compares suspects by the revisions of their last changes.
 func byRevision(a, b *wire.Suspect) int { return cmp.Compare(a.GetRevision(), b.GetRevision()) }
 
+// byStanding compares suspects by what is held against them, and then by revision.
+func byStanding(a, b *wire.Suspect) int {
+	return cmp.Or(cmp.Compare(a.GetStanding(), b.GetStanding()), byRevision(a, b))
+}
+
 // parse parses a fingerprint; ok is false if the length is wrong.
 func parse(b []byte) (f sumachead.Fingerprint, ok bool) {
 	if len(b) != len(f) {
@@ -84,8 +89,12 @@
 	}
 	for _, e := range r.GetEnds() {
 		add(e.GetFingerprint())
+		for _, b := range e.GetBlocks() {
+			f := BlockFingerprint(blockOf(e, b))
+			add(f[:])
+		}
 	}
-	for _, f := range r.GetSurvived() {
+	for _, f := range slices.Concat(r.GetSurvived(), r.GetRecalled()) {
 		add(f)
 	}
 	return out
--- a/internal/quarantine/successes_test.go
+++ b/internal/quarantine/successes_test.go
@@ -36,7 +36,7 @@
 	for i := range 3 * maxSuccesses {
 		s.Add("clerks", request(fmt.Sprint(i)), start)
 	}
-	if n := len(s.recent) + len(s.previous); n > 2*maxSuccesses {
+	if n := len(s.set.recent) + len(s.set.previous); n > 2*maxSuccesses {
 		t.Errorf("%d requests are remembered", n)
 	}
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -32,6 +32,9 @@
 	// common cause, such as the failure of a rack or a data hall, and not a request that only some
 	// of them ran.
 	correlationWindow = 250 * time.Millisecond
+	// lateReportTime is how long reports of a crash are awaited: late ones come from routers that were
+	// partitioned.
+	lateReportTime = 4 * correlationWindow
 	// maxTrialTime bounds a trial whose router does not report the result: several times what a
 	// request may wait for a slot and be read (2.4 s at busy engines).
 	maxTrialTime = 10 * time.Second
@@ -66,6 +69,10 @@
 	// ran, and decided the requests whose trial ended with a crash in that time.
 	recent  []crash
 	decided []sumachead.Fingerprint
+	// history are the crashes within historyTime, by service and version, and barredBlocks the blocks
+	// that have been barred here.
+	history      []versionCrash
+	barredBlocks []sumachead.Fingerprint
 }
 
 // HandleReport records a router's report and returns the standings that it changes. The function
@@ -77,8 +84,12 @@
 	d.addServers(r, now)
 	for _, e := range r.GetEnds() {
 		n.recordCrash(r.GetNode(), e)
+		n.recordBlockCrashes(r.GetNode(), e)
 	}
 	n.decideTrials()
+	for _, b := range r.GetRecalled() {
+		n.recall(b)
+	}
 	for _, b := range r.GetSurvived() {
 		if f, ok := parse(b); ok {
 			n.change(f, wire.Standing_STANDING_CLEARED)
@@ -102,58 +113,93 @@
 	changes  []*wire.Suspect
 }
 
-// change adds the new standing of a request to the changes, if it differs from the current one.
+// change adds the new standing of a request or block to the changes, if it differs from the current
+// one.
 func (n *update) change(f sumachead.Fingerprint, s wire.Standing) {
-	if n.standing(f) != s {
+	if n.current(f) != s {
 		n.changes = append(n.changes, n.suspect(f, s, n.now))
 	}
 }
 
+// current returns the standing of a request or block, including the changes of this report.
+func (n *update) current(f sumachead.Fingerprint) wire.Standing {
+	for _, x := range slices.Backward(n.changes) {
+		if sumachead.Fingerprint(x.GetFingerprint()) == f {
+			return x.GetStanding()
+		}
+	}
+	return n.standing(f)
+}
+
 // recordCrash records that a server crashed while it ran a request.
 func (n *update) recordCrash(node string, e *wire.ServerEnd) {
 	f, ok := parse(e.GetFingerprint())
 	if !ok {
 		return
 	}
-	c := n.addCrash(f, node, e, n.now)
-	if c != nil && len(c.crashes) >= suspectCrashes && n.standing(f) == wire.Standing_STANDING_CLEARED {
+	c := n.recordOf(f, n.now)
+	if c == nil {
+		return
+	}
+	if e.GetServed() {
+		c.succeededAt = n.now
+	}
+	n.addCrash(c, f, node, e, n.now)
+	if c.isSuspicious() && n.current(f) == wire.Standing_STANDING_CLEARED {
 		n.change(f, wire.Standing_STANDING_SUSPECTED)
 	}
 }
 
-// decideTrials bars the requests whose recent trial proves that they crash servers, and lifts the
-// bar where another crash has invalidated the proof.
+// decideTrials bars the requests and blocks whose recent trial proves that they crash servers, and
+// lifts the bar where another crash has invalidated the proof.
 func (n *update) decideTrials() {
 	for _, f := range n.decided {
 		switch c := n.records[f]; {
 		case c == nil:
-		case c.isProven():
-			n.change(f, wire.Standing_STANDING_BARRED)
-		case n.standing(f) == wire.Standing_STANDING_BARRED:
+		case n.isProven(f, c):
+			n.bar(f, c)
+		case n.current(f) == wire.Standing_STANDING_BARRED:
 			n.change(f, wire.Standing_STANDING_SUSPECTED)
 		}
 	}
 }
 
-// addCrash counts a crash of a server that ran a request, unless it is known: a router sends a
-// report again if its change was not committed. It returns nil if there are too many records.
-// The caller holds mu.
-func (d *Tracker) addCrash(f sumachead.Fingerprint, node string, e *wire.ServerEnd, now time.Time) *record {
-	c := d.recordOf(f, now)
-	if c == nil {
-		return nil
+// isProven reports whether the last trial proves that a request or block crashes servers.
+func (n *update) isProven(f sumachead.Fingerprint, c *record) bool {
+	return c.led || c.hasTrialCrash() && (c.block == nil || n.isBlockProven(f, c))
+}
+
+// bar bars a request or block.
+func (n *update) bar(f sumachead.Fingerprint, c *record) {
+	if n.current(f) != wire.Standing_STANDING_BARRED {
+		c.bars++
+		n.change(f, wire.Standing_STANDING_BARRED)
 	}
+	if c.block == nil {
+		return
+	}
+	if !slices.Contains(n.barredBlocks, f) {
+		n.barredBlocks = append(n.barredBlocks, f)
+	}
+	n.explain(f, c)
+}
+
+// addCrash counts a crash of a server that ran a request or responded to a block, unless it is known,
+// as a router sends a report again if its change was not committed, or a barred block explains it. The
+// caller holds mu.
+func (d *Tracker) addCrash(c *record, f sumachead.Fingerprint, node string, e *wire.ServerEnd, now time.Time) {
 	x := crashOf(e, now)
-	if e.GetServed() {
-		c.succeededAt = now
+	if d.isExplained(f, x) {
+		return
 	}
-	if !c.add(x) {
-		return c
+	if c.add(x) {
+		c.otherCrashes = slices.DeleteFunc(c.otherCrashes, func(server string) bool { return server == x.server })
 	}
-	c.otherCrashes = slices.DeleteFunc(c.otherCrashes, func(server string) bool { return server == x.server })
 	if c.isOnTrial(node, now) && c.trial.server == x.server {
+		c.trialWith = c.trial.with
 		d.endTrial(c)
 		c.trialCrash = &x
+		c.trialCrashes++
 		for _, o := range d.recent {
 			c.addOtherCrash(o)
 		}
@@ -161,7 +207,6 @@
 			d.decided = append(d.decided, f)
 		}
 	}
-	return c
 }
 
 // crashOf returns the crash that a router has reported.
@@ -171,14 +216,12 @@
 
 // addServers records which servers have crashed and removes old crashes. The caller holds mu.
 func (d *Tracker) addServers(r *wire.EndsReport, now time.Time) {
-	const windows = 4 // later reports come from routers that were partitioned
-	d.recent = slices.DeleteFunc(d.recent, func(o crash) bool { return now.Sub(o.at) > windows*correlationWindow })
-	d.decided = slices.DeleteFunc(d.decided, func(f sumachead.Fingerprint) bool {
-		c := d.records[f]
-		return c == nil || c.trialCrash == nil || now.Sub(c.trialCrash.at) > windows*correlationWindow
-	})
+	d.recent = slices.DeleteFunc(d.recent, func(o crash) bool { return now.Sub(o.at) > lateReportTime })
+	d.dropDecided(now)
+	d.history = slices.DeleteFunc(d.history, func(o versionCrash) bool { return now.Sub(o.at) > historyTime })
 	for _, e := range r.GetEnds() {
 		x := crashOf(e, now)
+		d.addHistory(x, e)
 		if slices.ContainsFunc(d.recent, x.same) {
 			continue
 		}
@@ -189,33 +232,69 @@
 	}
 }
 
-// DecideTrial decides whether a router may run a suspected request on trial at a server. The
-// function standing returns the current standing of a request.
+// HasPending reports whether standings may change without a further report.
+func (d *Tracker) HasPending() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.decided) > 0
+}
+
+// DecidePending returns the changes of standings that become due without a further report, because all
+// reports of a crash have had time to arrive. The function standing returns the current standings.
+func (d *Tracker) DecidePending(standing func(sumachead.Fingerprint) wire.Standing, now time.Time) []*wire.Suspect {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := &update{Tracker: d, standing: standing, now: now}
+	n.decideTrials()
+	d.dropDecided(now)
+	return n.changes
+}
+
+// dropDecided drops the decided trials that later reports no longer change. The caller holds mu.
+func (d *Tracker) dropDecided(now time.Time) {
+	d.decided = slices.DeleteFunc(d.decided, func(f sumachead.Fingerprint) bool {
+		c := d.records[f]
+		return c == nil || c.trialCrash == nil || now.Sub(c.trialCrash.at) > lateReportTime
+	})
+}
+
+// DecideTrial decides whether a router may run a request on trial at a server, if the request or
+// blocks of its prompt are suspected. The function standing returns the current standing of each.
 func (d *Tracker) DecideTrial(r *wire.TrialRequest, standing func(sumachead.Fingerprint) wire.Standing, now time.Time) wire.Trial {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	f, ok := parse(r.GetFingerprint())
-	c := d.recordOf(f, now)
-	if !ok || c == nil || standing(f) == wire.Standing_STANDING_BARRED || c.isPending(now) {
-		return wire.Trial_TRIAL_REFUSED
-	}
-	c.trialCrash, c.otherCrashes = nil, nil
 	next := &trial{
 		node: sumachead.NodeID(r.GetNode()), number: r.GetNumber(), server: r.GetServer(),
 		until: now.Add(min(time.Duration(r.GetDeadlineMillis())*time.Millisecond, maxTrialTime)),
 	}
-	if c.trial != nil && now.Before(c.trial.until) && (c.trial.node != next.node || c.trial.number != next.number) {
+	for _, b := range slices.Concat([][]byte{r.GetFingerprint()}, r.GetBlocks()) {
+		if len(b) == 0 {
+			continue
+		}
+		f, ok := parse(b)
+		c := d.recordOf(f, now)
+		if !ok || c == nil || standing(f) == wire.Standing_STANDING_BARRED || c.isPending(now) || c.isOnOtherTrial(next, now) {
+			return wire.Trial_TRIAL_REFUSED
+		}
+		next.with = append(next.with, f)
+	}
+	if len(next.with) == 0 {
 		return wire.Trial_TRIAL_REFUSED
 	}
-	if other := d.records[d.trials[next.server]]; other != nil && other != c && other.trial != nil && now.Before(other.trial.until) {
+	at := d.trials[next.server]
+	if other := d.records[at]; other != nil && !slices.Contains(next.with, at) && other.trial != nil && now.Before(other.trial.until) {
 		return wire.Trial_TRIAL_APART
 	}
-	d.endTrial(c)
-	c.trial = next
+	for _, f := range next.with {
+		c := d.records[f]
+		c.resetTrialCrash()
+		d.endTrial(c)
+		c.trial = next
+	}
 	if d.trials == nil {
 		d.trials = make(map[string]sumachead.Fingerprint)
 	}
-	d.trials[next.server] = f
+	d.trials[next.server] = next.with[0]
 	return wire.Trial_TRIAL_GRANTED
 }
 
@@ -257,13 +336,17 @@
 		switch s.GetStanding() {
 		case wire.Standing_STANDING_BARRED:
 			if c := d.records[f]; c != nil {
-				c.trialCrash, c.otherCrashes = nil, nil
+				c.resetTrialCrash()
+				c.trialCrashes, c.led = 0, false
 			}
 			changes = append(changes, d.suspect(f, wire.Standing_STANDING_SUSPECTED, now))
 		case wire.Standing_STANDING_SUSPECTED:
 			d.remove(f)
 			changes = append(changes, d.suspect(f, wire.Standing_STANDING_CLEARED, now))
+		default:
+			continue
 		}
+		changes[len(changes)-1].Block = s.GetBlock()
 	}
 	return changes
 }
@@ -292,7 +375,13 @@
 	if s == wire.Standing_STANDING_BARRED && c != nil && now.Sub(c.succeededAt) < successTTL {
 		ttl = retrialDelay
 	}
+	if s == wire.Standing_STANDING_BARRED && c != nil && c.block != nil && c.bars == 1 {
+		ttl = firstBarTTL
+	}
 	out := &wire.Suspect{Fingerprint: f[:], Standing: s, SinceUnixMillis: now.UnixMilli(), UntilUnixMillis: now.Add(ttl).UnixMilli()}
+	if c != nil {
+		out.Block = c.block
+	}
 	if c != nil && s != wire.Standing_STANDING_CLEARED {
 		for _, e := range c.crashes[max(len(c.crashes)-maxNamedServers, 0):] {
 			out.Servers = append(out.Servers, e.server)
@@ -316,8 +405,9 @@
 func (d *Tracker) clear(f sumachead.Fingerprint, now time.Time) {
 	if c := d.records[f]; c != nil {
 		d.endTrial(c)
-		d.records[f] = &record{succeededAt: now, updatedAt: now}
+		d.records[f] = &record{block: c.block, succeededAt: now, updatedAt: now}
 	}
+	d.barredBlocks = slices.DeleteFunc(d.barredBlocks, func(o sumachead.Fingerprint) bool { return o == f })
 }
 
 // remove removes the record of a request. The caller holds mu.
--- a/internal/tool/suspects.go
+++ b/internal/tool/suspects.go
@@ -2,17 +2,19 @@
 
 import (
 	"encoding/hex"
+	"fmt"
 	"strings"
 
 	"sumachead"
 	"sumachead/api/wire"
 )
 
-// suspectsShow prints the requests of a declared fleet that crash servers, or clears one.
+// suspectsShow prints the requests and prompt blocks of a declared fleet that crash servers, or clears
+// one.
 type suspectsShow struct {
 	app *app
 	fleetOptions
-	Clear string `long:"clear" value-name:"FINGERPRINT" description:"clear this request"`
+	Clear string `long:"clear" value-name:"FINGERPRINT" description:"clear this request or prompt block"`
 }
 
 // Execute implements flags.Commander.
@@ -27,7 +29,7 @@
 	return s.print(list)
 }
 
-// clear lifts the suspicion or bar on a request.
+// clear lifts the suspicion or bar on a request or prompt block.
 func (s *suspectsShow) clear() error {
 	f, err := hex.DecodeString(s.Clear)
 	if err != nil || len(f) != len(sumachead.Fingerprint{}) {
@@ -48,8 +50,12 @@
 		s.app.printf("nothing is held against any request\n")
 	}
 	for _, x := range list.GetSuspects() {
-		s.app.printf("%s: %s since %s; crashed servers: %s\n", hex.EncodeToString(x.GetFingerprint()), words[x.GetStanding()],
-			formatTime(x.GetSinceUnixMillis()), strings.Join(x.GetServers(), " "))
+		what := ""
+		if b := x.GetBlock(); b != nil {
+			what = fmt.Sprintf("; prompt block %s at version %q of %s", b.GetId(), b.GetSoftware(), b.GetService())
+		}
+		s.app.printf("%s: %s since %s; crashed servers: %s%s\n", hex.EncodeToString(x.GetFingerprint()), words[x.GetStanding()],
+			formatTime(x.GetSinceUnixMillis()), strings.Join(x.GetServers(), " "), what)
 	}
 	return nil
 }
