gateway: unmarked streams of servers that leave may be broken off, too

Cause: whether a server still runs was not asked if it was leaving, since a server may close its listener before it has finished its responses.

Evidence: TestStreamOfALeavingServerThatCrashesIsBroken failed ('crashes': complete, want broken).

Change: it is asked for all servers. A leaving server that refuses connections has ended, and what it had in flight without a marked end has broken off. The stand-in crashes leaving servers as well.

--- a/internal/gateway/responseend.go
+++ b/internal/gateway/responseend.go
@@ -37,14 +37,7 @@
 
 // isComplete reports whether the response of the last attempt's server is complete.
 func (d *dispatch) isComplete(e responseEnd) bool {
-	return e.isComplete(func() upstream.Liveness {
-		r := d.x.placement.Record
-		if d.servers.IsLeaving(r.GetId()) {
-			// It closes its listener before it has finished its responses.
-			return upstream.Accepting
-		}
-		return d.crashes.liveness(r)
-	})
+	return e.isComplete(func() upstream.Liveness { return d.crashes.liveness(d.x.placement.Record) })
 }
 
 // sendsEvents reports whether a response is an event stream. Servers may omit its content type.
--- a/internal/gateway/responseend_test.go
+++ b/internal/gateway/responseend_test.go
@@ -243,3 +243,23 @@
 		}
 	}
 }
+
+// A stream without a marked end must not be complete because its server was leaving when it crashed.
+func TestStreamOfALeavingServerThatCrashesIsBroken(t *testing.T) {
+	for _, end := range []serverEnd{serverRunsOn, serverCrashes} {
+		t.Run(string(end), func(t *testing.T) {
+			b := &backend{id: "a"}
+			s := truncatedResponse{upstream.FramingClose, "text/event-stream", twoEvents, len(twoEvents) / 2, end}
+			g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, false, map[string]string{"a": s.listen(t, b)})
+			b.onRequest = func() { g.servers.MarkLeaving("a", time.Now()) }
+			_, _, err := sendRequest(g, "1", nil)
+			want := "complete"
+			if end == serverCrashes {
+				want = "broken"
+			}
+			if got := outcomeOf(err); got != want {
+				t.Errorf("%s, want %s (error %v)", got, want, err)
+			}
+		})
+	}
+}
--- a/internal/standin/framing.go
+++ b/internal/standin/framing.go
@@ -62,10 +62,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	leaving := r.draining || !r.leavingSince.IsZero()
 	if f.CutOneIn > 0 && rand.IntN(f.CutOneIn) == 0 && writes > 0 {
 		x.cut, x.cutWrites = cut(1+rand.IntN(int(cutReset))), rand.IntN(writes)
-		if f.CutCrashes && !leaving { // one that leaves is expected to end once it has completed its responses
+		if f.CutCrashes {
 			x.cut = cutCrash
 		}
 	}
