quarantine: a block barred at one software version is tried at the others first

Cause: evidence is kept by version, since another version may respond to the block, and each version was found by itself, by as many crashes.

Evidence: TestBarredBlockIsTriedAtOtherVersions fails without the change.

Change: once a block is barred at one version it is suspected at the others that have crashed, so that one request at a time is tried, and the first crash there bars it, unless it has survived there.

--- a/internal/quarantine/blocks.go
+++ b/internal/quarantine/blocks.go
@@ -88,19 +88,15 @@
 			c.requests = append(c.requests, request)
 		}
 		n.addCrash(c, f, node, e, n.now)
-		switch n.current(f) {
-		case wire.Standing_STANDING_CLEARED:
-			if c.isSuspicious() {
-				c.suspectedAt = n.now
-				n.change(f, wire.Standing_STANDING_SUSPECTED)
-			}
-		case wire.Standing_STANDING_SUSPECTED:
-			if n.leads(f, c) {
-				c.led = true
-				n.bar(f, c)
-			}
-		case wire.Standing_STANDING_BARRED:
+		switch s := n.current(f); {
+		case s == wire.Standing_STANDING_BARRED:
 			n.explain(f, c)
+		case c.has(crashOf(e, n.now)) && !c.recalled && n.isBarredElsewhere(block), s == wire.Standing_STANDING_SUSPECTED && n.leads(f, c):
+			c.led = true
+			n.bar(f, c)
+		case s == wire.Standing_STANDING_CLEARED && c.isSuspicious():
+			c.suspectedAt = n.now
+			n.change(f, wire.Standing_STANDING_SUSPECTED)
 		}
 	}
 }
@@ -196,6 +192,30 @@
 	return true
 }
 
+// isBarredElsewhere reports whether a block is barred at another version of its service.
+func (n *update) isBarredElsewhere(b *wire.PromptBlock) bool {
+	return slices.ContainsFunc(n.barredBlocks, func(g sumachead.Fingerprint) bool {
+		o := n.records[g].blockOrNil()
+		return o.GetService() == b.GetService() && o.GetId() == b.GetId() && o.GetSoftware() != b.GetSoftware()
+	})
+}
+
+// suspectElsewhere suspects a barred block at the other versions of its service under which servers have
+// crashed: it is tried there before it runs freely.
+func (n *update) suspectElsewhere(b *wire.PromptBlock) {
+	for _, x := range n.history {
+		if x.service != b.GetService() || x.software == b.GetSoftware() {
+			continue
+		}
+		other := &wire.PromptBlock{Service: x.service, Software: x.software, Id: b.GetId()}
+		f := BlockFingerprint(other)
+		if c := n.recordOf(f, n.now); c != nil && !c.recalled && n.current(f) == wire.Standing_STANDING_CLEARED {
+			c.block, c.suspectedAt = other, n.now
+			n.change(f, wire.Standing_STANDING_SUSPECTED)
+		}
+	}
+}
+
 // explain removes the crashes under a barred block from the records of all others, which just happened
 // to run beside it. Those that are barred for these crashes alone are cleared as well.
 func (n *update) explain(f sumachead.Fingerprint, c *record) {
--- a/internal/quarantine/blocks_test.go
+++ b/internal/quarantine/blocks_test.go
@@ -290,3 +290,49 @@
 		t.Errorf("standing %v, %d suspects", got, len(l.suspects))
 	}
 }
+
+// A block that is barred at one software version must be tried at the others before it runs freely, and
+// is barred there by the first crash, unless it has survived there.
+func TestBarredBlockIsTriedAtOtherVersions(t *testing.T) {
+	crashAtV2 := func(b *blockFixture, server string, survived bool, blocks ...string) {
+		b.now = b.now.Add(2 * correlationWindow)
+		b.request++
+		f := sumachead.Fingerprint{7, b.request}
+		e := &wire.ServerEnd{Fingerprint: f[:], Server: server, Service: "pool", Software: "v2"}
+		for _, id := range blocks {
+			e.Blocks = append(e.Blocks, &wire.CrashBlock{Id: id, Survived: survived})
+		}
+		b.handleReport(&wire.EndsReport{Node: "a", Ends: []*wire.ServerEnd{e}})
+	}
+	tests := []struct {
+		name string
+		// known states that a server of the other version has crashed before.
+		known bool
+		do    func(b *blockFixture)
+		want  wire.Standing
+	}{
+		{"no crash at an unknown version", false, func(*blockFixture) {}, cleared},
+		{"no crash at a known version", true, func(*blockFixture) {}, suspected},
+		{"a crash at an unknown version", false, func(b *blockFixture) { crashAtV2(b, "t1", false, "x") }, barred},
+		{"a crash at a known version", true, func(b *blockFixture) { crashAtV2(b, "t1", false, "x") }, barred},
+		{"a crash where it had survived", false, func(b *blockFixture) { crashAtV2(b, "t1", true, "x") }, cleared},
+		{"a crash under another block", true, func(b *blockFixture) { crashAtV2(b, "t1", false, "y") }, suspected},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := &blockFixture{fixture: newFixture(), t: t}
+			if tt.known {
+				crashAtV2(b, "t0", false, "z")
+			}
+			b.suspect()
+			b.try("s3", "x")
+			b.crashAt("a", "s3", "x")
+			b.wait()
+			tt.do(b)
+			f := BlockFingerprint(&wire.PromptBlock{Service: "pool", Software: "v2", Id: "x"})
+			if diff := cmp.Diff(tt.want, b.list.Standing(f)); diff != "" {
+				t.Errorf("standing at the other version (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -58,6 +58,14 @@
 	at     time.Time
 }
 
+// blockOrNil returns the block; nil for a request, and for no record.
+func (c *record) blockOrNil() *wire.PromptBlock {
+	if c == nil {
+		return nil
+	}
+	return c.block
+}
+
 // hasTrialCrash reports whether the server of the last trial has crashed and no other crash at about
 // the same time makes that worthless.
 func (c *record) hasTrialCrash() bool { return c.trialCrash != nil && len(c.otherCrashes) == 0 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -180,6 +180,7 @@
 	}
 	if !slices.Contains(n.barredBlocks, f) {
 		n.barredBlocks = append(n.barredBlocks, f)
+		n.suspectElsewhere(c.block)
 	}
 	n.explain(f, c)
 }
