Soak: prompt blocks that crash engines, and callers that crowd at one router

Callers' prompts share blocks; for some seconds at a time engines crash on one block, and most callers come to one router. After all faults a block that crashes engines must be held back in time: at most three requests with it later than 3 s after the fifth crash.

--- a/internal/scenario/crashingblocks_test.go
+++ b/internal/scenario/crashingblocks_test.go
@@ -81,20 +81,20 @@
 	}
 }
 
-// crashTimes returns when engines crashed on the block, in order.
-func (f *fleet) crashTimes() (out []time.Time) {
+// crashTimesOn returns when engines crashed on a block, in order.
+func (f *fleet) crashTimesOn(block string) (out []time.Time) {
 	for _, r := range f.servers() {
-		out = append(out, r.CrashTimes(crashBlock)...)
+		out = append(out, r.CrashTimes(block)...)
 	}
 	slices.SortFunc(out, time.Time.Compare)
 	return out
 }
 
-// sendsWithBlock returns when requests with the block reached engines.
-func (f *fleet) sendsWithBlock() (out []time.Time) {
+// sendsWithBlock returns when requests with a block reached engines.
+func (f *fleet) sendsWithBlock(block string) (out []time.Time) {
 	for _, r := range f.servers() {
 		for _, x := range r.Runs() {
-			if strings.Contains(x.Blocks, crashBlock+":") {
+			if strings.Contains(x.Blocks, block+":") {
 				out = append(out, x.At)
 			}
 		}
@@ -147,13 +147,13 @@
 // check checks what reached engines and what became of the harmless requests.
 func (b *blockCallers) check(t *testing.T) {
 	t.Helper()
-	crashes := b.f.crashTimes()
+	crashes := b.f.crashTimesOn(crashBlock)
 	if len(crashes) == 0 {
 		t.Fatal("no engine has crashed")
 	}
 	last := crashes[min(len(crashes), toleratedCrashes)-1]
 	late := 0
-	for _, at := range b.f.sendsWithBlock() {
+	for _, at := range b.f.sendsWithBlock(crashBlock) {
 		if at.After(last.Add(contactTime)) {
 			late++
 		}
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -37,6 +37,7 @@
 	// faultTimes are the times at which faults of a process began or ended.
 	faultTimes map[string][]time.Time
 	budget     scarceBudget
+	blocks     soakBlocks
 }
 
 const (
@@ -134,6 +135,9 @@
 	s.runVersions(&all, releases, breaks, until)
 	framings := rand.New(rand.NewPCG(s.rand.Uint64(), series+7)) // as above
 	all.Go(func() { s.frameResponses(framings, until) })
+	crowds, blocks := rand.New(rand.NewPCG(s.rand.Uint64(), series+8)), rand.New(rand.NewPCG(s.rand.Uint64(), series+9)) // as above
+	all.Go(func() { s.crowdRouters(crowds, until) })
+	all.Go(func() { s.crashOnBlocks(blocks, until) })
 	all.Wait()
 }
 
@@ -168,6 +172,10 @@
 	for time.Now().Before(until) {
 		q := fleetRequest{router: fmt.Sprintf("router-%d", r.IntN(s.f.shape.routers)+1), prompt: 20 + r.IntN(100), events: 1 + r.IntN(30), client: client}
 		q.kind = []string{"stream", "stream", "hold", "check"}[r.IntN(4)]
+		q.router = s.blocks.router(q.router)
+		if q.kind == "stream" {
+			q.blocks = s.blocks.blocks()
+		}
 		if r.IntN(10) == 0 {
 			q.cancelAfter = time.Duration(r.IntN(80)) * time.Millisecond
 		}
@@ -283,6 +291,7 @@
 	}
 	s.checkBudget()
 	s.checkCrashes()
+	s.checkBlocks()
 	s.checkNotices()
 	s.checkLimits()
 	s.checkRollouts()
