--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -26,6 +26,8 @@
 	keepers, routers, relays, engines, desks int
 	// prepaid and scarce are as in a fleetDocument.
 	prepaid, scarce int
+	// linkMbps is the capacity of the hosts' links; 0 if it is not known.
+	linkMbps float64
 }
 
 type fleet struct {
@@ -164,6 +166,7 @@
 		"zones.hall-1=r", "zones.hall-2=r", "zones.hall-3=r", "listen.inner=" + p.rpc, "seeds=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%t", first),
 		"data_dir=" + p.data, "limits.memory_mb=200", "limits.max_fds=2000", "heartbeat_ms=300", "bounds.grace_s=6",
 		"bounds.retry_budget_ratio=0.2", "bounds.budget_extra=50", "bounds.budget_window_s=10", "budget.priority_reserve=true", "a.later=field",
+		fmt.Sprintf("limits.link_mbps=%g", f.shape.linkMbps),
 		fmt.Sprintf("bounds.exposure_share=%g", exposureShare), fmt.Sprintf("bounds.exposure_slack=%d", exposureSlack),
 		fmt.Sprintf("bounds.cold_overage=%g", coldOverage), fmt.Sprintf("bounds.cold_slack=%d", coldSlack),
 	}
