quarantine: a block that another barred one explains is no longer held by its lead

Found by reading: a block that was barred by its lead, and cleared because another barred block explains its crashes, kept the mark of its lead, by which the next report could bar it again. Renamed: barredByLead.

--- a/internal/quarantine/blocks.go
+++ b/internal/quarantine/blocks.go
@@ -92,7 +92,7 @@
 		case s == wire.Standing_STANDING_BARRED:
 			n.explain(f, c)
 		case c.has(crashOf(e, n.now)) && !c.recalled && n.isBarredElsewhere(block), s == wire.Standing_STANDING_SUSPECTED && n.leads(f, c):
-			c.led = true
+			c.barredByLead = true
 			n.bar(f, c)
 		case s == wire.Standing_STANDING_CLEARED && c.isSuspicious():
 			c.suspectedAt = n.now
@@ -228,7 +228,7 @@
 		if standing == wire.Standing_STANDING_BARRED && len(left) > 0 {
 			continue
 		}
-		o.crashes = left
+		o.crashes, o.barredByLead = left, false
 		if o.trialCrash != nil && c.has(*o.trialCrash) {
 			o.trialCrashes = max(o.trialCrashes-1, 0)
 			o.trialCrash, o.otherCrashes, o.trialWith = nil, nil, nil
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -20,8 +20,8 @@
 	suspectedAt time.Time
 	// bars counts how often it was barred since its last success.
 	bars int
-	// led is set once a block was barred because it explains many more crashes than any other.
-	led bool
+	// barredByLead is set once a block was barred because it explains many more crashes than any other.
+	barredByLead bool
 	// trialCrashes counts the servers of a block's trials that have crashed since its last success.
 	trialCrashes int
 	// crashes are the newest crashes of servers that ran it since its last success, oldest first.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -57,7 +57,8 @@
 	maxNamedServers = 4
 )
 
-// Tracker tracks, at the leading keeper, the requests that were running when servers crashed. Its
+// Tracker tracks, at the leading keeper, the requests that were running when servers crashed, and the
+// blocks of their prompts. Its
 // state is not replicated: only the resulting standings are in the fleet's log ([List]), and a new
 // leader starts counting from there. It is safe for concurrent use; the zero value is ready to use.
 type Tracker struct {
@@ -166,7 +167,7 @@
 
 // isProven reports whether the last trial proves that a request or block crashes servers.
 func (n *update) isProven(f sumachead.Fingerprint, c *record) bool {
-	return c.led || c.hasTrialCrash() && (c.block == nil || n.isBlockProven(f, c))
+	return c.barredByLead || c.hasTrialCrash() && (c.block == nil || n.isBlockProven(f, c))
 }
 
 // bar bars a request or block.
@@ -338,7 +339,7 @@
 		case wire.Standing_STANDING_BARRED:
 			if c := d.records[f]; c != nil {
 				c.resetTrialCrash()
-				c.trialCrashes, c.led = 0, false
+				c.trialCrashes, c.barredByLead = 0, false
 			}
 			changes = append(changes, d.suspect(f, wire.Standing_STANDING_SUSPECTED, now))
 		case wire.Standing_STANDING_SUSPECTED:
