gateway: a trial is released when its request goes on at another software version

Cause: a request was granted a trial at a server that it did not reach, and went on at a version at which the block was not suspected. The trial was forgotten and not released, so that nothing was tried at the first version until its time was up.

Change: suspects that are not on a request's next trial are released.

--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -291,7 +293,7 @@
 		r.Fingerprint = f[:]
 	}
 	r.Blocks, _ = d.blockStandings(l.Record.GetSoftware())
-	if d.trialSubjects = trialSubjects(r); len(d.trialSubjects) == 0 {
+	if d.changeTrial(trialSubjects(r)); len(d.trialSubjects) == 0 {
 		d.trialNumber = 0
 		return nil
 	}
@@ -305,13 +307,28 @@
 	case wire.Trial_TRIAL_APART:
 		return errOtherTrial
 	}
-	d.trialNumber = 0
+	d.trialNumber, d.trialSubjects = 0, nil
 	if s := d.suspects.standing(f); s == wire.Standing_STANDING_BARRED {
 		return d.refuseSuspect(s)
 	}
 	return d.refuseSuspect(wire.Standing_STANDING_SUSPECTED)
 }
 
+// changeTrial sets the suspects of the next trial. Those of an earlier trial that are not among them,
+// because its server had another software version, are released.
+func (d *dispatch) changeTrial(subjects [][]byte) {
+	var released [][]byte
+	for _, f := range d.trialSubjects {
+		if !slices.ContainsFunc(subjects, func(g []byte) bool { return bytes.Equal(f, g) }) {
+			released = append(released, f)
+		}
+	}
+	if len(released) > 0 {
+		d.suspects.enqueue(crashBatch{releasedTrials: released})
+	}
+	d.trialSubjects = subjects
+}
+
 // refuseSuspect returns the final error of a request that is believed to crash servers.
 func (d *dispatch) refuseSuspect(s wire.Standing) error {
 	switch {
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -267,3 +267,42 @@
 		t.Error("nothing was reported")
 	}
 }
+
+// A trial at a server that is not reached must be released if the request goes on at a version at which
+// nothing is suspected.
+func TestTrialIsReleasedWhenTheRequestChangesVersion(t *testing.T) {
+	b := &backend{id: "b"}
+	address := b.listen(t, events(1, 2, true))
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	servers := map[string]string{"a": lis.Addr().String()}
+	_ = lis.Close() // nobody listens there
+	g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, true, servers)
+	setSoftware(t, g, servers, map[string]string{"a": "v1"})
+	g.suspects.RequestTrial = func(context.Context, *wire.TrialRequest) (*wire.TrialReply, error) {
+		r := &wire.ServerRecord{Id: "b", Service: "pool", Address: address, Hall: "hall-1", Slots: 4, Sequence: 1, Software: "v2"}
+		_, err := g.servers.ApplyHeartbeat(r, time.Now())
+		return &wire.TrialReply{Trial: wire.Trial_TRIAL_GRANTED}, err
+	}
+	released := make(chan [][]byte, 1)
+	g.suspects.ReportCrashes = func(_ context.Context, r *wire.EndsReport) (*wire.Suspects, error) {
+		released <- r.GetUntried()
+		return &wire.Suspects{}, nil
+	}
+	s := suspectBlock("dead", "v1", wire.Standing_STANDING_SUSPECTED)
+	s.Revision = 1
+	g.client.ApplySuspects(&wire.Suspects{Revision: 1, Suspects: []*wire.Suspect{s}})
+	if _, _, err := sendRequest(g, "1", withBlocks("dead", "own")); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case got := <-released:
+		if diff := cmp.Diff([][]byte{s.GetFingerprint()}, got); diff != "" {
+			t.Errorf("released (-want +got):\n%s", diff)
+		}
+	case <-time.After(time.Second):
+		t.Error("the trial was not released")
+	}
+}
