upstream: a probe must stay connected, as a process that is ending may still accept it

Cause: the engine crashed and had closed their connections, and not its listener yet. The system accepts connections for a process until then, so that the probes connected, and resets them after that.

TestBrokenStreamIsNeverComplete and TestBrokenPlainResponseIsNeverComplete failed with a server that closes its listener 1 ms after the connection.

Change: a probe counts if its connection is open 2 ms after the probe began; if it is not, the server is asked once more, since it may just limit its connections. Unmarked ends so cost 2 ms at least; marked ones nothing, as before.

--- a/internal/gateway/responseend_test.go
+++ b/internal/gateway/responseend_test.go
@@ -24,6 +24,9 @@
 	serverRunsOn serverEnd = "runs on"
 	// serverCrashes closes the connection and accepts no others.
 	serverCrashes serverEnd = "crashes"
+	// serverCrashesSlowly closes the connection, and a moment later the listener and all connections that
+	// were accepted meanwhile, as the end of a process may do.
+	serverCrashesSlowly serverEnd = "crashes slowly"
 	// serverResets resets the connection, and the server accepts others.
 	serverResets serverEnd = "resets"
 )
@@ -70,12 +73,21 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = lis.Close() })
+	crashed := make(chan struct{})
 	go func() {
 		for {
 			c, err := lis.Accept()
 			if err != nil {
 				return
 			}
+			go func() {
+				select {
+				case <-crashed:
+				case <-t.Context().Done():
+				}
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}()
 			go func() {
 				defer func() { _ = c.Close() }()
 				r := b.read(c)
@@ -86,6 +98,11 @@
 				switch s.end {
 				case serverCrashes:
 					_ = lis.Close()
+				case serverCrashesSlowly:
+					_ = c.Close()
+					time.Sleep(time.Millisecond)
+					_ = lis.Close()
+					close(crashed)
 				case serverResets:
 					time.Sleep(10 * time.Millisecond) // until the response is read
 					_ = c.(*net.TCPConn).SetLinger(0)
@@ -110,7 +127,7 @@
 func TestBrokenStreamIsNeverComplete(t *testing.T) {
 	boundary := len(twoEvents) / 2
 	for _, framing := range upstream.Framings() {
-		for _, end := range []serverEnd{serverRunsOn, serverCrashes, serverResets} {
+		for _, end := range []serverEnd{serverRunsOn, serverCrashes, serverCrashesSlowly, serverResets} {
 			t.Run(fmt.Sprintf("%s, the server %s", framing, end), func(t *testing.T) {
 				t.Parallel()
 				for cut := range len(twoEvents) + 1 {
@@ -215,6 +232,7 @@
 		{upstream.FramingChunked, 6, serverCrashes, "broken"},
 		{upstream.FramingChunked, len(body), serverRunsOn, "complete"},
 		{upstream.FramingClose, 6, serverCrashes, "broken"},
+		{upstream.FramingClose, 6, serverCrashesSlowly, "broken"},
 		{upstream.FramingClose, 6, serverResets, "broken"},
 		{upstream.FramingClose, 0, serverCrashes, "broken"},
 		{upstream.FramingClose, len(body), serverRunsOn, "complete"},
--- a/internal/upstream/broken.go
+++ b/internal/upstream/broken.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"syscall"
+	"time"
 )
 
 // ConnectionLost reports whether the server closed or reset the connection before its response
@@ -31,22 +32,44 @@
 	Refusing
 )
 
+// probeSettleTime is how long after the beginning of a probe its connection must be open: the system
+// accepts connections for a process that is ending until its listener is closed, and resets them then.
+const probeSettleTime = 2 * time.Millisecond
+
 // Probe connects to a server to see whether it accepts connections. The connection is kept for the
 // next request.
 func (p *Pool) Probe(ctx context.Context, s Server) Liveness {
+	begun := time.Now()
+	l, c := p.probeOnce(ctx, s)
+	if l != Accepting {
+		return l
+	}
+	time.Sleep(time.Until(begun.Add(probeSettleTime)))
+	if !c.reusable(time.Now()) {
+		// The server has ended, or it limits its connections: now it is one or the other.
+		_ = c.Close()
+		if l, c = p.probeOnce(ctx, s); l != Accepting {
+			return l
+		}
+	}
+	p.mu.Lock()
+	p.connsOf(s).open++
+	p.mu.Unlock()
+	p.release(s, c)
+	return Accepting
+}
+
+// probeOnce connects to a server once; the connection is nil if the server does not accept it.
+func (p *Pool) probeOnce(ctx context.Context, s Server) (Liveness, *conn) {
 	c, err := dial(ctx, s.Address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return Refusing
+		return Refusing, nil
 	case err != nil:
-		return LivenessUnknown
+		return LivenessUnknown, nil
 	}
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	p.mu.Lock()
-	p.connsOf(s).open++
-	p.mu.Unlock()
-	p.release(s, c)
-	return Accepting
+	return Accepting, c
 }
