quarantine: reports during a commit do not prolong the first bar of a block

What callers saw: nothing yet; a harmless block that is barred by mistake would be refused for ten minutes instead of 30 s.

Cause: a bar was counted by each report that arrived before it was committed, and the second one lasts ten minutes.

Also in this commit: the soak and the scenario make all engines crash on the block, those that have left included.

--- a/internal/quarantine/blocks_test.go
+++ b/internal/quarantine/blocks_test.go
@@ -336,3 +336,21 @@
 		})
 	}
 }
+
+// Reports that arrive before a bar is committed must not make the first bar last as long as later ones.
+func TestReportsDuringACommitDoNotProlongTheFirstBar(t *testing.T) {
+	b := &blockFixture{fixture: newFixture(), t: t}
+	b.suspect()
+	b.try("s3", "x")
+	b.crashAt("a", "s3", "x")
+	for range 3 { // not committed
+		b.now = b.now.Add(reportTime)
+		b.tracker.DecidePending(b.list.Standing, b.now)
+	}
+	b.wait()
+	s := b.list.Since(0).GetSuspects()
+	got := time.UnixMilli(s[len(s)-1].GetUntilUnixMillis()).Sub(b.now)
+	if diff := cmp.Diff(firstBarTTL, got); diff != "" {
+		t.Errorf("time of the first bar (-want +got):\n%s", diff)
+	}
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -18,8 +18,9 @@
 	recalled bool
 	// suspectedAt is when a block was last suspected.
 	suspectedAt time.Time
-	// bars counts how often it was barred since its last success.
-	bars int
+	// bars counts how often it was barred since its last success, and barredAt is when that was last.
+	bars     int
+	barredAt time.Time
 	// barredByLead is set once a block was barred because it explains many more crashes than any other.
 	barredByLead bool
 	// trialCrashes counts the servers of a block's trials that have crashed since its last success.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -173,7 +173,9 @@
 // bar bars a request or block.
 func (n *update) bar(f sumachead.Fingerprint, c *record) {
 	if n.current(f) != wire.Standing_STANDING_BARRED {
-		c.bars++
+		if n.now.Sub(c.barredAt) > lateReportTime { // otherwise the same bar, which is not committed yet
+			c.bars, c.barredAt = c.bars+1, n.now
+		}
 		n.change(f, wire.Standing_STANDING_BARRED)
 	}
 	if c.block == nil {
--- a/internal/scenario/crashingblocks_test.go
+++ b/internal/scenario/crashingblocks_test.go
@@ -81,6 +81,15 @@
 	}
 }
 
+// crashOnBlock makes the engines crash on a block, including those that have left.
+func (f *fleet) crashOnBlock(block string) {
+	for _, r := range f.servers() {
+		if r.Service == "pool" {
+			r.CrashOnBlock(block)
+		}
+	}
+}
+
 // crashTimesOn returns when engines crashed on a block, in order.
 func (f *fleet) crashTimesOn(block string) (out []time.Time) {
 	for _, r := range f.servers() {
@@ -131,9 +140,7 @@
 				all.Go(func() { b.sendHarmless(rand.New(rand.NewPCG(7, uint64(i)))) })
 			}
 			time.Sleep(time.Second)
-			for _, r := range f.servers() {
-				r.CrashOnBlock(crashBlock)
-			}
+			f.crashOnBlock(crashBlock)
 			all.Go(func() { b.sendCrashing(rand.New(rand.NewPCG(8, 1))) })
 			if tt.fault != nil {
 				all.Go(func() { tt.fault(f) })
--- a/internal/scenario/fleetsoak_blocks_test.go
+++ b/internal/scenario/fleetsoak_blocks_test.go
@@ -63,9 +63,7 @@
 	block := fmt.Sprint("dead", s.blocks.rounds)
 	var all sync.WaitGroup
 	for time.Now().Before(until) {
-		for _, e := range s.serversOf("pool") { // servers may have been replaced
-			e.CrashOnBlock(block)
-		}
+		s.f.crashOnBlock(block) // servers may have been replaced
 		blocks := s.blocks.blocks()
 		blocks = append(blocks[:1:1], block, blocks[2])
 		q := fleetRequest{
@@ -75,9 +73,7 @@
 		time.Sleep(time.Duration(50+r.IntN(100)) * time.Millisecond)
 	}
 	all.Wait()
-	for _, e := range s.serversOf("pool") {
-		e.CrashOnBlock("")
-	}
+	s.f.crashOnBlock("")
 	return block
 }
 
