upstream: the settle time of a probe can be set, and tests of slow crashes do

Cause: the test's server closes its listener 1 ms after the connection, and on a busy machine later than the 2 ms for which a probe must stay connected; a real server that takes that long would pass as well, as the design note says. Not a fault of the decision.

Change: Pool.ProbeSettleTime, 2 ms unless set; the tests of slow crashes set 100 ms. What they expect is the same.

--- a/internal/gateway/responseend_test.go
+++ b/internal/gateway/responseend_test.go
@@ -31,6 +31,9 @@
 	serverResets serverEnd = "resets"
 )
 
+// slowCrashTime is longer than a server that crashes slowly takes for it on a busy machine.
+const slowCrashTime = 100 * time.Millisecond
+
 // truncatedResponse is a response of which a server writes a part.
 type truncatedResponse struct {
 	framing     upstream.Framing
@@ -140,6 +143,9 @@
 					}
 					s := truncatedResponse{framing, "text/event-stream", twoEvents, cut, end}
 					g := newGateway(t, wire.RouteKind_ROUTE_KIND_STREAM, false, map[string]string{"a": s.listen(t, &backend{id: "a"})})
+					if end == serverCrashesSlowly {
+						g.upstream.ProbeSettleTime = slowCrashTime
+					}
 					w, _, err := sendRequest(g, "1", nil)
 					if got := outcomeOf(err); got != want {
 						t.Errorf("cut after %d of %d bytes: %s, want %s (error %v)", cut, len(twoEvents), got, want, err)
@@ -243,6 +249,9 @@
 				a, b := &backend{id: "a"}, &backend{id: "b"}
 				s := truncatedResponse{tt.framing, "text/plain", body, tt.cut, tt.end}
 				g := newGateway(t, kind, false, map[string]string{"a": s.listen(t, a), "b": s.listen(t, b)})
+				if tt.end == serverCrashesSlowly {
+					g.upstream.ProbeSettleTime = slowCrashTime
+				}
 				w, _, err := sendRequest(g, "1", nil)
 				wantRuns, wantBody := int32(1), ""
 				if tt.want == "complete" {
--- a/internal/upstream/broken.go
+++ b/internal/upstream/broken.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -32,9 +33,10 @@
 	Refusing
 )
 
-// probeSettleTime is how long after the beginning of a probe its connection must be open: the system
-// accepts connections for a process that is ending until its listener is closed, and resets them then.
-const probeSettleTime = 2 * time.Millisecond
+// defaultProbeSettleTime is how long after the beginning of a probe its connection must be open: the
+// system accepts connections for a process that is ending until its listener is closed, and resets them
+// then.
+const defaultProbeSettleTime = 2 * time.Millisecond
 
 // Probe connects to a server to see whether it accepts connections. The connection is kept for the
 // next request.
@@ -44,7 +46,7 @@
 	if l != Accepting {
 		return l
 	}
-	time.Sleep(time.Until(begun.Add(probeSettleTime)))
+	time.Sleep(time.Until(begun.Add(cmp.Or(p.ProbeSettleTime, defaultProbeSettleTime))))
 	if !c.reusable(time.Now()) {
 		// The server has ended, or it limits its connections: now it is one or the other.
 		_ = c.Close()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -48,6 +48,9 @@
 	// right before a request is sent: a notice of the server may have arrived since it was
 	// chosen.
 	BlockReason func(sumachead.ServerID) sumachead.Reason
+	// ProbeSettleTime is how long after the beginning of a probe its connection must be open; 0
+	// selects the default.
+	ProbeSettleTime time.Duration
 
 	mu      sync.Mutex // guards servers
 	servers map[Server]*serverConns
