gateway: requests and retries are counted by service

The retries of a service could not be told from those of another by metrics or logs, so that the first hypothesis of docs/incidents/budget-repeats.md had nothing to be judged by, and the second one lacked the number of routers.

New metrics sumachead_gateway_service_requests_total{service} and sumachead_gateway_service_retries_total{service,allowed}; the line "Retrying request." names the service and the number of routers by which the retry budget was shared. No logic changes.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"sumachead"
@@ -62,6 +63,7 @@
 	if x.route.GetKind() == wire.RouteKind_ROUTE_KIND_STREAM {
 		d.stream = newEventStream(x)
 	}
+	g.metrics.serviceRequests.WithLabelValues(x.service.GetName()).Inc()
 	g.retries.recordRequest(time.Now(), g.client.Routers())
 	if err := d.findOrigin(); err != nil {
 		return err
@@ -108,7 +110,7 @@
 func (g *Gateway) recordRetry(x *exchange, f *upstream.Failure) {
 	g.metrics.retries.WithLabelValues(string(f.Reason)).Inc()
 	g.failureLog.Info(g.Log, "Retrying request.", append(x.fields(),
-		"reason", f.Reason, "verdict", f.Verdict, "cause", f.Err.Error())...)
+		"reason", f.Reason, "verdict", f.Verdict, "service", x.service.GetName(), "routers", g.client.Routers(), "cause", f.Err.Error())...)
 }
 
 // checkRetry returns nil if the request may be sent to another server, and otherwise its final
@@ -131,6 +133,7 @@
 func (d *dispatch) reserveRetry() bool {
 	if !d.retryReserved {
 		d.retryReserved = d.retries.take(time.Now(), d.client.Routers())
+		d.metrics.serviceRetries.WithLabelValues(d.x.service.GetName(), strconv.FormatBool(d.retryReserved)).Inc()
 	}
 	return d.retryReserved
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,7 +19,11 @@
 
 	refusals *prometheus.CounterVec
 	retries  *prometheus.CounterVec
-	served   prometheus.Counter
+	// serviceRequests counts the requests for each service, and serviceRetries the retries that
+	// were due there, by whether the retry budget allowed them.
+	serviceRequests *prometheus.CounterVec
+	serviceRetries  *prometheus.CounterVec
+	served          prometheus.Counter
 	// outcomes counts requests by route: in time, late by the first event or by a gap, or without a
 	// complete response.
 	outcomes *prometheus.CounterVec
@@ -85,10 +89,12 @@
 
 func newMetrics(g *Gateway) *Metrics {
 	m := &Metrics{
-		Registry: prometheus.NewRegistry(),
-		refusals: counters("sumachead_gateway_refusals_total", "Requests without a complete response, by reason.", "reason"),
-		retries:  counters("sumachead_gateway_retries_total", "Retries, by the reason why the previous attempt failed.", "reason"),
-		outcomes: counters("sumachead_gateway_outcomes_total", "Requests by route (empty if none was found) and outcome: in_time, late_first, late_pause, not_whole.", "route", "outcome"),
+		Registry:        prometheus.NewRegistry(),
+		refusals:        counters("sumachead_gateway_refusals_total", "Requests without a complete response, by reason.", "reason"),
+		retries:         counters("sumachead_gateway_retries_total", "Retries, by the reason why the previous attempt failed.", "reason"),
+		serviceRequests: counters("sumachead_gateway_service_requests_total", "Requests of callers, by service.", "service"),
+		serviceRetries:  counters("sumachead_gateway_service_retries_total", "Retries that were due, by service and whether the retry budget allowed them.", "service", "allowed"),
+		outcomes:        counters("sumachead_gateway_outcomes_total", "Requests by route (empty if none was found) and outcome: in_time, late_first, late_pause, not_whole.", "route", "outcome"),
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "sumachead_gateway_waits_seconds", Help: "Time that requests waited for a declaration or escrow, by whether it became available.", Buckets: latencyBuckets,
 		}, []string{"what", "came"}),
@@ -119,6 +125,8 @@
 		m.retries.WithLabelValues(string(r))
 	}
 	m.outcomes.WithLabelValues("", outcomeIncomplete) // for requests without a route
+	m.serviceRequests.WithLabelValues("")             // services are named by declarations
+	m.serviceRetries.WithLabelValues("", "true")
 	for _, what := range []string{waitDeclaration, waitEscrow} {
 		m.waits.WithLabelValues(what, "true")
 		m.waits.WithLabelValues(what, "false")
@@ -139,7 +147,7 @@
 		m.coldGrants.WithLabelValues(granted)
 		m.permits.WithLabelValues(granted)
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.outcomes, m.waits, m.served, m.dials, m.firstByte, m.responseTime, m.maxGap, m.ledgerReports, m.coldGrants, m.overloads, m.loadCloses, m.crashes, m.backoffs, m.withheldSends, m.leavingNotices, m.malformedNotices, m.limitResponses, m.limitedSends, m.permits, m.canaryRequests, m.resumedStreams, m.responseEnds, m.overdueLoans, rpc.TrafficCollector{})
+	m.Registry.MustRegister(m.refusals, m.retries, m.serviceRequests, m.serviceRetries, m.outcomes, m.waits, m.served, m.dials, m.firstByte, m.responseTime, m.maxGap, m.ledgerReports, m.coldGrants, m.overloads, m.loadCloses, m.crashes, m.backoffs, m.withheldSends, m.leavingNotices, m.malformedNotices, m.limitResponses, m.limitedSends, m.permits, m.canaryRequests, m.resumedStreams, m.responseEnds, m.overdueLoans, rpc.TrafficCollector{})
 	m.registerGauges(g)
 	return m
 }
