retrybudget: each service's retries are paid for by its own requests

Cause: a router had one token bucket for all services, credited by all requests, while the limit holds for each service. Also wrong: a process began with a full bucket, and a router's share of the fixed number came from a number of routers that is too low after a change of the leader.

Change: a request is a credit for its service at its router, for 0.6 s; routers with too few hand them to the leading keeper, which adds them up and grants the fixed number, once in a window, over changes of the leader (retrybudget, docs/design/retries.md). The number of routers is not used. A retry is paid for before it is sent, and the connection is checked once more.

In notices_test the line that forbids all retries does so by the new fields.

--- a/callers.go
+++ b/callers.go
@@ -57,6 +57,8 @@
 	Server    ServerID
 	Workspace WorkspaceID
 	Deadline  time.Time
+	// SendBy is until when the request may be sent; 0 for no limit.
+	SendBy BootTime
 	// Urgency is 0 for the most urgent.
 	Urgency uint32
 	// LastEvent takes precedence over that of the caller's request.
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -103,6 +103,8 @@
 			k.servers.StartLeading(k.history(), time.Now())
 			k.servers.Sweep(time.Now())
 			k.expireSuspects(time.Now())
+			k.retries.StartLeading(k.history(), k.machine.RetryServices())
+			k.retries.RecordUnused()
 		}
 	})
 }
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -12,10 +12,12 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/boottime"
 	"sumachead/internal/escrow"
 	"sumachead/internal/quarantine"
 	"sumachead/internal/raft"
 	"sumachead/internal/registry"
+	"sumachead/internal/retrybudget"
 	"sumachead/internal/rollout"
 	"sumachead/internal/rpc"
 	"sumachead/internal/telemetry"
@@ -58,6 +60,8 @@
 	LinesPerSecond int
 	// Exposure bounds the requests that a bad version may get; the zero value selects the default.
 	Exposure rollout.Bounds
+	// Retries limits the retries of all routers together.
+	Retries retrybudget.Limit
 	// PriorityReserve states that the rest of a budget is reserved for urgent requests.
 	PriorityReserve bool
 	// Collectors are registered with the keeper's own metrics.
@@ -71,6 +75,7 @@
 	reserveTimes reserveTimes
 	followers    *followers
 	crashTracker quarantine.Tracker
+	retries      retrybudget.Granter
 	metrics      *metrics
 	// limitedLog limits the rate of log lines on grants and server records.
 	limitedLog *telemetry.LogLimiter
@@ -97,6 +102,7 @@
 	k.servers = &registry.Table{Heartbeat: k.Heartbeat}
 	k.allocator = &escrow.Allocator{PriorityReserve: k.PriorityReserve, OnReserveChange: k.handleReserveChange}
 	k.followers = newFollowers()
+	k.retries.Limit, k.retries.Clock, k.retries.RecordUse = k.Retries, boottime.Clock{}, k.recordRetryUse
 	k.limitedLog = &telemetry.LogLimiter{PerSecond: k.LinesPerSecond}
 	k.heartbeats, k.startedAt = newHeartbeatBatch(), time.Now()
 	k.reports = make(chan *pendingReport)
--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -17,6 +17,8 @@
 	commits prometheus.Histogram
 	// invalidRecords counts heartbeats and notices that are not valid server records.
 	invalidRecords prometheus.Counter
+	// retryGrants counts the retries granted to routers.
+	retryGrants prometheus.Counter
 }
 
 // newMetrics registers the metrics of a keeper.
@@ -32,7 +34,10 @@
 	m.invalidRecords = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "sumachead_foreign_records_total", Help: "Invalid heartbeats and notices: fields are missing or of the wrong type, or the start time is missing where it is required.",
 	})
-	m.Registry.MustRegister(m.syncs, m.commits, m.invalidRecords)
+	m.retryGrants = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "sumachead_keeper_retry_grants_total", Help: "Retries granted to routers beyond those that their own requests pay for.",
+	})
+	m.Registry.MustRegister(m.syncs, m.commits, m.invalidRecords, m.retryGrants)
 	m.Registry.MustRegister(rpc.TrafficCollector{})
 	gauge := func(name, help string, f func() float64) {
 		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, f))
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -127,6 +127,7 @@
 		return nil
 	}
 	k.servers.StartLeading(k.history(), time.Now())
+	k.retries.StartLeading(k.history(), k.machine.RetryServices())
 	changes, _ := k.servers.ChangesSince(r.GetHistory(), r.GetVersion())
 	// The records are shared with the table, which never modifies them.
 	reply.History, reply.Version, reply.Whole, reply.Servers = changes.GetHistory(), changes.GetVersion(), changes.GetWhole(), changes.GetServers()
--- a/internal/fleet/statemachine.go
+++ b/internal/fleet/statemachine.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +41,8 @@
 	halls      hallStates
 	suspects   quarantine.List
 	rollouts   rollout.Store
+	// retryServices are the services for which retries may have been granted within the last window.
+	retryServices map[string]bool
 	// changed is closed when a declaration comes into force, a hall order is accepted, a rollout
 	// changes or the standing of a suspect changes.
 	changed chan struct{}
@@ -48,7 +52,7 @@
 func NewStateMachine() *StateMachine {
 	return &StateMachine{
 		declaration: &wire.Declaration{}, packed: &wire.PackedDeclaration{}, ledger: escrow.NewLedger(),
-		leavingSet: make(map[string]bool), changed: make(chan struct{}), rollouts: rollout.Store{Clock: boottime.Clock{}},
+		leavingSet: make(map[string]bool), retryServices: make(map[string]bool), changed: make(chan struct{}), rollouts: rollout.Store{Clock: boottime.Clock{}},
 	}
 }
 
@@ -87,6 +91,8 @@
 		return reply
 	case c.GetRolloutAllowance() != nil:
 		return m.rollouts.RaiseAllowance(c.GetRolloutAllowance())
+	case c.GetRetryUse() != nil:
+		m.applyRetryUse(c.GetRetryUse())
 	}
 	return nil
 }
@@ -143,6 +149,7 @@
 	s := &wire.FleetSnapshot{
 		Declaration: m.packed, Accounts: m.ledger.Snapshot(), Leaving: append([]string(nil), m.leaving...),
 		Halls: m.halls.snapshot(), Suspects: m.suspects.Since(0), Rollouts: m.rollouts.Snapshot(),
+		RetryServices: slices.Sorted(maps.Keys(m.retryServices)),
 	}
 	return func() ([]byte, error) {
 		data, err := proto.Marshal(s)
@@ -170,6 +177,10 @@
 	m.halls.restore(s.GetHalls())
 	m.suspects.Restore(s.GetSuspects())
 	m.rollouts.Restore(s.GetRollouts())
+	clear(m.retryServices)
+	for _, name := range s.GetRetryServices() {
+		m.retryServices[name] = true
+	}
 	m.setDeclaration(d, p)
 	m.leaving, m.leavingSet = nil, make(map[string]bool)
 	for _, id := range s.GetLeaving() {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -8,7 +8,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
-	"sumachead/internal/catalog"
+	"sumachead/internal/boottime"
 	"sumachead/internal/place"
 	"sumachead/internal/upstream"
 	"sumachead/internal/waitpolicy"
@@ -35,9 +35,9 @@
 	halls []string
 	// sentAt is when the last attempt began.
 	sentAt time.Time
-	// retryReserved is set if the retry budget has already been charged for the next attempt,
-	// because the attempt it was charged for reached no server.
-	retryReserved bool
+	// retrySendBy is until when the next attempt may be sent, as a retry that has been paid for; 0
+	// if none has.
+	retrySendBy sumachead.BootTime
 	// writeBlocked is how long the caller blocked the last write of its response.
 	writeBlocked time.Duration
 	// crashCheck finds out whether the last attempt's server has crashed; nil if there is nothing
@@ -58,13 +58,10 @@
 	defer cancelCause(nil)
 	ctx, cancel := context.WithDeadline(cancelable, x.deadline)
 	defer cancel()
-	x.service = x.view.Service(catalog.PickService(x.route))
 	d := &dispatch{Gateway: g, x: x, ctx: ctx, cancel: cancelCause, halls: g.allowedHalls(x)}
 	if x.route.GetKind() == wire.RouteKind_ROUTE_KIND_STREAM {
 		d.stream = newEventStream(x)
 	}
-	g.metrics.serviceRequests.WithLabelValues(x.service.GetName()).Inc()
-	g.retries.recordRequest(time.Now(), g.client.Routers())
 	if err := d.findOrigin(); err != nil {
 		return err
 	}
@@ -110,7 +107,7 @@
 func (g *Gateway) recordRetry(x *exchange, f *upstream.Failure) {
 	g.metrics.retries.WithLabelValues(string(f.Reason)).Inc()
 	g.failureLog.Info(g.Log, "Retrying request.", append(x.fields(),
-		"reason", f.Reason, "verdict", f.Verdict, "service", x.service.GetName(), "routers", g.client.Routers(), "cause", f.Err.Error())...)
+		"reason", f.Reason, "verdict", f.Verdict, "service", x.service.GetName(), "cause", f.Err.Error())...)
 }
 
 // checkRetry returns nil if the request may be sent to another server, and otherwise its final
@@ -123,19 +120,25 @@
 		return d.giveUp(d.lastFailure.Reason, "the backend server did not answer, and the request may not be repeated")
 	case !d.hasAttemptLeft():
 		return d.giveUp(d.lastFailure.Reason, "no attempt is left: "+d.lastFailure.Err.Error())
-	case d.x.attempts > 0 && !d.reserveRetry():
-		return d.giveUp(sumachead.ReasonRetryBudget, "too much is sent again already")
 	}
-	return nil
+	return d.reserveRetry()
 }
 
-// reserveRetry reports whether the retry budget allows another attempt.
-func (d *dispatch) reserveRetry() bool {
-	if !d.retryReserved {
-		d.retryReserved = d.retries.take(time.Now(), d.client.Routers())
-		d.metrics.serviceRetries.WithLabelValues(d.x.service.GetName(), strconv.FormatBool(d.retryReserved)).Inc()
+// reserveRetry pays for another attempt if a server has received the request before, and returns the
+// request's final error if the retry budget does not allow it. An attempt that reached no server was
+// not charged; what was paid for it is used by the next one, unless that comes too late.
+func (d *dispatch) reserveRetry() error {
+	if d.x.attempts == 0 || d.retrySendBy > (boottime.Clock{}).Now() {
+		return nil
+	}
+	service := d.x.service.GetName()
+	sendBy, ok := d.retries.Take(d.ctx, service)
+	d.metrics.serviceRetries.WithLabelValues(service, strconv.FormatBool(ok)).Inc()
+	if !ok {
+		return d.giveUp(sumachead.ReasonRetryBudget, "too much is sent again already")
 	}
-	return d.retryReserved
+	d.retrySendBy = sendBy
+	return nil
 }
 
 // hasAttemptLeft reports whether the route allows another attempt.
@@ -161,7 +164,7 @@
 	at := d.scheduler.AvailableAt(d.known(), now)
 	switch {
 	case reason == sumachead.ReasonRetryBudget:
-		at = d.retries.nextAt(now, d.client.Routers())
+		at = now.Add(d.retries.Denied(d.x.service.GetName()))
 	case at.IsZero():
 		at = now.Add(d.Heartbeat) // a running server has sent a heartbeat by then
 	}
@@ -190,6 +193,11 @@
 	if err != nil {
 		return err
 	}
+	// Choosing may have taken longer than the retry that was paid for may wait.
+	if err := d.reserveRetry(); err != nil {
+		l.CancelNotRun(time.Now())
+		return err
+	}
 	end := d.sampler.BeginRequest(l.Record.GetService(), l.Record.GetSoftware())
 	defer end()
 	id := sumachead.ServerID(l.Record.GetId())
@@ -216,6 +224,9 @@
 func (d *dispatch) send(l *place.Placement, id sumachead.ServerID) (*upstream.Response, error) {
 	x := d.x
 	t := &sumachead.Attempt{Server: id, Workspace: x.workspace(), Deadline: x.deadline, Urgency: x.urgency(), FetchFrom: l.FetchFrom}
+	if x.attempts > 0 {
+		t.SendBy = d.retrySendBy
+	}
 	if d.stream != nil {
 		t.LastEvent = d.stream.lastID
 		d.stream.beginAttempt()
@@ -231,7 +242,7 @@
 		x.attempts-- // it reached no server
 		return nil, err
 	}
-	d.retryReserved = false
+	d.retrySendBy = 0
 	return a, err
 }
 
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -6,7 +6,7 @@
 // retried and relays the response. Package place schedules requests to servers and decides from
 // which server shared prompt parts are fetched; candidates.go lists the servers to choose from.
 // Package waitpolicy decides how long a request waits for a resource that is not available yet.
-// bill.go computes the cost of a request, retry.go limits retries, trackers.go queries the load
+// bill.go computes the cost of a request, trackers.go queries the load
 // trackers beside engines, and lending.go lends and borrows escrow. [Gateway.Limits] tells the
 // intake the limits for callers. Implementations of [sumachead.CallerResponse] and
 // [sumachead.Dialect] define the formats used towards callers and backend servers.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -30,7 +30,7 @@
 	route *wire.Route
 	// access describes the request's workspace; nil if none is needed.
 	access *wire.WorkspaceAccess
-	// service is selected by dispatch, once for all attempts.
+	// service is picked by a filter, once for all attempts.
 	service *wire.Service
 	// deadline is when the handling of the request ends.
 	deadline time.Time
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sumachead"
+	"sumachead/internal/catalog"
 	"sumachead/internal/escrow"
 	"sumachead/internal/loop"
 	"sumachead/internal/waitpolicy"
@@ -84,6 +85,16 @@
 	}
 }
 
+// serviceFilter picks the service and records the request for its retry budget.
+func (g *Gateway) serviceFilter(next handler) handler {
+	return func(x *exchange) error {
+		x.service = x.view.Service(catalog.PickService(x.route))
+		g.metrics.serviceRequests.WithLabelValues(x.service.GetName()).Inc()
+		g.retries.RecordRequest(x.service.GetName())
+		return next(x)
+	}
+}
+
 // escrowFilter reserves the upper bound of the request's cost and settles it when the request has
 // ended.
 func (g *Gateway) escrowFilter(next handler) handler {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"sumachead/internal/place"
 	"sumachead/internal/quarantine"
 	"sumachead/internal/registry"
+	"sumachead/internal/retrybudget"
 	"sumachead/internal/rollout"
 	"sumachead/internal/rpc"
 	"sumachead/internal/telemetry"
@@ -50,11 +51,8 @@
 	Seeds func() []string
 	// Heartbeat is the interval at which backend servers send heartbeats.
 	Heartbeat time.Duration
-	// RetryRatio, RetryExtra and RetryWindow limit the retries of all routers together: in any
-	// window, RetryRatio retries per request plus RetryExtra.
-	RetryRatio  float64
-	RetryExtra  float64
-	RetryWindow time.Duration
+	// Retries limits the retries of all routers together.
+	Retries retrybudget.Limit
 	// ColdOverage and ColdSlack limit what a cold backend server receives in any second:
 	// ColdOverage times its declared rate plus ColdSlack.
 	ColdOverage float64
@@ -86,7 +84,7 @@
 	upstream  *upstream.Pool
 	scheduler *place.Scheduler
 	trackers  *trackerClient
-	retries   *retryBudget
+	retries   *retrybudget.Budget
 	checks    healthChecks
 	crashes   crashDetector
 	suspects  suspects
@@ -160,8 +158,8 @@
 	g.trackers = &trackerClient{Address: g.TrackerAddress, Pool: g.Pool, Scheduler: g.scheduler, Limits: &g.limits.Table}
 	g.trackers.prepare()
 	g.origins = &origin.Directory{Hall: g.Hall, Holders: g.originHolders, Pool: g.Pool}
-	g.handle = chain.Wrap(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.escrowFilter)
-	g.retries = &retryBudget{ratio: g.RetryRatio, extra: g.RetryExtra, window: g.RetryWindow}
+	g.handle = chain.Wrap(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.serviceFilter, g.escrowFilter)
+	g.retries = &retrybudget.Budget{Limit: g.Retries, Clock: boottime.Clock{}, Request: g.client.RequestRetries}
 }
 
 // Run follows the keepers and keeps escrow available until ctx ends. Requests must be served only
@@ -186,6 +184,7 @@
 			g.backoffs.Expire()
 			g.expireLimits()
 			g.suspects.expire(time.Now())
+			g.retries.Expire()
 		})
 	})
 	tasks.Go(func() error { return loop.Every(work, suspensionTickInterval, g.suspension.tick) })
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,8 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/boottime"
+	"sumachead/internal/retrybudget"
 	"sumachead/internal/rpc"
 )
 
@@ -169,10 +171,11 @@
 	t.Helper()
 	g := &Gateway{
 		Node: "router-1", Hall: "hall-1", Seeds: func() []string { return nil }, Heartbeat: testHeartbeat,
-		RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
+		Retries: retrybudget.Limit{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		Dialect: testDialect{}, Pool: &rpc.Pool{}, Log: hclog.NewNullLogger(),
 	}
 	g.Init()
+	g.retries.Request = grantRetries(g.Retries)
 	g.client.ApplyDeclaration(&wire.Declaration{Number: 1, Catalog: &wire.Catalog{
 		KeysNeeded: true,
 		Services:   []*wire.Service{{Name: "pool", MaxConns: 100, HealthPath: "/health", Engine: &wire.EngineLimits{EventTokens: 3}}},
@@ -190,6 +193,16 @@
 	return g
 }
 
+// grantRetries returns the calls to a leading keeper.
+func grantRetries(l retrybudget.Limit) func(context.Context, *wire.RetryRequest) (*wire.RetryReply, error) {
+	granter := &retrybudget.Granter{Limit: l, Clock: boottime.Clock{}, RecordUse: func(string, bool) error { return nil }}
+	granter.StartLeading("1", nil)
+	return func(_ context.Context, r *wire.RetryRequest) (*wire.RetryReply, error) {
+		granted, wait, err := granter.Grant("1", r.GetService(), r.GetRequests(), int(r.GetWanted()))
+		return &wire.RetryReply{Granted: uint32(granted), WaitMillis: wait.Milliseconds()}, err
+	}
+}
+
 func sendRequest(g *Gateway, id string, with func(*sumachead.CallerRequest)) (*recorder, bool, error) {
 	r := &sumachead.CallerRequest{ID: sumachead.RequestID(id), Method: http.MethodPost, Host: "h", Path: "/r/x", Header: http.Header{}, Key: "k"}
 	if with != nil {
@@ -366,7 +379,7 @@
 		t.Fatal("a refused request has run")
 	}
 	t.Run("no declaration yet", func(t *testing.T) {
-		g := &Gateway{Log: hclog.NewNullLogger(), Seeds: func() []string { return nil }, RetryWindow: time.Second}
+		g := &Gateway{Log: hclog.NewNullLogger(), Seeds: func() []string { return nil }, Retries: retrybudget.Limit{Window: time.Second}}
 		g.Init()
 		_, _, err := sendRequest(g, "1", nil)
 		if f := refusalOf(t, err); f.Reason != sumachead.ReasonSettingsStale || f.RetryAt.IsZero() {
@@ -376,7 +389,7 @@
 	t.Run("declaration arrives while a request waits", func(t *testing.T) {
 		g := newGateway(t, wire.RouteKind_ROUTE_KIND_SINGLE, false, map[string]string{"a": a.listen(t, respondWith(200, "", "ok"))})
 		v := g.client.View()
-		h := &Gateway{Log: hclog.NewNullLogger(), Seeds: func() []string { return nil }, RetryWindow: time.Second, Dialect: g.Dialect}
+		h := &Gateway{Log: hclog.NewNullLogger(), Seeds: func() []string { return nil }, Retries: retrybudget.Limit{Window: time.Second}, Dialect: g.Dialect}
 		h.Init()
 		h.servers, h.wallet = g.servers, g.wallet
 		time.AfterFunc(firstDeclarationDelay/4, func() { h.client.ApplyDeclaration(&wire.Declaration{Number: v.Number, Catalog: v.Catalog}) })
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"testing"
@@ -88,7 +89,8 @@
 			a, b, c := &backend{id: "a"}, &backend{id: "b"}, &backend{id: "c"}
 			ok := respondWith(200, "", "ok")
 			g := newGateway(t, single, false, map[string]string{"a": a.listen(t, ok), "b": b.listen(t, ok), "c": c.listen(t, ok)})
-			g.retries.extra, g.retries.ratio = 0, 0 // no retry is allowed
+			g.retries.Limit.Ratio = 0 // no retry is allowed
+			g.retries.Request = func(context.Context, *wire.RetryRequest) (*wire.RetryReply, error) { return &wire.RetryReply{}, nil }
 			var first sumachead.ServerID
 			unwanted := g.upstream.BlockReason
 			g.upstream.BlockReason = func(id sumachead.ServerID) sumachead.Reason {
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -19,6 +19,7 @@
 	"sumachead/api/wire"
 	"sumachead/internal/fleet"
 	"sumachead/internal/loop"
+	"sumachead/internal/retrybudget"
 	"sumachead/internal/rpc"
 	"sumachead/internal/tool"
 )
@@ -93,7 +94,7 @@
 	}
 	runUntilCleanup(t, k.Run)
 	g := &Gateway{
-		Node: "router-1", Hall: "hall-1", Seeds: seeds, Heartbeat: heartbeat, RetryRatio: 0.2, RetryExtra: 50, RetryWindow: 10 * time.Second,
+		Node: "router-1", Hall: "hall-1", Seeds: seeds, Heartbeat: heartbeat, Retries: retrybudget.Limit{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
 		Dialect: testDialect{}, Pool: pool, Log: hclog.NewNullLogger(),
 	}
 	g.Init()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,6 +16,9 @@
 // errBlocked is returned if nothing may be sent to a server at present.
 var errBlocked = errors.New("the server has asked to be sent nothing")
 
+// errTooLate is returned if the connection took longer than the request may wait.
+var errTooLate = errors.New("the connection came too late to send the request")
+
 // maxIdleConns bounds the idle connections to one server.
 const maxIdleConns = 16
 
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -108,6 +108,10 @@
 		return nil, f
 	}
 	a := &Response{pool: p, server: s, conn: c, sentAt: boottime.Clock{}.Now()}
+	if t.SendBy != 0 && a.sentAt > t.SendBy {
+		p.release(s, c)
+		return nil, &Failure{sumachead.NotRun, sumachead.ReasonServerUnreached, errTooLate}
+	}
 	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := a.exchange(p.encode(r, t), r); err != nil {
 		a.stop()
