rpc: text that cannot be encoded costs neither a connection nor other content

Cause: the ID went unchecked into a string field of a message. The record stood in each reply to the routers, none of which could be encoded; net/rpc dropped them without an error, and the header of each was left in the buffer of its connection. Class: unchecked text on its way into a message.

Change: text is checked where it enters. Messages are encoded before anything is written; a reply that cannot be encoded becomes an error at once, list elements that cannot be encoded are left out and the rest arrives (sumachead_rpc_invalid_messages_total), and an invalid request is reported as not sent on an intact connection.

--- a/internal/agent/body_test.go
+++ b/internal/agent/body_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 
 	"sumachead/api/wire"
 )
@@ -61,3 +62,12 @@
 		})
 	}
 }
+
+// Guards against a server's text that makes the response of an agent impossible to encode.
+func TestInvalidContentTypeIsReplaced(t *testing.T) {
+	r := newRun(runKey{}, nil)
+	r.setHead(http.StatusOK, "text/\xff")
+	if _, err := proto.Marshal(r.head); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -67,7 +68,7 @@
 func (r *run) setHead(status int, contentType string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.head = &wire.AnswerHead{Status: int32(status), ContentType: contentType}
+	r.head = &wire.AnswerHead{Status: int32(status), ContentType: strings.ToValidUTF8(contentType, "\uFFFD")}
 	r.notifyReaders()
 }
 
--- a/internal/fleet/halls.go
+++ b/internal/fleet/halls.go
@@ -5,7 +5,9 @@
 	"context"
 	"slices"
 	"time"
+	"unicode/utf8"
 
+	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
 
 	"sumachead/api/wire"
@@ -141,6 +143,9 @@
 }
 
 func (k *Keeper) vacate(ctx context.Context, hall string, vacated bool) error {
+	if !utf8.ValidString(hall) {
+		return trace.BadParameter("the name of the data hall is not valid UTF-8")
+	}
 	for {
 		states, err := k.HallStates(ctx)
 		if err != nil {
--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
@@ -274,6 +275,8 @@
 
 func (k *Keeper) startRollout(ctx context.Context, name, target string, lasts time.Duration) error {
 	switch {
+	case !utf8.ValidString(name) || !utf8.ValidString(target):
+		return trace.BadParameter("a name is not valid UTF-8")
 	case name == "":
 		return trace.BadParameter("no service is named")
 	case target == "" || len(target) > maxVersionLength:
--- a/internal/gateway/filters.go
+++ b/internal/gateway/filters.go
@@ -2,6 +2,7 @@
 
 import (
 	"time"
+	"unicode/utf8"
 
 	"sumachead"
 	"sumachead/internal/catalog"
@@ -15,6 +16,18 @@
 // was cut off.
 const firstDeclarationDelay = time.Second
 
+// textFilter refuses a request whose IDs cannot be part of a message to other processes.
+func textFilter(next handler) handler {
+	return func(x *exchange) error {
+		for _, p := range x.request.Parts {
+			if !utf8.ValidString(p.ID) {
+				return refusePermanently(sumachead.ReasonBadRequest, "the ID of a prompt block is not valid UTF-8")
+			}
+		}
+		return next(x)
+	}
+}
+
 // settingsFilter selects the declaration under which the request is handled. A process that has
 // just started waits for its first one.
 func (g *Gateway) settingsFilter(next handler) handler {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,7 +158,7 @@
 	g.trackers = &trackerClient{Address: g.TrackerAddress, Pool: g.Pool, Scheduler: g.scheduler, Limits: &g.limits.Table}
 	g.trackers.prepare()
 	g.origins = &origin.Directory{Hall: g.Hall, Holders: g.originHolders, Pool: g.Pool}
-	g.handle = chain.Wrap(g.dispatch, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.serviceFilter, g.escrowFilter)
+	g.handle = chain.Wrap(g.dispatch, textFilter, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.serviceFilter, g.escrowFilter)
 	g.retries = &retrybudget.Budget{Limit: g.Retries, Clock: boottime.Clock{}, Request: g.client.RequestRetries}
 }
 
--- a/internal/gateway/suspects_test.go
+++ b/internal/gateway/suspects_test.go
@@ -306,3 +306,14 @@
 		t.Error("the trial was not released")
 	}
 }
+
+// Guards against a caller's text that makes a report of crashes impossible to encode.
+func TestInvalidBlockIDIsRefused(t *testing.T) {
+	g := newGateway(t, wire.RouteKind_ROUTE_KIND_REPEATABLE, false, nil)
+	_, _, err := sendRequest(g, "1", func(r *sumachead.CallerRequest) {
+		r.Parts = []sumachead.PromptPart{{ID: "\xff\xfe", Tokens: 1}, {ID: "own", Tokens: 1}}
+	})
+	if f := refusalOf(t, err); f.Reason != sumachead.ReasonBadRequest || f.Verdict != sumachead.NotRun {
+		t.Errorf("got %v", f)
+	}
+}
--- a/internal/registry/names.go
+++ b/internal/registry/names.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gravitational/trace"
 
@@ -40,6 +41,11 @@
 
 // validate implements Validate. The caller holds mu.
 func (t *Table) validate(r *wire.ServerRecord) error {
+	for _, text := range []string{r.GetId(), r.GetName(), r.GetService(), r.GetAddress(), r.GetHall(), r.GetSoftware()} {
+		if !utf8.ValidString(text) {
+			return trace.BadParameter("%q is not valid UTF-8", text)
+		}
+	}
 	last := t.entries[t.latestByName[ServerName(r)]]
 	switch {
 	case r.GetBornUnixMillis() != 0 || r.GetAddress() == "":
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/gravitational/trace"
 
 	"sumachead/api/wire"
 )
@@ -364,3 +365,35 @@
 		t.Error("a server of a vacated hall is not excluded, or an unknown one is")
 	}
 }
+
+// Guards against records with text that no message can carry.
+func TestRecordsWithInvalidTextAreRejected(t *testing.T) {
+	const invalid = "\xff\xfe"
+	tests := []struct {
+		name string
+		set  func(*wire.ServerRecord)
+	}{
+		{"ID", func(r *wire.ServerRecord) { r.Id = invalid }},
+		{"name", func(r *wire.ServerRecord) { r.Name = invalid }},
+		{"service", func(r *wire.ServerRecord) { r.Service = invalid }},
+		{"address", func(r *wire.ServerRecord) { r.Address = invalid }},
+		{"hall", func(r *wire.ServerRecord) { r.Hall = invalid }},
+		{"software", func(r *wire.ServerRecord) { r.Software = invalid }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			table := &Table{Heartbeat: time.Second}
+			r := record("a", 1, ready)
+			tt.set(r)
+			if err := table.Validate(r); !trace.IsBadParameter(err) {
+				t.Errorf("validated: %v", err)
+			}
+			if _, err := table.ApplyHeartbeat(r, time.Now()); !trace.IsBadParameter(err) {
+				t.Errorf("applied: %v", err)
+			}
+			if diff := cmp.Diff([]string(nil), ids(table)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/internal/router/filters.go
+++ b/internal/router/filters.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 
@@ -28,9 +29,9 @@
 	return func(x *exchange) error {
 		x.id = uuid.NewString()
 		x.key = sumachead.RequestKey(x.r.Header.Get(HeaderKey))
-		if len(x.key) > maxKeyLength {
+		if len(x.key) > maxKeyLength || !utf8.ValidString(string(x.key)) {
 			x.key = ""
-			return notRun(sumachead.ReasonBadRequest, HeaderKey+" is longer than 256 bytes", time.Time{})
+			return notRun(sumachead.ReasonBadRequest, HeaderKey+" is longer than 256 bytes or not valid UTF-8", time.Time{})
 		}
 		x.callerChoseKey = x.key != ""
 		x.w.Header().Set(HeaderRequestID, x.id)
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -137,8 +137,12 @@
 }
 
 // handleResult handles the result of a call: a reply proves that conn works, any other error
-// drops it.
+// drops it, unless the call was not sent because it cannot be encoded.
 func (c *Client) handleResult(conn *connection, err error) error {
+	var invalid encodingError
+	if errors.As(err, &invalid) {
+		return errors.Join(ErrNotSent, err)
+	}
 	var remote rpc.ServerError
 	if err == nil || errors.As(err, &remote) {
 		c.mu.Lock()
--- /dev/null
+++ b/internal/rpc/encoding_test.go
@@ -0,0 +1,101 @@
+package rpc
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/testing/protocmp"
+
+	"sumachead/api/wire"
+)
+
+const invalidText = "\xff\xfe"
+
+// broken is a service whose replies cannot be encoded.
+type broken struct{ echo }
+
+func (broken) Reply(_ *wire.HelloReply, reply *wire.HelloReply) error {
+	reply.Boot = invalidText
+	return nil
+}
+
+func (broken) Fail(*wire.HelloReply, *wire.HelloReply) error {
+	return errors.New("refused " + invalidText)
+}
+
+// Guards against a message that cannot be encoded and takes the connection with it: the call fails at
+// once, and other calls on its connection do not.
+func TestMessageThatCannotBeEncodedKeepsTheConnection(t *testing.T) {
+	tests := []struct {
+		name, method, boot, want string
+	}{
+		{"reply", "Broken.Reply", "b", "the reply cannot be encoded"},
+		{"error", "Broken.Fail", "b", "refused \uFFFD"},
+		{"request", "Broken.Answer", invalidText, "call was not sent"},
+	}
+	lis, address := listen(t)
+	_ = lis.Close()
+	s := &Server{Address: address}
+	if err := errors.Join(s.Register("Broken", broken{}), s.Listen()); err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Run() }() // ended by Close
+	t.Cleanup(s.Close)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			c := &Client{Address: address}
+			t.Cleanup(c.Close)
+			if _, err := Call[wire.HelloReply](ctx, c, "Broken.Answer", &wire.HelloReply{Boot: "first"}); err != nil {
+				t.Fatal(err)
+			}
+			conn := c.conn
+			_, err := Call[wire.HelloReply](ctx, c, tt.method, &wire.HelloReply{Boot: tt.boot})
+			if err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("got %v, want an error with %q", err, tt.want)
+			}
+			r, err := Call[wire.HelloReply](ctx, c, "Broken.Answer", &wire.HelloReply{Boot: "second"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff("second", r.GetBoot()); diff != "" {
+				t.Error(diff)
+			}
+			if c.conn != conn {
+				t.Error("the connection was replaced")
+			}
+		})
+	}
+}
+
+// Guards against a list element that cannot be encoded and keeps the rest of its message back.
+func TestElementThatCannotBeEncodedIsLeftOut(t *testing.T) {
+	good := &wire.ServerRecord{Id: "i-1"}
+	reply := &wire.FollowReply{
+		Version: 7, Servers: []*wire.ServerRecord{{Id: invalidText}, good}, Declaration: &wire.PackedDeclaration{Number: 2},
+	}
+	message, err := encode("Fleet.Follow", &wire.ReplyHeader{Seq: 1}, reply)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(bytes.NewReader(message))
+	var h wire.ReplyHeader
+	got := &wire.FollowReply{}
+	if err := errors.Join(unmarshal.UnmarshalFrom(r, &h), unmarshal.UnmarshalFrom(r, got)); err != nil {
+		t.Fatal(err)
+	}
+	want := &wire.FollowReply{Version: 7, Servers: []*wire.ServerRecord{good}, Declaration: &wire.PackedDeclaration{Number: 2}}
+	if diff := cmp.Diff(want, got, protocmp.Transform()); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if len(reply.GetServers()) != 2 {
+		t.Error("the message was modified")
+	}
+}
--- a/internal/scenario/sameid_test.go
+++ b/internal/scenario/sameid_test.go
@@ -112,3 +112,27 @@
 	})
 	return "ready " + got
 }
+
+// Guards against a record that cannot be encoded and keeps everything else from routers.
+func TestInvalidServerIDKeepsNoDeclarationFromRouters(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, fleetShape{keepers: 3, routers: 2, relays: 1, engines: 1, desks: 1, prepaid: 10_000_000})
+	const body = `{"backend":"other","address":"127.0.0.1:9","zone":"hall-1","slots":8,"state":"ready","call_seq":1,"cold_left_ms":0,"born":5}`
+	for _, c := range f.controlAddresses() {
+		for _, call := range []string{"Heartbeat", "Leave"} {
+			if status := f.post("http://"+c+"/v1/Replicas."+call+"/%FF%FE", strings.NewReader(body)); status != http.StatusBadRequest {
+				t.Errorf("%s with an invalid ID: status %d", call, status)
+			}
+		}
+	}
+	if err := f.declare(fleetDocument{number: 2, prepaid: f.shape.prepaid, routes: 1}, startTimeout); err != nil {
+		t.Fatal(err)
+	}
+	const inForce = 2 * time.Second
+	time.Sleep(inForce)
+	for _, router := range []string{"router-1", "router-2"} {
+		if c := f.do(fleetRequest{kind: "idle-0", router: router}); !c.complete {
+			t.Errorf("a request on a new route at %s: %v %s", router, c, c.refusal)
+		}
+	}
+}
