upstream: a response that names no request is no proof that one did not run

Cause: readHead took a response without an ID for the request's own if it said that the request had not run. Class: a message is attributed by its place. The same cause elsewhere: an agent took a 429 or 503 that names another request for the proof that this one did not run; notices in responses that name no request applied to the server.

Change: only a response that names the request is its response; others are skipped, as those of earlier requests were. If none follows, the request may have run. Agents compare the ID before the status (each of their connections serves one request, so that a missing ID is no doubt).

--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -64,10 +64,10 @@
 // handleResponse handles the response of one exchange.
 func (m *modelRelay) handleResponse(resp *http.Response, body io.Reader) (sumachead.Tokens, error) {
 	x, r := m.run, m.request
-	if err := serverRefusal(resp); err != nil {
+	if err := checkEcho(resp, r); err != nil {
 		return 0, err
 	}
-	if err := checkEcho(resp, r); err != nil {
+	if err := serverRefusal(resp); err != nil {
 		return 0, err
 	}
 	if resp.StatusCode/100 == 4 {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -415,3 +415,30 @@
 		t.Fatalf("the server received a deadline of %d ms", left)
 	}
 }
+
+// Guards against a surplus rejection that makes a request run twice.
+func TestSurplusRejectionRepeatsNoRequest(t *testing.T) {
+	var runs atomic.Int32
+	serve := func(c net.Conn, r *http.Request) {
+		br := bufio.NewReader(c)
+		for err := error(nil); err == nil; r, err = http.ReadRequest(br) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			runs.Add(1)
+			surplus := ""
+			if runs.Load() > 1 {
+				surplus = "HTTP/1.1 400 x\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+			}
+			_, _ = fmt.Fprintf(c, "%sHTTP/1.1 200 OK\r\nX-Request: %s\r\nContent-Length: 2\r\n\r\nok", surplus, r.Header.Get("X-Request"))
+		}
+	}
+	g := newGateway(t, wire.RouteKind_ROUTE_KIND_SINGLE, false, map[string]string{"a": (&backend{}).listen(t, serve), "b": (&backend{}).listen(t, serve)})
+	const requests = 20
+	for i := range requests {
+		if _, _, err := sendRequest(g, strconv.Itoa(i), nil); err != nil {
+			t.Error(err)
+		}
+	}
+	if got := runs.Load(); got != requests {
+		t.Errorf("%d runs of %d requests", got, requests)
+	}
+}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -186,7 +186,8 @@
 }
 
 // readHead reads response heads until that of this request. Responses to earlier requests, which
-// a server may send twice, are skipped.
+// a server may send twice, are skipped, and so are those that do not name their request: nothing
+// shows that they belong to this one.
 func (a *Response) readHead(r *sumachead.CallerRequest) error {
 	for range maxStrayResponses + 1 {
 		//nolint:bodyclose // Close ends the connection, or gives it back once the body was read
@@ -198,10 +199,10 @@
 			continue // an interim response
 		}
 		a.Head = a.pool.Dialect.Decode(resp.StatusCode, resp.Header, time.Now())
-		if !a.Head.Stale { // a notice of another incarnation does not apply to this one
+		if a.Head.ID != "" && !a.Head.Stale { // a notice of another incarnation does not apply to this one
 			a.pool.notice(a.server.ID, a.Head.ServerNotice, a.sentAt)
 		}
-		if a.Head.ID == r.ID || (a.Head.ID == "" && (a.Head.NotRun || a.Head.Stale)) {
+		if a.Head.ID == r.ID {
 			a.Status, a.Header = resp.StatusCode, resp.Header
 			a.body, a.Framing = resp.Body, FramingOf(resp)
 			a.reusable = !resp.Close && a.Framing != FramingClose
