--- a/internal/journal/store.go
+++ b/internal/journal/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"path/filepath"
 
 	"github.com/gravitational/trace"
@@ -54,8 +53,30 @@
 			return nil, err
 		}
 	}
-	f.log, err = wal.Open(f.logPath(f.generation), replay)
-	return f, err
+	if f.log, err = wal.Open(f.logPath(f.generation), replay); err != nil {
+		return nil, err
+	}
+	return f, f.removeEarlier()
+}
+
+// removeEarlier removes the files of earlier generations, which a crash during a compaction leaves.
+func (f *store) removeEarlier() error {
+	for _, kind := range []string{"log-", "snapshot-"} {
+		names, err := filepath.Glob(filepath.Join(f.dir, kind+"*"))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		for _, n := range names {
+			var g uint64
+			if _, err := fmt.Sscanf(filepath.Base(n), kind+"%d", &g); err != nil || g >= f.generation {
+				continue
+			}
+			if err := wal.Remove(n); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
 }
 
 // compact starts a new generation with a snapshot and deletes the previous one.
@@ -68,15 +89,12 @@
 	if err != nil {
 		return err
 	}
-	old := f.generation
 	if err := f.log.Close(); err != nil {
 		return err
 	}
 	f.log, f.generation = log, next
-	for _, path := range []string{f.logPath(old), f.snapshotPath(old)} {
-		if err := os.Remove(path); err != nil && !os.IsNotExist(err) {
-			return trace.ConvertSystemError(err)
-		}
+	if err := f.removeEarlier(); err != nil {
+		return err
 	}
 	return wal.SyncDir(f.dir)
 }
--- a/internal/raft/storage.go
+++ b/internal/raft/storage.go
@@ -67,7 +67,24 @@
 		}
 	}
 	s.state = l.state
-	return s, l.entriesAfter(s.snapshot), nil
+	entries, ok := l.entriesAfter(s.snapshot)
+	if !ok {
+		// A crash between the activation of the snapshot and the start of its log segment: without the
+		// rebase, what is appended next would not follow the entries in the log.
+		if err := s.rebase(s.segment, s.snapshot, nil); err != nil {
+			_ = s.Close()
+			return nil, nil, err
+		}
+	}
+	return s, entries, nil
+}
+
+// rebase records in a segment that the log now begins after a snapshot, with the entries that follow it.
+func (s *Storage) rebase(log *wal.Log, snap *wire.Snapshot, after []*wire.LogEntry) error {
+	return s.write(log, &wire.LogRecord{
+		State: s.state, Entries: after,
+		Rebase: true, BaseIndex: snap.GetIndex(), BaseTerm: snap.GetTerm(),
+	})
 }
 
 func (s *Storage) loadSnapshot() error {
@@ -127,21 +144,21 @@
 	return nil
 }
 
-// entriesAfter returns the entries that follow the snapshot. If the log does not contain
-// the snapshot's last entry, the snapshot has replaced the log, and there are none.
-func (l *loader) entriesAfter(s *wire.Snapshot) []*wire.LogEntry {
+// entriesAfter returns the entries that follow the snapshot. It is not ok if the log does not contain
+// the snapshot's last entry: the snapshot has replaced the log, and no entries follow it.
+func (l *loader) entriesAfter(s *wire.Snapshot) (entries []*wire.LogEntry, ok bool) {
 	at := int64(s.GetIndex()) - int64(l.baseIndex)
 	if at < 0 || at > int64(len(l.entries)) {
-		return nil
+		return nil, false
 	}
 	term := l.baseTerm
 	if at > 0 {
 		term = l.entries[at-1].GetTerm()
 	}
 	if term != s.GetTerm() {
-		return nil
+		return nil, false
 	}
-	return slices.Clone(l.entries[at:])
+	return slices.Clone(l.entries[at:]), true
 }
 
 // Save persists the state and new entries with one sync.
@@ -185,8 +202,8 @@
 // ActivateSnapshot replaces the current snapshot with the prepared one and starts a new log
 // segment that contains only the entries after it.
 func (s *Storage) ActivateSnapshot(snap *wire.Snapshot, after []*wire.LogEntry) error {
-	if err := os.Rename(filepath.Join(s.dir, preparedSnapshotFile), filepath.Join(s.dir, snapshotFile)); err != nil {
-		return trace.ConvertSystemError(err)
+	if err := wal.Rename(filepath.Join(s.dir, preparedSnapshotFile), filepath.Join(s.dir, snapshotFile)); err != nil {
+		return err
 	}
 	if err := wal.SyncDir(s.dir); err != nil {
 		return err
@@ -196,11 +213,7 @@
 	if err != nil {
 		return err
 	}
-	err = s.write(next, &wire.LogRecord{
-		State: s.state, Entries: after,
-		Rebase: true, BaseIndex: snap.GetIndex(), BaseTerm: snap.GetTerm(),
-	})
-	if err != nil {
+	if err := s.rebase(next, snap, after); err != nil {
 		return err
 	}
 	old := s.segment
@@ -222,8 +235,8 @@
 		if n >= number {
 			continue
 		}
-		if err := os.Remove(s.segmentPath(n)); err != nil {
-			return trace.ConvertSystemError(err)
+		if err := wal.Remove(s.segmentPath(n)); err != nil {
+			return err
 		}
 	}
 	return wal.SyncDir(s.dir)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -16,6 +16,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 
 	"github.com/gravitational/trace"
 )
@@ -50,12 +51,49 @@
 	size int64
 }
 
+// Interrupt is called before each change of a file or directory with its path; an error ends the operation
+// there, as a crash would. Only tests set it.
+var Interrupt atomic.Pointer[func(path string) error]
+
+// ErrTornWrite is returned by [Interrupt] to end a write after half of its bytes.
+var ErrTornWrite = errors.New("interrupted within a write")
+
+// beforeChange calls [Interrupt].
+func beforeChange(path string) error {
+	if f := Interrupt.Load(); f != nil {
+		return (*f)(path)
+	}
+	return nil
+}
+
+// Rename renames a file. [SyncDir] makes that durable.
+func Rename(oldPath, newPath string) error {
+	if err := beforeChange(newPath); err != nil {
+		return err
+	}
+	return trace.ConvertSystemError(os.Rename(oldPath, newPath))
+}
+
+// Remove removes a file; one that does not exist is no error.
+func Remove(path string) error {
+	if err := beforeChange(path); err != nil {
+		return err
+	}
+	if err := os.Remove(path); err != nil && !os.IsNotExist(err) {
+		return trace.ConvertSystemError(err)
+	}
+	return nil
+}
+
 // Open opens or creates the log at path and passes each record to replay in
 // order. It returns a [*CorruptionError] if valid records follow a corrupt one.
 func Open(path string, replay func(record []byte) error) (*Log, error) {
 	if err := os.MkdirAll(filepath.Dir(path), dirMode); err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
+	if err := beforeChange(path); err != nil {
+		return nil, err
+	}
 	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -122,6 +160,9 @@
 			return &CorruptionError{File: l.path, Offset: offset}
 		}
 	}
+	if err := beforeChange(l.path); err != nil {
+		return err
+	}
 	if err := l.f.Truncate(offset); err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -173,6 +214,12 @@
 	binary.LittleEndian.PutUint32(buf[:4], uint32(len(record)))
 	binary.LittleEndian.PutUint32(buf[4:8], crc32.Checksum(record, castagnoli))
 	copy(buf[headerBytes:], record)
+	if err := beforeChange(l.path); err != nil {
+		if errors.Is(err, ErrTornWrite) {
+			_, _ = l.f.Write(buf[:len(buf)/2])
+		}
+		return err
+	}
 	if _, err := l.f.Write(buf); err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -198,8 +245,8 @@
 		return trace.ConvertSystemError(err)
 	}
 	tempPath := path + ".tmp"
-	if err := os.Remove(tempPath); err != nil && !os.IsNotExist(err) {
-		return trace.ConvertSystemError(err)
+	if err := Remove(tempPath); err != nil {
+		return err
 	}
 	l, err := Open(tempPath, func([]byte) error { return nil })
 	if err != nil {
@@ -212,8 +259,8 @@
 	if err := l.Close(); err != nil {
 		return err
 	}
-	if err := os.Rename(tempPath, path); err != nil {
-		return trace.ConvertSystemError(err)
+	if err := Rename(tempPath, path); err != nil {
+		return err
 	}
 	return SyncDir(filepath.Dir(path))
 }
@@ -235,6 +282,9 @@
 
 // SyncDir syncs a directory, which makes renames and new files in it durable.
 func SyncDir(path string) error {
+	if err := beforeChange(path); err != nil {
+		return err
+	}
 	f, err := os.Open(path)
 	if err != nil {
 		return trace.ConvertSystemError(err)
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -106,3 +106,38 @@
 		t.Fatalf("want a CorruptionError, got %v", err)
 	}
 }
+
+// Guards against a file that is neither the old nor the new one after a crash at any step of its replacement.
+func TestReplacementSurvivesACrashAtEveryStep(t *testing.T) {
+	for _, cause := range []error{errors.New("interrupted"), ErrTornWrite} {
+		for step := int64(1); ; step++ {
+			path := filepath.Join(t.TempDir(), "file")
+			if err := WriteFile(path, []byte("old")); err != nil {
+				t.Fatal(err)
+			}
+			n := int64(0)
+			f := func(string) error {
+				if n++; n < step {
+					return nil
+				}
+				return cause
+			}
+			Interrupt.Store(&f)
+			err := WriteFile(path, []byte("new"))
+			Interrupt.Store(nil)
+			got, readErr := ReadFile(path)
+			if readErr != nil || string(got) != "old" && string(got) != "new" || err == nil && string(got) != "new" {
+				t.Errorf("%v at step %d: %q, %v", cause, step, got, readErr)
+			}
+			if n < step {
+				break
+			}
+			if err := WriteFile(path, []byte("next")); err != nil {
+				t.Errorf("%v at step %d: the next replacement: %v", cause, step, err)
+			}
+			if got, err := ReadFile(path); err != nil || string(got) != "next" {
+				t.Errorf("%v at step %d: then %q, %v", cause, step, got, err)
+			}
+		}
+	}
+}
