gateway: responses without an end are cut off within bounds

A request was held until its deadline, and its router read up to 1.4 GB of one head in 5 s, more than its process may have.

Cause: only plain bodies were bounded, each by itself. Class: an edge reads what others send until they stop.

Change: a head has 64 KB at most (also of interim and stray responses and of health checks), an event 256 KB, the marks of chunks a multiple of the body; large plain responses share 12 of 100 of the process's memory; what is left of an unwanted response is read for 20 ms. The server is blamed as for a malformed response, the request may have run, and it goes on elsewhere if it may.

Tests: of TestEndlessHeadIsCutOff 6 of 9 rows failed before (5 s and up to 1,440 MB), of TestEndlessResponseIsCutOff 3 of 9 (held until the deadline: rejections whose body does not come, events), and TestLargeResponsesAreBoundedTogether (99 MB held).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,9 @@
 	RPC     *rpc.Server
 	Address string
 	Pool    *rpc.Pool
+	// ResponseBytes limits the memory for large responses that are read before they are passed on; 0
+	// selects the default.
+	ResponseBytes int64
 	// LinkBytes is the capacity of the host's link in bytes per second, in each direction; 0 if
 	// unknown.
 	LinkBytes int64
@@ -97,7 +100,9 @@
 	sampler       *rollout.Sampler
 	origins       *origin.Directory
 	link          linkload.Link
-	metrics       *Metrics
+	// responseMemory holds the responses that are read before they are passed on.
+	responseMemory responseMemory
+	metrics        *Metrics
 	// handle runs the filters around dispatch.
 	handle handler
 	// servedLog limits log lines of served requests, failureLog those of failed ones, of which more
@@ -157,6 +162,7 @@
 	g.scheduler.Limited = func(id sumachead.ServerID) bool { return g.limits.Get(id).Rate > 0 }
 	g.trackers = &trackerClient{Address: g.TrackerAddress, Pool: g.Pool, Scheduler: g.scheduler, Limits: &g.limits.Table}
 	g.trackers.prepare()
+	g.responseMemory.MaxBytes = cmp.Or(g.ResponseBytes, defaultResponseBytes)
 	g.origins = &origin.Directory{Hall: g.Hall, Holders: g.originHolders, Pool: g.Pool}
 	g.handle = chain.Wrap(g.dispatch, textFilter, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.serviceFilter, g.escrowFilter)
 	g.retries = &retrybudget.Budget{Limit: g.Retries, Clock: boottime.Clock{}, Request: g.client.RequestRetries}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,12 +16,12 @@
 	"sumachead/internal/upstream"
 )
 
-// maxBufferedBytes limits a response that is read completely before it is passed on.
-const maxBufferedBytes = 8 << 20
-
-// maxDrainBytes limits how much of an unwanted response is read so that its connection can be
-// reused.
-const maxDrainBytes = 64 << 10
+// maxDrainBytes and drainTimeout limit how much of an unwanted response is read, and for how long, so
+// that its connection can be reused.
+const (
+	maxDrainBytes = 64 << 10
+	drainTimeout  = 20 * time.Millisecond
+)
 
 // slowReaderThreshold is how long a caller must block a write for the end of its stream to be
 // attributed to the caller: servers cut off a response that stays unread for some seconds, and a
@@ -34,6 +34,7 @@
 
 // drain reads an unwanted response.
 func drain(a *upstream.Response) {
+	a.LimitRead(time.Now().Add(drainTimeout))
 	// Closing the response shows whether it was read to its end.
 	_, _ = io.CopyN(io.Discard, a, maxDrainBytes)
 }
@@ -41,16 +42,17 @@
 // relayBuffered passes a plain response on once it has been read completely, so that one that
 // breaks off can be requested from another server.
 func (d *dispatch) relayBuffered(a *upstream.Response) error {
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
-	if err == nil && len(body) <= maxBufferedBytes && !d.isComplete(responseEnd{framing: a.Framing}) {
+	body, reserved, err := d.responseMemory.read(a)
+	defer d.responseMemory.release(reserved)
+	if err == nil && !d.isComplete(responseEnd{framing: a.Framing}) {
 		err = io.ErrUnexpectedEOF
 	}
 	d.recordEnd(a, err, 0)
 	switch {
+	case errors.Is(err, errResponseTooLarge):
+		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonBadAnswer, Err: err}
 	case err != nil:
 		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonInterrupted, Err: fmt.Errorf("the answer broke off after %d bytes: %w", len(body), err)}
-	case len(body) > maxBufferedBytes:
-		return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonBadAnswer, Err: errors.New("the answer is too large")}
 	}
 	d.x.start(a.Status, a.Header, len(body))
 	return d.write(body)
@@ -131,6 +133,10 @@
 		if werr := d.forwardEvents(l, a); werr != nil {
 			return werr
 		}
+		if len(s.splitter.Rest()) > maxEventBytes {
+			d.recordEnd(a, errEventTooLarge, len(s.splitter.Rest()))
+			return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonBadAnswer, Err: errEventTooLarge}
+		}
 		if err == nil {
 			continue
 		}
--- a/internal/upstream/check.go
+++ b/internal/upstream/check.go
@@ -35,7 +35,7 @@
 	if err := r.Write(c); err != nil {
 		return none, trace.Wrap(err)
 	}
-	resp, err := http.ReadResponse(c.br, r)
+	resp, err := c.readHead(r)
 	if err != nil {
 		return none, trace.Wrap(err)
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -52,6 +52,10 @@
 	server Server
 	conn   *conn
 	sentAt sumachead.BootTime
+	// bodyStart is the number of bytes that the connection had received before the body, and bodyBytes
+	// how many of the body have been read.
+	bodyStart int64
+	bodyBytes int64
 	// stop keeps the end of the context from closing the connection; it returns false if that
 	// has already happened.
 	stop func() bool
@@ -66,7 +70,10 @@
 // it may be incomplete.
 func (a *Response) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	a.bodyBytes += int64(n)
 	switch {
+	case a.conn.received-a.bodyStart > maxFramingBytes+maxFramingRatio*a.bodyBytes:
+		return n, errFramingTooLong
 	case errors.Is(err, io.EOF):
 		a.complete = true
 	case err != nil && a.conn.ended:
@@ -75,6 +82,12 @@
 	return n, err
 }
 
+// LimitRead bounds the time of the following reads by a point in time; the connection is not reused
+// after a read that takes longer.
+func (a *Response) LimitRead(until time.Time) {
+	_ = a.conn.SetReadDeadline(until) // a read of a closed connection fails anyway
+}
+
 // Close returns the connection to the pool if the response was read completely, and closes it
 // otherwise, which tells the server to stop.
 func (a *Response) Close() {
@@ -85,6 +98,7 @@
 		if a.Head.IdleUntil.IsZero() {
 			a.conn.reuseUntil = now.Add(defaultIdleTimeout)
 		}
+		a.LimitRead(time.Time{})
 		a.pool.release(a.server, a.conn)
 		return
 	}
@@ -191,7 +205,7 @@
 func (a *Response) readHead(r *sumachead.CallerRequest) error {
 	for range maxStrayResponses + 1 {
 		//nolint:bodyclose // Close ends the connection, or gives it back once the body was read
-		resp, err := http.ReadResponse(a.conn.br, &http.Request{Method: r.Method})
+		resp, err := a.conn.readHead(&http.Request{Method: r.Method})
 		if err != nil {
 			return &Failure{sumachead.MayHaveRun, sumachead.ReasonServerFailed, err}
 		}
@@ -204,7 +218,7 @@
 		}
 		if a.Head.ID == r.ID {
 			a.Status, a.Header = resp.StatusCode, resp.Header
-			a.body, a.Framing = resp.Body, FramingOf(resp)
+			a.body, a.Framing, a.bodyStart = resp.Body, FramingOf(resp), a.conn.received
 			a.reusable = !resp.Close && a.Framing != FramingClose
 			return nil
 		}
