rpc: a peer's message takes no more memory than its bytes, within bounds

What callers saw: nothing; found while looking at each edge for answers without an end.

Change: the memory for a message grows as its bytes arrive; headers have 64 KB, bodies 64 MB, batches of Raft 1 GB at most. A connection on which the next message cannot be found is closed, instead of being searched byte by byte. A declaration is decompressed up to 40 MB, and one that cannot be unpacked is rejected before it is committed: a keeper that applies it would end.

--- a/internal/catalog/pack.go
+++ b/internal/catalog/pack.go
@@ -39,6 +39,15 @@
 	return d, trace.Wrap(proto.Unmarshal(data, d.GetCatalog()), "decoding declaration %d", p.GetNumber())
 }
 
+// CheckPacked returns an error if a packed declaration cannot be unpacked.
+func CheckPacked(p *wire.PackedDeclaration) error {
+	if _, err := Unpack(p); err != nil {
+		return trace.BadParameter("declaration %d: %v", p.GetNumber(), err)
+	}
+	_, err := Source(p)
+	return err
+}
+
 // Source returns the document of a declaration as the operator sent it.
 func Source(p *wire.PackedDeclaration) ([]byte, error) { return inflate(p.GetSource()) }
 
@@ -58,11 +67,17 @@
 	return b.Bytes(), nil
 }
 
+// maxInflatedBytes bounds a decompressed declaration: more than twice the largest document.
+const maxInflatedBytes = 40 << 20
+
 // inflate decompresses data; empty data results in nil.
 func inflate(data []byte) ([]byte, error) {
 	if len(data) == 0 {
 		return nil, nil
 	}
-	out, err := io.ReadAll(flate.NewReader(bytes.NewReader(data)))
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxInflatedBytes+1))
+	if len(out) > maxInflatedBytes {
+		return nil, trace.LimitExceeded("a declaration of over %d bytes", maxInflatedBytes)
+	}
 	return out, trace.Wrap(err, "inflating a declaration")
 }
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -10,6 +10,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/catalog"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/loop"
 	"sumachead/internal/quarantine"
@@ -54,6 +55,9 @@
 
 // Declare commits a declaration.
 func (s *service) Declare(p *wire.PackedDeclaration, reply *wire.DeclareReply) error {
+	if err := catalog.CheckPacked(p); err != nil {
+		return keeperclient.EncodeError(err) // the log must hold nothing that a keeper cannot apply
+	}
 	p.FingerprintKey = quarantine.NewKey()
 	result, err := s.keeper.propose(&wire.FleetCommand{Command: &wire.FleetCommand_Declare{Declare: p}})
 	if err != nil {
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -11,6 +11,9 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
 	"net"
 	"net/rpc"
 	"strings"
@@ -25,18 +28,23 @@
 	"sumachead/api/wire"
 )
 
-// maxMessageBytes is the maximum size of one message; a snapshot of a group must fit.
-const maxMessageBytes = 1 << 30
+// Maximum sizes of a header, of the body of a call or reply, and of one that may hold the snapshot of a
+// group.
+const (
+	maxHeaderBytes   = 64 << 10
+	maxBodyBytes     = 64 << 20
+	maxSnapshotBytes = 1 << 30
+)
 
 // writeTimeout is how long a write may block before its connection fails.
 const writeTimeout = 3 * time.Second
 
-var unmarshal = protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-
 // framedConn is a connection with the message framing that client and server share.
 type framedConn struct {
 	conn net.Conn
 	r    *bufio.Reader
+	// unreadable is set once the beginning of the next message cannot be found.
+	unreadable bool
 
 	mu sync.Mutex // guards w
 	w  *bufio.Writer
@@ -128,7 +136,60 @@
 	if !ok {
 		m = &wire.Empty{}
 	}
-	return unmarshal.UnmarshalFrom(s.r, m)
+	limit := uint64(maxBodyBytes)
+	if _, ok := m.(*wire.RaftBatch); ok {
+		limit = maxSnapshotBytes
+	}
+	err := readMessage(s.r, m, limit)
+	var invalid decodingError
+	s.unreadable = err != nil && !errors.As(err, &invalid)
+	return err
+}
+
+// readMessage reads a message of up to limit bytes. The memory for it grows as its bytes arrive, whatever
+// size the peer announces.
+func readMessage(r *bufio.Reader, m proto.Message, limit uint64) error {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	if size > limit {
+		return trace.LimitExceeded("a message of %d bytes, %d are allowed", size, limit)
+	}
+	if size <= uint64(r.Size()) {
+		data, err := r.Peek(int(size))
+		if err != nil {
+			return unexpectedEOF(err)
+		}
+		err = proto.Unmarshal(data, m)
+		if _, discardErr := r.Discard(int(size)); discardErr != nil {
+			return discardErr
+		}
+		return decodingErrorOf(err)
+	}
+	var data bytes.Buffer
+	if _, err := io.CopyN(&data, r, int64(size)); err != nil {
+		return unexpectedEOF(err)
+	}
+	return decodingErrorOf(proto.Unmarshal(data.Bytes(), m))
+}
+
+// decodingError means that a message was read but cannot be decoded. The next one can be read.
+type decodingError struct{ error }
+
+func decodingErrorOf(err error) error {
+	if err == nil {
+		return nil
+	}
+	return decodingError{err}
+}
+
+// unexpectedEOF returns the error of a connection that ends within a message.
+func unexpectedEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 func (s *framedConn) Close() error { return s.conn.Close() }
@@ -137,8 +198,11 @@
 
 // ReadRequestHeader implements net/rpc.ServerCodec.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	if c.unreadable {
+		return io.EOF // net/rpc goes on after a body that could not be read
+	}
 	var h wire.CallHeader
-	if err := unmarshal.UnmarshalFrom(c.r, &h); err != nil {
+	if err := readMessage(c.r, &h, maxHeaderBytes); err != nil {
 		return err
 	}
 	r.ServiceMethod = h.GetMethod()
@@ -176,7 +240,7 @@
 // ReadResponseHeader implements net/rpc.ClientCodec.
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	var h wire.ReplyHeader
-	if err := unmarshal.UnmarshalFrom(c.r, &h); err != nil {
+	if err := readMessage(c.r, &h, maxHeaderBytes); err != nil {
 		return err
 	}
 	r.ServiceMethod = h.GetMethod()
--- a/internal/rpc/encoding_test.go
+++ b/internal/rpc/encoding_test.go
@@ -88,7 +88,7 @@
 	r := bufio.NewReader(bytes.NewReader(message))
 	var h wire.ReplyHeader
 	got := &wire.FollowReply{}
-	if err := errors.Join(unmarshal.UnmarshalFrom(r, &h), unmarshal.UnmarshalFrom(r, got)); err != nil {
+	if err := errors.Join(readMessage(r, &h, maxHeaderBytes), readMessage(r, got, maxBodyBytes)); err != nil {
 		t.Fatal(err)
 	}
 	want := &wire.FollowReply{Version: 7, Servers: []*wire.ServerRecord{good}, Declaration: &wire.PackedDeclaration{Number: 2}}
