agent: a response that is too large is a bad answer

An engine's rejection of over 8 MB was passed on cut to 8 MB as complete, and a stream that reached the bound, or an event without an end, counted as broken off instead of as a bad answer.

Cause: the bound of a response looked like its end.

Change: a longer response is an error of its own (bad_answer, may have run), an event has 256 KB and a head 64 KB at most (10 MB before).

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -30,8 +30,11 @@
 )
 
 const (
-	// maxResponseBytes is the maximum size of a response.
+	// maxResponseBytes, maxHeadBytes and maxEventBytes are the maximum sizes of a response's body, of
+	// its head and of an event of a stream.
 	maxResponseBytes = 8 << 20
+	maxHeadBytes     = 64 << 10
+	maxEventBytes    = 256 << 10
 	dialTimeout      = time.Second
 	readBuffer       = 16 << 10
 )
@@ -61,7 +64,7 @@
 		client: &http.Client{
 			// Each connection serves a single request: a connection that the
 			// server has just closed can't be told from one on which a request was lost.
-			Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true},
+			Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
@@ -121,7 +124,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body := &watchedReader{
-		Reader: io.LimitReader(resp.Body, maxResponseBytes+1), watchdog: watch, health: b.health,
+		Reader: &boundedReader{reader: resp.Body, left: maxResponseBytes}, watchdog: watch, health: b.health,
 		onFirstByte: func() { b.recordFirstByte(time.Since(began)) },
 	}
 	if pool.Kind == settings.ServicePool {
@@ -219,9 +222,6 @@
 	if err != nil {
 		return 0, err
 	}
-	if len(data) > maxResponseBytes {
-		return 0, badResponse("the answer is too large")
-	}
 	x.setHead(resp.StatusCode, resp.Header.Get("Content-Type"))
 	x.write(data)
 	return sumachead.Tokens(r.GetFlatCost()), nil
@@ -233,7 +233,11 @@
 	lines := bufio.NewReaderSize(body, readBuffer)
 	var event []byte
 	for {
-		line, err := lines.ReadBytes('\n')
+		line, err := readLine(lines, maxEventBytes-len(event))
+		var refusal *sumachead.Refusal
+		if errors.As(err, &refusal) {
+			return s.tokens(), err
+		}
 		if err != nil {
 			return s.tokens(), errors.Join(errStreamInterrupted, err)
 		}
@@ -255,6 +259,36 @@
 	}
 }
 
+// readLine reads a line of up to limit bytes.
+func readLine(r *bufio.Reader, limit int) (line []byte, err error) {
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > limit {
+			return nil, badResponse("an event of the answer is too large")
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
+// boundedReader reads a response of up to left bytes; a longer one is a bad answer.
+type boundedReader struct {
+	reader io.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p[:min(len(p), r.left+1)])
+	if n > r.left {
+		return r.left, badResponse("the answer is too large")
+	}
+	r.left -= n
+	return n, err
+}
+
 // eventSink receives the events of a stream.
 type eventSink interface {
 	// chunk is called for the data of each event, in order.
--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if upstream.FramingOf(resp) != upstream.FramingClose || resp.Uncompressed || len(data) > maxResponseBytes {
+	if upstream.FramingOf(resp) != upstream.FramingClose || resp.Uncompressed {
 		return data, nil
 	}
 	d, u := &net.Dialer{Timeout: dialTimeout}, resp.Request.URL
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -103,8 +103,8 @@
 		return 0, trace.Wrap(err)
 	}
 	var m modelResponse
-	if err := json.Unmarshal(data, &m); err != nil || len(data) > maxResponseBytes {
-		return 0, badResponse("the answer is not whole JSON of a fair size")
+	if err := json.Unmarshal(data, &m); err != nil {
+		return 0, badResponse("the answer is not whole JSON")
 	}
 	if m.Usage == nil {
 		return 0, badResponse("the answer has no usage")
