intake: callers who do not finish their requests take little memory

What callers saw: nothing was reported. A caller that announced a long body had as much memory reserved before its first byte, without a limit in time: four of them, 4 MB each, kept all others of a router of 134 MB from sending bodies (router_full). Headers were read up to 1 MB.

Test: TestUnfinishedRequestsTakeLittle failed before (router_full). TestBodies passes a response writer now, which the deadline needs.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -1,10 +1,10 @@
 package intake
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,15 +15,29 @@
 	// memoryRetryDelay is the time until the retry of a caller that was refused for lack
 	// of memory: some bodies are released by then.
 	memoryRetryDelay = 300 * time.Millisecond
-	// initialBufferBytes is the initial buffer size for a body of unknown length; the
-	// buffer doubles as needed.
+	// initialBufferBytes is the initial buffer size for a body; the buffer doubles as
+	// needed, so that a caller who announces a long one and does not send it takes little.
 	initialBufferBytes = 16 << 10
+	// DefaultBodyTimeout is the time within which a body must arrive: a long one over a slow
+	// link.
+	DefaultBodyTimeout = 30 * time.Second
 )
 
+// LimitBodyTime limits the time to read a request's body, until stop is called.
+func LimitBodyTime(w http.ResponseWriter, timeout time.Duration) (stop func()) {
+	c := http.NewResponseController(w)
+	if c.SetReadDeadline(time.Now().Add(timeout)) != nil {
+		return func() {} // not a network connection
+	}
+	return func() { _ = c.SetReadDeadline(time.Time{}) } // a closed connection fails anyway
+}
+
 // BodyMemory limits the bytes reserved for request bodies at a time.
 type BodyMemory struct {
 	// MaxBytes is the limit; 0 for no limit.
 	MaxBytes int64
+	// Timeout is the time within which a body must arrive; 0 selects the default.
+	Timeout time.Duration
 
 	reserved atomic.Int64
 }
@@ -42,9 +56,9 @@
 // Release releases the body's memory. It must be called only once.
 func (b *Body) Release() { b.memory.reserved.Add(-b.reserved) }
 
-// Read reads a request's body if its headers and the body are within the limits. An
-// error is a [*sumachead.Refusal]; no memory stays reserved then.
-func (m *BodyMemory) Read(r *http.Request, l Limits) (*Body, error) {
+// Read reads a request's body if its headers and the body are within the limits, and it
+// arrives in time. An error is a [*sumachead.Refusal]; no memory stays reserved then.
+func (m *BodyMemory) Read(w http.ResponseWriter, r *http.Request, l Limits) (*Body, error) {
 	l = l.withDefaults()
 	n := headerSize(r)
 	if n > l.HeaderBytes {
@@ -57,6 +71,8 @@
 	if r.ContentLength == 0 {
 		return b, nil
 	}
+	stop := LimitBodyTime(w, cmp.Or(m.Timeout, DefaultBodyTimeout))
+	defer stop()
 	if err := b.read(r.Body, r.ContentLength, l.BodyBytes); err != nil {
 		b.Release()
 		return nil, err
@@ -69,7 +85,7 @@
 func (b *Body) read(from io.Reader, length, maxBytes int64) error {
 	size := int64(initialBufferBytes)
 	if length >= 0 {
-		size = length + 1 // one more byte to detect the end
+		size = min(size, length+1) // one more byte to detect the end
 	}
 	if err := b.reserve(size); err != nil {
 		return err
@@ -77,10 +93,14 @@
 	b.Data = make([]byte, 0, size)
 	for {
 		if len(b.Data) == cap(b.Data) {
-			if err := b.reserve(int64(cap(b.Data))); err != nil {
+			more := int64(cap(b.Data))
+			if length >= 0 {
+				more = max(min(more, length+1-more), 1)
+			}
+			if err := b.reserve(more); err != nil {
 				return err
 			}
-			b.Data = slices.Grow(b.Data, cap(b.Data))
+			b.Data = append(make([]byte, 0, int64(cap(b.Data))+more), b.Data...)
 		}
 		n, err := from.Read(b.Data[len(b.Data):cap(b.Data)])
 		b.Data = b.Data[:len(b.Data)+n]
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -59,7 +59,7 @@
 				tt.change(r)
 			}
 			m := &BodyMemory{MaxBytes: tt.maxBytes}
-			b, err := m.Read(r, limits)
+			b, err := m.Read(httptest.NewRecorder(), r, limits)
 			got := sumachead.Reason("")
 			if err != nil {
 				f := sumachead.AsRefusal(err)
@@ -84,7 +84,54 @@
 	}
 }
 
-// startServer starts a server that responds to all requests immediately.
+// Guards against callers that announce long bodies, or headers without an end, and keep memory and
+// connections for them.
+func TestUnfinishedRequestsTakeLittle(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	m := &BodyMemory{MaxBytes: 1 << 20, Timeout: timeout}
+	refused := make(chan sumachead.Reason, 100)
+	s := &Server{Limits: func() Limits { return Limits{} }, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, err := m.Read(w, r, Limits{BodyBytes: 4 << 20})
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			refused <- sumachead.AsRefusal(err).Reason
+			return
+		}
+		b.Release()
+	})}
+	startServer(t, s)
+	const callers = 30
+	for range callers {
+		if _, err := io.WriteString(dial(t, s), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\nx"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(timeout / 4)
+	if n := m.reserved.Load(); n == 0 || n > m.MaxBytes {
+		t.Errorf("%d bytes are reserved", n)
+	}
+	for range callers {
+		select {
+		case why := <-refused:
+			if why != sumachead.ReasonBadRequest {
+				t.Errorf("refused with %s", why)
+			}
+		case <-time.After(10 * timeout):
+			t.Fatal("a body that does not arrive is waited for")
+		}
+	}
+	c := dial(t, s)
+	n := 0
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n")
+	for ; err == nil && n < 64<<20; n++ {
+		_, err = io.WriteString(c, "X-Next: v\r\n")
+	}
+	if err == nil {
+		t.Error("headers without an end are read on")
+	}
+}
+
+// startServer starts a server that responds to all requests immediately, unless it has a handler.
 func startServer(t *testing.T, s *Server) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -93,7 +140,9 @@
 	}
 	s.Address = l.Addr().String()
 	_ = l.Close()
-	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	if s.Handler == nil {
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	}
 	s.DrainTimeout = time.Second
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/internal/router/filters.go
+++ b/internal/router/filters.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"sumachead"
+	"sumachead/internal/intake"
 	"sumachead/internal/keeperclient"
 )
 
@@ -88,7 +89,9 @@
 func (r *Router) sizeFilter(next handler) handler {
 	return func(x *exchange) error {
 		limit := x.workspace.Limits.MaxBodyBytes
+		stop := intake.LimitBodyTime(x.w, intake.DefaultBodyTimeout)
 		body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+		stop()
 		var tooLarge *http.MaxBytesError
 		if errors.As(err, &tooLarge) {
 			return notRun(sumachead.ReasonTooLarge, "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes", time.Time{})
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -25,6 +25,10 @@
 // [HTTPServer.ConnState] closes connections by other limits.
 const headerTimeout = 10 * time.Second
 
+// maxHeaderBytes limits what a server reads of a request's headers on any connection, also if a
+// declaration allows more.
+const maxHeaderBytes = 128 << 10
+
 // MonitoringDrainTimeout is the DrainTimeout of servers that serve only health checks and
 // metrics.
 const MonitoringDrainTimeout = time.Second
@@ -102,7 +106,7 @@
 	if s.TLS != nil {
 		lis = tls.NewListener(lis, s.TLS)
 	}
-	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: s.IdleTimeout, ConnState: s.ConnState}
+	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: s.IdleTimeout, ConnState: s.ConnState}
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(lis) }()
 	select {
