Soak: the users' rules computed from what callers and servers saw

The soak checked some rules, none as written: no check counted arrivals beyond the first, by service and window.

Change: rules.Retries (shared with the simulation), attempts, deadlines that servers receive, arrivals after a caller has left, requests and headers that were changed, denials. Stand-ins record each arrival; their rejections name the request, as those of servers do. Each caller sends the headers that only the system may set. New series: all servers of the plain service reject requests for seconds while callers come back at once.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -165,7 +165,7 @@
 		fmt.Sprintf("listen.control=%s:%d", f.advertisedIP(i), f.controlPort), fmt.Sprintf("port_range=%d,%d", f.innerPort, f.innerPort+15),
 		"zones.hall-1=r", "zones.hall-2=r", "zones.hall-3=r", "listen.inner=" + p.rpc, "seeds=" + strings.Join(seeds, ","), fmt.Sprintf("bootstrap=%t", first),
 		"data_dir=" + p.data, "limits.memory_mb=200", "limits.max_fds=2000", "heartbeat_ms=300", "bounds.grace_s=6",
-		"bounds.retry_budget_ratio=0.2", "bounds.budget_extra=50", "bounds.budget_window_s=10", "budget.priority_reserve=true", "a.later=field",
+		"bounds.retry_budget_ratio=0.2", fmt.Sprintf("bounds.budget_extra=%d", retryExtra), "bounds.budget_window_s=10", "budget.priority_reserve=true", "a.later=field",
 		fmt.Sprintf("limits.link_mbps=%g", f.shape.linkMbps),
 		fmt.Sprintf("bounds.exposure_share=%g", exposureShare), fmt.Sprintf("bounds.exposure_slack=%d", exposureSlack),
 		fmt.Sprintf("bounds.cold_overage=%g", coldOverage), fmt.Sprintf("bounds.cold_slack=%d", coldSlack),
@@ -284,6 +284,9 @@
 	return ""
 }
 
+// retryExtra is the fixed number of retries in the settings of a fleet.
+const retryExtra = 50
+
 // fleetDocument is an operator's declaration.
 type fleetDocument struct {
 	number  int
--- a/internal/scenario/fleetcall_test.go
+++ b/internal/scenario/fleetcall_test.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"sumachead/internal/standin"
 )
 
 // fleetRequest is one request to a fleet.
@@ -57,7 +59,14 @@
 	// refusal is the body of an unsuccessful response.
 	refusal string
 	err     error
-	sentAt  time.Time
+	// mixed describes a response that no caller may get: of another request, or with a gap.
+	mixed string
+	// method, path, usage and blocks are what the caller sent, timeout is its deadline, and cancelledAt
+	// is when it disconnected; zero if it did not.
+	method, path, usage, blocks string
+	timeout                     time.Duration
+	cancelledAt                 time.Time
+	sentAt                      time.Time
 	// respondedAt is when the response headers arrived, or zero if they did not.
 	respondedAt time.Time
 	endedAt     time.Time
@@ -115,6 +124,9 @@
 	}
 	f.roundTrip(ctx, q, c)
 	c.endedAt = time.Now()
+	if q.cancelAfter > 0 && ctx.Err() != nil {
+		c.cancelledAt = c.endedAt
+	}
 	return c
 }
 
@@ -133,6 +145,10 @@
 		return
 	}
 	r.Host = "h.example"
+	c.method, c.path, c.timeout = method, path, q.timeout
+	for _, name := range standin.ReservedHeaders {
+		r.Header.Set(name, "1")
+	}
 	r.Header.Set("Request-Id", c.id)
 	r.Header.Set("Api-Key", q.key)
 	r.Header.Set("Deadline-Ms", strconv.FormatInt(q.timeout.Milliseconds(), 10))
@@ -146,6 +162,7 @@
 		r.Header.Set("Last-Event-Id", strconv.Itoa(q.lastEvent))
 		r.Header.Set("Resumes", q.resumes)
 	}
+	c.usage, c.blocks = r.Header.Get("Token-Usage"), r.Header.Get("Prompt-Prefix")
 	client := q.client
 	if client == nil {
 		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
@@ -166,7 +183,8 @@
 		return
 	}
 	if resp.Header.Get("Request-Id") != c.id || resp.Header.Get("Response-Seal") == "" {
-		c.err = errors.New("the response belongs to another request")
+		c.mixed = "the response belongs to another request"
+		c.err = errors.New(c.mixed)
 		return
 	}
 	if q.kind == "stream" {
@@ -176,7 +194,8 @@
 	body, err := io.ReadAll(resp.Body)
 	c.complete, c.err = err == nil && string(body) == "done "+c.id, err
 	if err == nil && !c.complete {
-		c.err = fmt.Errorf("the response is %q", body)
+		c.mixed = fmt.Sprintf("the response is %q", body)
+		c.err = errors.New(c.mixed)
 	}
 }
 
@@ -193,7 +212,8 @@
 		}
 		n, _ := strconv.Atoi(v)
 		if n != c.lastEvent+1 {
-			c.err = fmt.Errorf("event %d follows event %d", n, c.lastEvent)
+			c.mixed = fmt.Sprintf("event %d follows event %d", n, c.lastEvent)
+			c.err = errors.New(c.mixed)
 			return
 		}
 		if c.lastEvent == 0 {
@@ -205,7 +225,8 @@
 	c.err = s.Err()
 	c.complete = c.err == nil && c.lastEvent == q.events
 	if c.err == nil && !c.complete {
-		c.err = fmt.Errorf("the stream ended normally after event %d of %d", c.lastEvent, q.events)
+		c.mixed = fmt.Sprintf("the stream ended normally after event %d of %d", c.lastEvent, q.events)
+		c.err = errors.New(c.mixed)
 	}
 }
 
@@ -275,8 +296,8 @@
 		if c.workspace == "clerks" {
 			received += c.receivedTokens
 		}
-		if c.err != nil && strings.Contains(c.err.Error(), "the ") {
-			violations = append(violations, fmt.Sprintf("%s: %v", c.id, c.err))
+		if c.mixed != "" {
+			violations = append(violations, fmt.Sprintf("%s: %s", c.id, c.mixed))
 		}
 		if c.kind == "hold" && runs[c.id] > 1 {
 			violations = append(violations, fmt.Sprintf("%s ran %d times", c.id, runs[c.id]))
@@ -289,6 +310,7 @@
 			violations = append(violations, fmt.Sprintf("%s was refused as not run (%d) but ran", c.id, c.status))
 		}
 	}
+	violations = append(violations, f.rules()...)
 	if received > prepaid {
 		violations = append(violations, fmt.Sprintf("%d tokens received, but only %d were prepaid", received, prepaid))
 	}
--- a/internal/scenario/fleetsoak_test.go
+++ b/internal/scenario/fleetsoak_test.go
@@ -138,6 +138,8 @@
 	crowds, blocks := rand.New(rand.NewPCG(s.rand.Uint64(), series+8)), rand.New(rand.NewPCG(s.rand.Uint64(), series+9)) // as above
 	all.Go(func() { s.crowdRouters(crowds, until) })
 	all.Go(func() { s.crashOnBlocks(blocks, until) })
+	failures := rand.New(rand.NewPCG(s.rand.Uint64(), series+10)) // as above
+	all.Go(func() { s.failService(failures, until) })
 	all.Wait()
 }
 
@@ -301,6 +303,7 @@
 func (s *fleetSoak) report() {
 	s.t.Logf("processes %d, requests %d, declarations up to %d", len(s.f.order), s.f.requestCount, s.acked)
 	s.t.Logf("faults %v", s.faults)
+	s.reportRetries()
 	s.t.Logf("outcomes %v", s.outcomes)
 	for _, body := range crashBodies {
 		s.t.Logf("%d servers crashed on %q", s.f.crashCountOn(body), body)
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -81,6 +81,8 @@
 	mu     sync.Mutex // guards the fields below and the elements of runs
 	faults ReplicaFaults
 	runs   []*ReplicaRun
+	// arrivals are the requests that have reached the replica.
+	arrivals []ReplicaArrival
 	// sequence counts the heartbeats of this incarnation, which started at born.
 	sequence int
 	born     time.Time
@@ -210,6 +212,8 @@
 		w.Header().Set("Cold-Ms", strconv.FormatInt(cold.Milliseconds(), 10))
 		return
 	}
+	r.recordArrival(q)
+	w.Header().Set("Request-Id", q.Header.Get("Request-Id"))
 	if expected := q.Header.Get("Expect-Replica"); expected != id {
 		w.Header().Set("Served-By", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
