fleetclient: a new leader's number of routers is not believed too early

What callers saw: nothing was reported. By the number of routers each router computes how many connections it may have to a server and its share of limits of cold and limited servers. A new leader reports the routers that have found it, at first none or one, so that all routers together could open as many times more connections, and send as many times more requests, as there are routers.

Found by reading while looking for the same cause elsewhere.

Change: the highest number reported within 5 s counts.

A process that starts just after a change of the leader still begins with what it is told.

--- a/internal/fleetclient/apply.go
+++ b/internal/fleetclient/apply.go
@@ -17,7 +17,7 @@
 	c.applyRollouts(r.GetRollouts())
 	c.ApplySuspects(r.GetSuspects())
 	c.Servers.Apply(r, time.Now())
-	c.routers.Store(r.GetRouters())
+	c.routers.report(r.GetRouters(), time.Now())
 	if p := r.GetDeclaration(); p != nil {
 		c.applyPacked(p)
 	}
--- a/internal/fleetclient/client.go
+++ b/internal/fleetclient/client.go
@@ -96,8 +96,8 @@
 
 	// view is replaced under mu, and never by one with a lower number.
 	view atomic.Pointer[catalog.View]
-	// routers is the number of routers that the leader reported last.
-	routers atomic.Uint32
+	// routers is the number of routers by what leaders have reported.
+	routers routerCount
 	// declared is open once there is a declaration.
 	declared loop.Gate
 	// limitedLog limits the rate of log lines on suspects.
@@ -132,7 +132,7 @@
 func (c *Client) Declared() <-chan struct{} { return c.declared.Wait() }
 
 // Routers returns the number of routers, at least 1.
-func (c *Client) Routers() int { return max(int(c.routers.Load()), 1) }
+func (c *Client) Routers() int { return c.routers.get() }
 
 // Path returns the path to the leader; ok is false while there is none.
 func (c *Client) Path() (w Path, ok bool) {
--- a/internal/fleetclient/search.go
+++ b/internal/fleetclient/search.go
@@ -65,7 +65,7 @@
 	for range ws {
 		a := <-replies
 		if a != nil {
-			c.routers.Store(a.reply.GetRouters())
+			c.routers.report(a.reply.GetRouters(), time.Now())
 			c.setPath(a.path, a.reply)
 			return true
 		}
