retrybudget: records of use come in order, dropped pools grant nothing

What callers saw: nothing; found while reading the change. A grant could be recorded as begun beside the record that the last one has ended, and that could come last: a new leader would not have waited for a window. A pool could be dropped between the credits of a question and its grants.

Change: a grant waits for the record of the end; a pool that is no longer the service's grants nothing. TestGrantWaitsForTheRecordOfItsEnd fails without the first.

--- a/internal/fleet/rollouts.go
+++ b/internal/fleet/rollouts.go
@@ -268,15 +268,16 @@
 // other error the order may or may not come into force. An order is not proposed once ctx has
 // ended, which means that its operator is gone.
 func (k *Keeper) StartRollout(ctx context.Context, service, target string, lasts time.Duration) error {
-	err := k.startRollout(ctx, service, target, lasts)
+	err := error(trace.BadParameter("a name is not valid UTF-8"))
+	if utf8.ValidString(service) && utf8.ValidString(target) {
+		err = k.startRollout(ctx, service, target, lasts)
+	}
 	k.Log.Info("Processed a rollout order.", "service", service, "target", target, "lasts", lasts, "error", err)
 	return err
 }
 
 func (k *Keeper) startRollout(ctx context.Context, name, target string, lasts time.Duration) error {
 	switch {
-	case !utf8.ValidString(name) || !utf8.ValidString(target):
-		return trace.BadParameter("a name is not valid UTF-8")
 	case name == "":
 		return trace.BadParameter("no service is named")
 	case target == "" || len(target) > maxVersionLength:
--- a/internal/retrybudget/granter.go
+++ b/internal/retrybudget/granter.go
@@ -1,7 +1,6 @@
 package retrybudget
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -32,7 +31,7 @@
 	// may have granted all of it.
 	blockedUntil sumachead.BootTime
 	// recorded is set while the next leader knows that the fixed number is in use. recording is
-	// closed when an attempt to record that has ended; nil while there is none.
+	// closed when an attempt to record whether it is has ended; nil while there is none.
 	recorded  bool
 	recording chan struct{}
 }
@@ -70,7 +69,7 @@
 	if err := g.recordUse(p, service); err != nil && granted == 0 {
 		return 0, 0, err
 	}
-	granted += g.grantExtra(term, p, extra)
+	granted += g.grantExtra(term, service, p, extra)
 	return granted, g.wait(p, granted, wanted), nil
 }
 
@@ -118,14 +117,14 @@
 	}
 }
 
-// grantExtra grants retries of the fixed number.
-func (g *Granter) grantExtra(term string, p *pool, wanted int) int {
+// grantExtra grants retries of the fixed number, unless the pool was dropped meanwhile.
+func (g *Granter) grantExtra(term, service string, p *pool, wanted int) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
 	p.advance(g, now)
 	n := min(wanted, g.extraLeft(p, now))
-	if term != g.term || !p.recorded || n == 0 {
+	if term != g.term || g.services[service] != p || !p.recorded || n == 0 {
 		return 0
 	}
 	p.grants = append(p.grants, grant{at: now, count: n})
@@ -135,30 +134,36 @@
 // RecordUnused records that the fixed number of a service is no longer in use, for those of which
 // nothing was granted within a window. It must be called periodically by a leader.
 func (g *Granter) RecordUnused() {
-	for _, service := range g.unused() {
+	for service, p := range g.unused() {
 		// If this fails, the next leader waits for nothing.
 		_ = g.RecordUse(service, false)
+		g.mu.Lock()
+		done := p.recording
+		p.recording = nil
+		g.mu.Unlock()
+		close(done)
 	}
 }
 
-// unused returns the services whose fixed number is no longer in use, and forgets that it was recorded.
-func (g *Granter) unused() []string {
+// unused returns the services whose fixed number is no longer in use. It is recorded anew once that has
+// been recorded.
+func (g *Granter) unused() map[string]*pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.Clock.Now()
-	var names []string
+	found := make(map[string]*pool)
 	for name, p := range g.services {
 		p.advance(g, now)
-		if p.recorded && p.recording == nil && len(p.grants) == 0 && now >= p.blockedUntil {
-			p.recorded = false
-			names = append(names, name)
-		}
-		if !p.recorded && p.recording == nil && p.credits.sum() == 0 {
+		switch {
+		case p.recording != nil:
+		case p.recorded && len(p.grants) == 0 && now >= p.blockedUntil:
+			p.recorded, p.recording = false, make(chan struct{})
+			found[name] = p
+		case !p.recorded && p.credits.sum() == 0:
 			delete(g.services, name)
 		}
 	}
-	slices.Sort(names)
-	return names
+	return found
 }
 
 // poolOf returns the pool of a service without what has expired.
--- a/internal/retrybudget/granter_test.go
+++ b/internal/retrybudget/granter_test.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -74,3 +75,40 @@
 		})
 	}
 }
+
+// Guards against a grant beside the record that nothing is granted any more, which would come last.
+func TestGrantWaitsForTheRecordOfItsEnd(t *testing.T) {
+	c := &manualClock{now: sumachead.BootTime(time.Hour)}
+	var mu sync.Mutex
+	var records []bool
+	ending, proceed := make(chan struct{}), make(chan struct{})
+	g := &Granter{Limit: limitWith(10), Clock: c, RecordUse: func(_ string, active bool) error {
+		if !active {
+			close(ending)
+			<-proceed
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		records = append(records, active)
+		return nil
+	}}
+	g.StartLeading("1", nil)
+	if n, _, err := g.Grant("1", "a", 0, 1); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+	c.now = c.now.Add(time.Minute)
+	var all sync.WaitGroup
+	all.Go(g.RecordUnused)
+	<-ending
+	all.Go(func() {
+		if n, _, err := g.Grant("1", "a", 0, 1); n != 1 || err != nil {
+			t.Error(n, err)
+		}
+	})
+	time.Sleep(10 * time.Millisecond)
+	close(proceed)
+	all.Wait()
+	if diff := cmp.Diff([]bool{true, false, true}, records); diff != "" {
+		t.Error(diff)
+	}
+}
