--- a/internal/scenario/fleetsoak_faults_test.go
+++ b/internal/scenario/fleetsoak_faults_test.go
@@ -296,7 +296,7 @@
 
 // serverFault injects a fault into a backend server for a while.
 func (s *fleetSoak) serverFault(r *rand.Rand, duration time.Duration) {
-	faults := []standin.ReplicaFaults{{LoseAnswer: true}, {BreakAfter: 2}, {Surplus: true}, {Refuse: true}, {Hang: true}}
+	faults := []standin.ReplicaFaults{{LoseAnswer: true}, {BreakAfter: 2}, {Surplus: true}, {LateSurplus: true}, {Refuse: true}, {Hang: true}}
 	_, server := s.randomServer(r)
 	server.SetFaults(faults[r.IntN(len(faults))])
 	time.Sleep(duration)
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -26,6 +26,9 @@
 	BreakAfter int
 	// Surplus sends an additional, unsolicited response after a complete one.
 	Surplus bool
+	// LateSurplus sends the complete response of one request once more in the place of the next
+	// one on its connection, which then ends.
+	LateSurplus bool
 	// Refuse responds that the request was not run.
 	Refuse bool
 	// Hang accepts requests and never responds.
@@ -283,8 +286,8 @@
 		return
 	}
 	body := "done " + q.Header.Get("Request-Id")
-	if f.Surplus {
-		r.sendTwice(w, q, body)
+	if f.Surplus || f.LateSurplus {
+		r.sendTwice(w, q, body, f.LateSurplus)
 		return
 	}
 	if f.Framing != "" {
@@ -350,14 +353,27 @@
 // event returns an event of a stream.
 func (r *Replica) event(i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i, r.Version) }
 
-// sendTwice sends a response twice, as some faulty servers do.
-func (r *Replica) sendTwice(w http.ResponseWriter, q *http.Request, body string) {
+// sendTwice sends a response twice, as some faulty servers do; the second time at once or in response to
+// the next request.
+func (r *Replica) sendTwice(w http.ResponseWriter, q *http.Request, body string, late bool) {
 	conn, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	for range 2 {
+	for i := range 2 {
+		if late && i > 0 {
+			_ = buffered.Flush()
+			const maxWait = time.Second
+			if conn.SetReadDeadline(time.Now().Add(maxWait)) != nil {
+				return
+			}
+			next, err := http.ReadRequest(buffered.Reader)
+			if err != nil {
+				return
+			}
+			r.recordArrival(next)
+		}
 		_, _ = fmt.Fprintf(buffered, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s",
 			q.Header.Get("Request-Id"), r.ID, len(body), body)
 	}
