Scenario: a fleet that does not start prints its refusals and logs

With the ends of the logs it was seen to have its addresses in use, by processes of a test whose output had been cut by hand, so that it had died without stopping them.

--- a/internal/scenario/fleet_test.go
+++ b/internal/scenario/fleet_test.go
@@ -80,11 +80,24 @@
 	}
 	t.Cleanup(f.close)
 	if err := f.startAll(); err != nil {
+		f.logStart(t)
 		t.Fatal(err)
 	}
 	return f
 }
 
+// logStart prints the refusals of a fleet that does not serve, and the ends of its processes' logs.
+func (f *fleet) logStart(t *testing.T) {
+	const lastBytes = 1500
+	for _, c := range f.callers {
+		t.Log(c.sentAt.Format(time.StampMilli), c, c.refusal, c.err)
+	}
+	for _, name := range f.order {
+		data, err := os.ReadFile(f.path(name + ".log"))
+		t.Logf("%s, %v:\n%s", name, err, data[max(len(data)-lastBytes, 0):])
+	}
+}
+
 // advertisedIP is the address at which others reach a host. The process itself binds to boundIP,
 // with the test's proxy in between.
 func (f *fleet) advertisedIP(i int) string { return fmt.Sprintf("127.%d.0.%d", f.base, i+1) }
