intake: count why callers' connections are closed, and requests read meanwhile

The lines of a router could not tell a request that was handled on a closed connection from one whose caller had gone. No logic is changed.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 
 	"sumachead"
 	"sumachead/internal/escrow"
+	"sumachead/internal/intake"
 	"sumachead/internal/rpc"
 	"sumachead/internal/upstream"
 )
@@ -43,6 +44,10 @@
 	overloads prometheus.Counter
 	// loadCloses counts connections of callers closed because of that.
 	loadCloses prometheus.Counter
+	// callerCloses counts the callers' connections that this router closed by the reason, and
+	// lateRequests the requests that were read from a connection which it was closing.
+	callerCloses *prometheus.CounterVec
+	lateRequests *prometheus.CounterVec
 	// crashes counts requests during which a server crashed.
 	crashes prometheus.Counter
 	// backoffs counts responses in which servers asked for a backoff, and withheldSends the
@@ -103,6 +108,8 @@
 		coldGrants:       counters("sumachead_gateway_cold_admits_total", "Requests placed on a cold backend server, by whether there was a grant.", "granted"),
 		overloads:        counter("sumachead_gateway_link_overloads_total", "Number of times the router became not ready because callers filled its link."),
 		loadCloses:       counter("sumachead_gateway_link_closes_total", "Connections closed so that their callers use another router, because callers filled the link."),
+		callerCloses:     counters("sumachead_gateway_caller_closes_total", "Connections of callers closed by this router, by reason.", "reason"),
+		lateRequests:     counters("sumachead_gateway_late_requests_total", "Requests read from a connection that this router was closing, by the reason for closing it.", "reason"),
 		crashes:          counter("sumachead_gateway_under_ends_total", "Requests that a backend server may have been running when it crashed."),
 		backoffs:         counter("sumachead_gateway_rests_total", "Responses in which a backend server asked this router for a backoff."),
 		withheldSends:    counters("sumachead_gateway_kept_back_total", "Requests withheld from the chosen backend server because it has since asked for a backoff or is leaving.", "reason"),
@@ -143,11 +150,15 @@
 			m.responseEnds.WithLabelValues(string(f), end)
 		}
 	}
+	for _, r := range intake.CloseReasons() {
+		m.callerCloses.WithLabelValues(string(r))
+		m.lateRequests.WithLabelValues(string(r))
+	}
 	for _, granted := range []string{"true", "false"} {
 		m.coldGrants.WithLabelValues(granted)
 		m.permits.WithLabelValues(granted)
 	}
-	m.Registry.MustRegister(m.refusals, m.retries, m.serviceRequests, m.serviceRetries, m.outcomes, m.waits, m.served, m.dials, m.firstByte, m.responseTime, m.maxGap, m.ledgerReports, m.coldGrants, m.overloads, m.loadCloses, m.crashes, m.backoffs, m.withheldSends, m.leavingNotices, m.malformedNotices, m.limitResponses, m.limitedSends, m.permits, m.canaryRequests, m.resumedStreams, m.responseEnds, m.overdueLoans, rpc.TrafficCollector{})
+	m.Registry.MustRegister(m.refusals, m.retries, m.serviceRequests, m.serviceRetries, m.outcomes, m.waits, m.served, m.dials, m.firstByte, m.responseTime, m.maxGap, m.ledgerReports, m.coldGrants, m.overloads, m.loadCloses, m.callerCloses, m.lateRequests, m.crashes, m.backoffs, m.withheldSends, m.leavingNotices, m.malformedNotices, m.limitResponses, m.limitedSends, m.permits, m.canaryRequests, m.resumedStreams, m.responseEnds, m.overdueLoans, rpc.TrafficCollector{})
 	m.registerGauges(g)
 	return m
 }
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -51,6 +51,24 @@
 	return l
 }
 
+// CloseReason is why the server closes a caller's connection.
+type CloseReason string
+
+const (
+	// CloseIdle is the reason for a connection without a request for longer than the idle timeout.
+	CloseIdle CloseReason = "idle"
+	// CloseHeaderTimeout is the reason for a connection whose headers did not arrive in time.
+	CloseHeaderTimeout CloseReason = "header_timeout"
+	// CloseMaxConns is the reason for a connection that is closed in favor of a new one, or a new one if
+	// none is idle.
+	CloseMaxConns CloseReason = "max_connections"
+)
+
+// CloseReasons lists each reason once.
+func CloseReasons() []CloseReason {
+	return []CloseReason{CloseIdle, CloseHeaderTimeout, CloseMaxConns}
+}
+
 // Server serves callers. Set the exported fields before Run.
 type Server struct {
 	Address      string
@@ -65,6 +83,10 @@
 	// DrainTimeout limits how long requests in flight may take once Run's context ends;
 	// the remaining ones are aborted.
 	DrainTimeout time.Duration
+	// OnClose is called for each connection that the server closes, and OnLateRequest for each request
+	// whose headers were read from a connection that it was closing; nil for none. They must not block.
+	OnClose       func(CloseReason)
+	OnLateRequest func(CloseReason)
 
 	mu sync.Mutex // guards conns
 	// conns are the open connections.
@@ -79,6 +101,8 @@
 	// idleSince is when its last response ended; zero while a request is in flight,
 	// and before the first request.
 	idleSince time.Time
+	// closed is why the server has closed the connection; empty while it is open.
+	closed CloseReason
 }
 
 // Run serves until ctx ends.
@@ -96,17 +120,22 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		s.conns[conn] = &connection{timer: closeAfter(conn, s.limits().HeaderTimeout)}
+		c := &connection{}
+		c.timer = s.closeAfter(conn, c, s.limits().HeaderTimeout, CloseHeaderTimeout)
+		s.conns[conn] = c
 		s.enforceMaxConns(conn)
 	case http.StateActive:
 		if c := s.conns[conn]; c != nil {
 			c.timer.Stop()
 			c.idleSince = time.Time{}
+			if c.closed != "" && s.OnLateRequest != nil {
+				s.OnLateRequest(c.closed)
+			}
 		}
 	case http.StateIdle:
 		if c := s.conns[conn]; c != nil {
 			c.idleSince = time.Now()
-			c.timer = closeAfter(conn, s.limits().IdleTimeout)
+			c.timer = s.closeAfter(conn, c, s.limits().IdleTimeout, CloseIdle)
 		}
 	case http.StateClosed, http.StateHijacked:
 		if c := s.conns[conn]; c != nil {
@@ -120,9 +149,21 @@
 func (s *Server) limits() Limits { return s.Limits().withDefaults() }
 
 // closeAfter returns a timer that closes a connection after a delay.
-func closeAfter(conn net.Conn, delay time.Duration) *time.Timer {
-	// The error is ignored: readers and writers of the connection get errors of their own.
-	return time.AfterFunc(delay, func() { _ = conn.Close() })
+func (s *Server) closeAfter(conn net.Conn, c *connection, delay time.Duration, why CloseReason) *time.Timer {
+	return time.AfterFunc(delay, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.close(conn, c, why)
+	})
+}
+
+// close closes a connection. The caller must hold mu.
+func (s *Server) close(conn net.Conn, c *connection, why CloseReason) {
+	c.closed = why
+	if s.OnClose != nil {
+		s.OnClose(why)
+	}
+	_ = conn.Close() // readers and writers of the connection get errors of their own
 }
 
 // enforceMaxConns closes a connection if a new one exceeds MaxConns: the one that has been
@@ -138,7 +179,8 @@
 			victim, since = conn, idleSince
 		}
 	}
-	s.conns[victim].timer.Stop()
+	c := s.conns[victim]
+	c.timer.Stop()
 	delete(s.conns, victim)
-	_ = victim.Close() // as in closeAfter
+	s.close(victim, c, CloseMaxConns)
 }
