intake: callers are told an idle timeout shorter than the real one

Responses now announce the idle timeout (Keep-Alive: timeout), in whole seconds and at least half a second before the real one.

--- a/internal/intake/idleclose_test.go
+++ b/internal/intake/idleclose_test.go
@@ -55,3 +55,35 @@
 		t.Error("no second request was answered")
 	}
 }
+
+// Guards against callers that use connections until the moment at which they are closed.
+func TestCallersAreToldAShorterIdleTimeout(t *testing.T) {
+	tests := []struct {
+		name string
+		idle time.Duration
+		want string
+	}{
+		{"whole seconds", 15 * time.Second, "timeout=14"},
+		{"fraction of a second left", 2700 * time.Millisecond, "timeout=2"},
+		{"too short to be told", 1400 * time.Millisecond, ""},
+		{"default", 0, "timeout=74"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &Server{Limits: func() Limits { return Limits{IdleTimeout: tt.idle} }}
+			startServer(t, s)
+			conn := dial(t, s)
+			if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if diff := cmp.Diff(tt.want, resp.Header.Get("Keep-Alive")); diff != "" {
+				t.Errorf("Keep-Alive (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	defaultHeaderTimeout = 10 * time.Second
 	// defaultIdleTimeout is compatible with releases in which limits can't be declared.
 	defaultIdleTimeout = 75 * time.Second
+	// idleTimeoutMargin is the time that a request may take from its caller to this process: many round
+	// trips, or one retransmission.
+	idleTimeoutMargin = 500 * time.Millisecond
 )
 
 // withDefaults returns the limits with unset ones replaced by the defaults.
@@ -51,6 +55,13 @@
 	return l
 }
 
+// announcedIdleTimeout returns the idle timeout that callers are told, in whole seconds; 0 for none. It
+// is shorter than the real one, so that requests sent within it do not cross the close of their
+// connection.
+func (l Limits) announcedIdleTimeout() time.Duration {
+	return (l.IdleTimeout - idleTimeoutMargin).Truncate(time.Second)
+}
+
 // CloseReason is why the server closes a caller's connection.
 type CloseReason string
 
@@ -109,10 +120,14 @@
 }
 
 // serveHTTP handles a request unless its connection is being closed, so that it could not be answered.
+// Callers are told for how long they may use the connection again.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.in(phaseClosing) {
 		panic(http.ErrAbortHandler)
 	}
+	if t := s.limits().announcedIdleTimeout(); t > 0 && !r.Close {
+		w.Header().Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(t/time.Second), 10))
+	}
 	s.Handler.ServeHTTP(w, r)
 }
 
