intake: a raised idle timeout holds for connections that are idle

The timer of an idle connection kept the limit of the declaration under which it was set, so that a connection was closed while callers were allowed to use it; and a timer that had fired while its connection was used once more closed a connection that had just become idle.

TestRaisedIdleTimeoutHoldsForIdleConnections fails without the change (no response on a connection that the new limit allows). The timer now asks for the limit in force and for how long the connection has been idle.

--- a/internal/intake/idleclose_test.go
+++ b/internal/intake/idleclose_test.go
@@ -87,3 +87,22 @@
 		})
 	}
 }
+
+// Guards against connections that are closed by an idle timeout which no longer holds.
+func TestRaisedIdleTimeoutHoldsForIdleConnections(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	var idle atomic.Int64
+	idle.Store(int64(timeout))
+	s := &Server{Limits: func() Limits { return Limits{IdleTimeout: time.Duration(idle.Load())} }}
+	startServer(t, s)
+	conn := dial(t, s)
+	if !sendRequest(conn) {
+		t.Fatal("no response")
+	}
+	awaitIdle(t, s)
+	idle.Store(int64(time.Hour))
+	time.Sleep(3 * timeout)
+	if !sendRequest(conn) {
+		t.Fatal("no response on a connection that the new limit allows")
+	}
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -164,11 +164,15 @@
 // limits returns the current limits, with defaults.
 func (s *Server) limits() Limits { return s.Limits().withDefaults() }
 
-// expire closes a connection whose timer has fired, unless its next request has arrived: then its
-// headers must be read in time.
+// expire closes a connection whose timer has fired, unless the idle timeout has been raised since, or
+// its next request has arrived: then its headers must be read in time.
 func (s *Server) expire(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if left := time.Until(c.idleSince.Add(s.limits().IdleTimeout)); !c.headersDue && c.in(phaseWaiting) && left > 0 {
+		c.timer.Reset(left)
+		return
+	}
 	if s.closeWaiting(c, c.timeoutReason()) || c.in(phaseServing) || c.in(phaseClosing) {
 		return
 	}
