agent: a malformed head of a response is a bad answer

What callers saw: a plain service that sent a status from 000 to 099, 600 to 999 or 101, a blank in a field name, a line feed before one, or chunks in HTTP/1.0 had its response passed on; a model's response passed with any malformed head but a wrong status. After "Content-Length : 9" the body was not cut at 9 bytes, and after a line feed the rest of the head was part of the body.

Cause: the agent read responses with http.Transport, which is as lenient as http.ReadResponse. Class: what is not understood is passed over instead of rejected; the same as in upstream.

Fix: stricthttp.Transport sends each request on a connection of its own, as the agent did before, and reads the response with stricthttp.ReadResponse. Malformed heads are bad answers, counted by reason. A response that ends with its connection is incomplete unless the request has been written; before, an early one counted as whole. The agent no longer asks for compressed bodies, which it decompressed before passing them on.

TestEndlessResponseIsABadAnswer wanted the reason internal for a head without an end; it is a bad answer now, like the other endless responses, so that the exception in the test is gone.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -20,6 +20,7 @@
 	"sumachead/api/wire"
 	"sumachead/internal/backoff"
 	"sumachead/internal/settings"
+	"sumachead/internal/stricthttp"
 )
 
 // Headers of requests to the backend server.
@@ -30,10 +31,9 @@
 )
 
 const (
-	// maxResponseBytes, maxHeadBytes and maxEventBytes are the maximum sizes of a response's body, of
-	// its head and of an event of a stream.
+	// maxResponseBytes and maxEventBytes are the maximum sizes of a response's body and of an event of
+	// a stream.
 	maxResponseBytes = 8 << 20
-	maxHeadBytes     = 64 << 10
 	maxEventBytes    = 256 << 10
 	dialTimeout      = time.Second
 	readBuffer       = 16 << 10
@@ -58,13 +58,12 @@
 }
 
 func newBackend(base string, h *health) *backend {
-	d := &net.Dialer{Timeout: dialTimeout}
 	return &backend{
 		base: strings.TrimSuffix(base, "/"), health: h,
 		client: &http.Client{
 			// Each connection serves a single request: a connection that the
 			// server has just closed can't be told from one on which a request was lost.
-			Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
+			Transport: &stricthttp.Transport{Dialer: &net.Dialer{Timeout: dialTimeout}},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
@@ -170,6 +169,9 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonServerUnreached, err.Error(), time.Now().Add(shortRetryDelay))
 	}
+	if errors.Is(err, stricthttp.ErrMalformed) {
+		return nil, badResponse(err.Error())
+	}
 	return nil, trace.Wrap(err)
 }
 
--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -21,7 +21,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if upstream.FramingOf(resp) != upstream.FramingClose || resp.Uncompressed {
+	if upstream.FramingOf(resp) != upstream.FramingClose {
 		return data, nil
 	}
 	d, u := &net.Dialer{Timeout: dialTimeout}, resp.Request.URL
--- a/internal/agent/endless_test.go
+++ b/internal/agent/endless_test.go
@@ -81,11 +81,7 @@
 			if err == nil {
 				t.Fatal("the response passed for complete")
 			}
-			want := sumachead.ReasonBadAnswer
-			if tt.name == "head" {
-				want = sumachead.ReasonInternal // as for bytes that are no response
-			}
-			if f := sumachead.AsRefusal(err); f.Verdict != sumachead.MayHaveRun || f.Reason != want {
+			if f := sumachead.AsRefusal(err); f.Verdict != sumachead.MayHaveRun || f.Reason != sumachead.ReasonBadAnswer {
 				t.Errorf("got %v", err)
 			}
 			if ctx.Err() != nil {
