router: a status that no response has is refused instead of written

What callers saw: their connection was closed without an answer (LOST).

Cause: the router passes the status that an agent reports to WriteHeader, which panics on statuses below 100 and above 999, and sends those from 100 to 199 as interim responses, after which the body goes out with status 200. Agents passed on what their servers sent; one of an earlier version still does. Class: a value from another process is used unchecked.

Evidence: TestResponseWithInvalidStatusIsRefused on the code before:

panic: invalid WriteHeader code -1 [recovered, repanicked] sumachead/internal/router.(*responseSink).sendHeader(...) internal/router/deliver.go:237

Fix: a head with a status that is not from 200 to 599 is a bad answer to a request that may have run (502), found before anything is sent or settled.

Result: the tests of ./internal/router pass with -race.

--- a/internal/router/deliver.go
+++ b/internal/router/deliver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,6 +29,8 @@
 	// clockSkewAllowance allows for clock skew between hosts.
 	clockSkewAllowance = time.Second
 	callRetryDelay     = 50 * time.Millisecond
+	// maxStatus is the maximum status of a response.
+	maxStatus = 599
 )
 
 // start sends the attempt to its agent until the agent accepts or refuses it.
@@ -203,8 +206,11 @@
 	if reply.GetOffset() != s.offset {
 		return refuseWithRetry(sumachead.MayHaveRun, sumachead.ReasonBadAnswer, "the agent answered out of order")
 	}
-	if reply.GetHead() != nil {
-		s.head = reply.GetHead()
+	if h := reply.GetHead(); h != nil {
+		if h.GetStatus() < http.StatusOK || h.GetStatus() > maxStatus {
+			return refuseWithRetry(sumachead.MayHaveRun, sumachead.ReasonBadAnswer, fmt.Sprintf("the answer has status %d", h.GetStatus()))
+		}
+		s.head = h
 	}
 	data := reply.GetData()
 	if len(data) == 0 {
