load: a malformed response does not count as an answer

What users of the tool saw: responses with a blank in a field name counted as answers, and those with status 000 as "status 0".

Cause: the load keeps its connections with http.Transport, which reads as leniently as described for upstream.

Evidence: TestMalformedResponseIsNoAnswer on the code before:

blank after a name: + "answer": 10, - "malformed answer": 10 status 000: - "malformed answer": 9, + "status 0": 9

Fix: stricthttp.Check rejects the statuses and field names that net/http lets through. Other malformed heads can't be found after net/http has read them: the tool measures routers, which answer through net/http, and stand-ins.

Result: the test passes with -race.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -19,6 +19,7 @@
 
 	"sumachead"
 	"sumachead/internal/router"
+	"sumachead/internal/stricthttp"
 )
 
 const (
@@ -182,6 +183,9 @@
 		return outcome{name: "no answer"}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if stricthttp.Check(resp) != nil {
+		return outcome{name: "malformed answer"}
+	}
 	if resp.StatusCode != http.StatusOK {
 		return parseRefusal(resp)
 	}
