stricthttp: errors quote a bounded part of the response

What operators and callers saw: nothing yet; the error of a malformed response, which goes into the log and into the caller's refusal, quoted a line of up to 64 KB.

Evidence: TestErrorIsShortText on the code before: 10287 bytes of a status line, 10273 of a field line, 4125 of a length.

Fix: the text is cut off at 200 bytes and is ASCII. The test passes with -race.

--- a/internal/stricthttp/body.go
+++ b/internal/stricthttp/body.go
@@ -52,7 +52,7 @@
 		return false, nil
 	}
 	if len(values) > 1 || !strings.EqualFold(values[0], "chunked") || resp.ProtoMinor == 0 {
-		return false, malformed("transfer encoding %q in %s", values, resp.Proto)
+		return false, malformed("transfer encoding %+q in %s", values, resp.Proto)
 	}
 	resp.Header.Del(name)
 	return true, nil
@@ -66,11 +66,11 @@
 	const bits = 63
 	n, err := strconv.ParseUint(values[0], 10, bits)
 	if err != nil {
-		return 0, malformed("length %q", values[0])
+		return 0, malformed("length %+q", values[0])
 	}
 	for _, v := range values[1:] {
 		if v != values[0] {
-			return 0, malformed("lengths %q", values)
+			return 0, malformed("lengths %+q", values)
 		}
 	}
 	return int64(n), nil
--- a/internal/stricthttp/response.go
+++ b/internal/stricthttp/response.go
@@ -31,8 +31,11 @@
 // ErrMalformed is the error of a response that is not one.
 var ErrMalformed = errors.New("malformed response")
 
+// malformed returns an error whose text quotes a part of the response at most.
 func malformed(format string, args ...any) error {
-	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, args...))
+	const maxDetail = 200
+	detail := fmt.Sprintf(format, args...)
+	return fmt.Errorf("%w: %s", ErrMalformed, detail[:min(len(detail), maxDetail)])
 }
 
 // ReadResponse reads the head of the response to r, and returns the response with a reader of its body.
@@ -59,7 +62,7 @@
 func (l *lineReader) head() (*http.Response, error) {
 	start, err := l.br.Peek(len(protocol))
 	if !strings.HasPrefix(protocol, string(start)) {
-		return nil, malformed("it begins with %q", start)
+		return nil, malformed("it begins with %+q", start)
 	}
 	if err != nil {
 		return nil, unexpectedEOF(err)
@@ -84,7 +87,7 @@
 	minor := strings.TrimPrefix(version, protocol)
 	const codeDigits = 3
 	if len(minor) != 1 || !isDigits(minor) || len(code) != codeDigits || !isDigits(code) || !isValue(reason) {
-		return malformed("status line %q", line)
+		return malformed("status line %+q", line)
 	}
 	resp.StatusCode, _ = strconv.Atoi(code)
 	resp.Status, resp.Proto, resp.ProtoMajor, resp.ProtoMinor = rest, version, 1, int(minor[0]-'0')
@@ -113,7 +116,7 @@
 	}
 	for name := range resp.Header {
 		if !isToken(name) {
-			return malformed("field name %q", name)
+			return malformed("field name %+q", name)
 		}
 	}
 	return nil
@@ -145,7 +148,7 @@
 		}
 		text, ok := bytes.CutSuffix(part, []byte("\r\n"))
 		if !ok {
-			return nil, malformed("line %q does not end with CRLF", part)
+			return nil, malformed("line %+q does not end with CRLF", part)
 		}
 		return text, nil
 	}
@@ -164,7 +167,7 @@
 		}
 		name, value, ok := strings.Cut(string(line), ":")
 		if !ok || !isToken(name) || !isValue(value) {
-			return nil, malformed("field line %q", line)
+			return nil, malformed("field line %+q", line)
 		}
 		name = textproto.CanonicalMIMEHeaderKey(name)
 		h[name] = append(h[name], strings.Trim(value, " \t"))
--- a/internal/stricthttp/response_test.go
+++ b/internal/stricthttp/response_test.go
@@ -62,6 +62,29 @@
 	}
 }
 
+// The error of a malformed response goes into logs and to callers: it must not hold all that a server sent.
+func TestErrorIsShortText(t *testing.T) {
+	long := strings.Repeat("\xff\x00\u00e9", 1<<10)
+	for _, data := range []string{
+		"HTTP/1.1 200 " + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + long + "\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: " + strings.Repeat("\xff", 1<<10) + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + strings.Repeat("Content-Length: 2\r\n", 1<<10) + "\r\n",
+		"HTTP/1.1 200 OK\r\n" + strings.Repeat("Transfer-Encoding: \xff\r\n", 1<<10) + "\r\n",
+	} {
+		//nolint:bodyclose // closing it has no effect
+		_, err := read(data, http.MethodGet)
+		if !errors.Is(err, ErrMalformed) {
+			t.Fatalf("got %v", err)
+		}
+		const maxLength = 300
+		if s := err.Error(); len(s) > maxLength || strings.ContainsFunc(s, func(r rune) bool { return r < ' ' || r > '~' }) {
+			t.Errorf("%d bytes: %q", len(s), s)
+		}
+	}
+}
+
 func TestFraming(t *testing.T) {
 	tests := []struct {
 		name, method, head string
