gateway: the refusal of a request that may not repeat names its cause

What operators saw: a request that may not run twice ended with the detail "the backend server did not answer", whatever its server had sent, so that a malformed head could not be told from a lost connection in the log. Requests that may repeat named the cause.

Evidence: TestRefusalNamesItsCause on the code before:

ROUTE_KIND_SINGLE: got "the backend server did not answer, and the request may not be repeated"

Fix: the detail ends with the error of the last attempt.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -117,7 +117,7 @@
 	case d.ctx.Err() != nil:
 		return d.contextError()
 	case d.mayHaveRun && !d.x.idempotent():
-		return d.giveUp(d.lastFailure.Reason, "the backend server did not answer, and the request may not be repeated")
+		return d.giveUp(d.lastFailure.Reason, "the request may not be repeated: "+d.lastFailure.Err.Error())
 	case !d.hasAttemptLeft():
 		return d.giveUp(d.lastFailure.Reason, "no attempt is left: "+d.lastFailure.Err.Error())
 	}
--- a/internal/gateway/malformedhead_test.go
+++ b/internal/gateway/malformedhead_test.go
@@ -66,3 +66,15 @@
 		}
 	}
 }
+
+// The line about a request that ended without a response must say what its server did.
+func TestRefusalNamesItsCause(t *testing.T) {
+	for _, kind := range []wire.RouteKind{wire.RouteKind_ROUTE_KIND_SINGLE, wire.RouteKind_ROUTE_KIND_REPEATABLE, wire.RouteKind_ROUTE_KIND_STREAM} {
+		a := &backend{id: "a"}
+		g := newGateway(t, kind, false, map[string]string{"a": a.listen(t, writeHead("HTTP/1.1 000 x\r\n\r\n"))})
+		_, _, err := sendRequest(g, "1", nil)
+		if detail := refusalOf(t, err).Detail; !strings.Contains(detail, "malformed response: status 000") {
+			t.Errorf("%s: got %q", kind, detail)
+		}
+	}
+}
