tcp: a peer that does not read for a while is not a silent one

A request that a backend server did not read for 2 s ended with 502, may have run.

Cause: TCP_USER_TIMEOUT of 2 s on every connection. Linux ends a connection by it not only if data stays unacknowledged but also if the peer acknowledges all and its window stays closed.

Why this works: TCP_INFO tells the two kinds of peers apart. Callers' connections have no user timeout; a Watch closes those of silent callers, write deadlines bound the others. Connections to backend servers keep the option, and a Watch extends it while the window is closed and probes are acknowledged. Where the kernel does not report what it needs, a Watch changes nothing. It makes a system call only for requests that take longer than a second. Writes to callers are bounded by a deadline everywhere now: the user timeout was what ended the flush of a response's end.

--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"sumachead/internal/tcp"
 	"sumachead/internal/telemetry"
 )
 
@@ -53,9 +54,8 @@
 
 // Server serves callers. Set the exported fields before Run.
 type Server struct {
-	Address      string
-	Handler      http.Handler
-	ListenConfig *net.ListenConfig
+	Address string
+	Handler http.Handler
 	// Limits returns the current limits. It is called with the server's mutex held, so
 	// it must not block.
 	Limits func() Limits
@@ -79,13 +79,21 @@
 	// idleSince is when its last response ended; zero while a request is in flight,
 	// and before the first request.
 	idleSince time.Time
+	// watch closes the connection if its caller loses power during a response.
+	watch tcp.Watch
+}
+
+// stop ends the connection's timers.
+func (c *connection) stop() {
+	c.timer.Stop()
+	c.watch.Stop()
 }
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	s.conns = make(map[net.Conn]*connection)
 	h := &telemetry.HTTPServer{
-		Address: s.Address, Handler: s.Handler, ListenConfig: s.ListenConfig, DrainTimeout: s.DrainTimeout, ForceClose: true, ConnState: s.connState,
+		Address: s.Address, Handler: s.Handler, ListenConfig: tcp.PatientListenConfig(), DrainTimeout: s.DrainTimeout, ForceClose: true, ConnState: s.connState,
 	}
 	return h.Run(ctx)
 }
@@ -96,21 +104,25 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		s.conns[conn] = &connection{timer: closeAfter(conn, s.limits().HeaderTimeout)}
+		s.conns[conn] = &connection{timer: closeAfter(conn, s.limits().HeaderTimeout), watch: tcp.Watch{Conn: conn}}
 		s.enforceMaxConns(conn)
 	case http.StateActive:
 		if c := s.conns[conn]; c != nil {
 			c.timer.Stop()
 			c.idleSince = time.Time{}
+			c.watch.Start()
+			// Bounds writes for which the handler sets no deadline. If it fails, so do the writes.
+			_ = conn.SetWriteDeadline(time.Now().Add(s.limits().IdleTimeout))
 		}
 	case http.StateIdle:
 		if c := s.conns[conn]; c != nil {
 			c.idleSince = time.Now()
+			c.watch.StopWhenSent()
 			c.timer = closeAfter(conn, s.limits().IdleTimeout)
 		}
 	case http.StateClosed, http.StateHijacked:
 		if c := s.conns[conn]; c != nil {
-			c.timer.Stop()
+			c.stop()
 			delete(s.conns, conn)
 		}
 	}
@@ -138,7 +150,7 @@
 			victim, since = conn, idleSince
 		}
 	}
-	s.conns[victim].timer.Stop()
+	s.conns[victim].stop()
 	delete(s.conns, victim)
 	_ = victim.Close() // as in closeAfter
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -50,6 +50,8 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// watch lets the server pause reading a request.
+	watch tcp.Watch
 	// headLeft is how many more bytes may be read while the head of a response is read; below 0
 	// otherwise.
 	headLeft int
@@ -68,10 +70,17 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, headLeft: -1, reuseUntil: time.Now().Add(defaultIdleTimeout)}
+	c.watch.Conn, c.watch.UserTimeout = nc, true
 	c.br = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.watch.Stop()
+	return c.Conn.Close()
+}
+
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headLeft == 0 {
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -164,6 +164,8 @@
 
 // exchange writes a request and reads the head of its response.
 func (a *Response) exchange(request []byte, r *sumachead.CallerRequest) error {
+	a.conn.watch.Start()
+	defer a.conn.watch.StopWhenSent()
 	first := request[:min(len(request), maxInlineRequest)]
 	if n, err := a.conn.Write(first); err != nil {
 		if n == 0 {
