--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"sumachead/internal/tcp"
 )
 
 // connPhase is what a connection is used for.
@@ -27,6 +29,8 @@
 type conn struct {
 	net.Conn
 	phase atomic.Int32
+	// watch closes the connection if its caller loses power during a response.
+	watch tcp.Watch
 
 	// The fields below are guarded by the server's mutex.
 
@@ -42,6 +46,12 @@
 	closeReason CloseReason
 }
 
+// stop ends the connection's timers.
+func (c *conn) stop() {
+	c.timer.Stop()
+	c.watch.Stop()
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"sumachead/internal/tcp"
 	"sumachead/internal/telemetry"
 )
 
@@ -82,9 +83,8 @@
 
 // Server serves callers. Set the exported fields before Run.
 type Server struct {
-	Address      string
-	Handler      http.Handler
-	ListenConfig *net.ListenConfig
+	Address string
+	Handler http.Handler
 	// Limits returns the current limits. It is called with the server's mutex held, so
 	// it must not block.
 	Limits func() Limits
@@ -111,8 +111,8 @@
 func (s *Server) Run(ctx context.Context) error {
 	s.conns = make(map[*conn]struct{})
 	h := &telemetry.HTTPServer{
-		Address: s.Address, Handler: http.HandlerFunc(s.serveHTTP), ListenConfig: s.ListenConfig, DrainTimeout: s.DrainTimeout, ForceClose: true,
-		WrapConn:    func(c net.Conn) net.Conn { return &conn{Conn: c} },
+		Address: s.Address, Handler: http.HandlerFunc(s.serveHTTP), ListenConfig: tcp.PatientListenConfig(), DrainTimeout: s.DrainTimeout, ForceClose: true,
+		WrapConn:    func(c net.Conn) net.Conn { return &conn{Conn: c, watch: tcp.Watch{Conn: c}} },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ConnState:   s.connState,
 	}
@@ -151,12 +151,16 @@
 		if !c.serve() && s.OnLateRequest != nil {
 			s.OnLateRequest(c.closeReason)
 		}
+		c.watch.Start()
+		// Bounds writes for which the handler sets no deadline. If it fails, so do the writes.
+		_ = c.SetWriteDeadline(time.Now().Add(s.limits().IdleTimeout))
 	case http.StateIdle:
 		c.leave(phaseServing, phaseWaiting)
 		c.idleSince, c.headersDue = time.Now(), false
+		c.watch.StopWhenSent()
 		c.timer = time.AfterFunc(s.limits().IdleTimeout, func() { s.expire(c) })
 	case http.StateClosed, http.StateHijacked:
-		c.timer.Stop()
+		c.stop()
 		delete(s.conns, c)
 	}
 }
@@ -195,7 +199,7 @@
 		return false
 	}
 	c.closeReason = why
-	c.timer.Stop()
+	c.stop()
 	delete(s.conns, c)
 	if s.OnClose != nil {
 		s.OnClose(why)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -44,6 +44,8 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// watch lets the server pause reading a request.
+	watch tcp.Watch
 	// received counts the bytes read.
 	received int64
 	// ended is set once the server has closed the connection.
@@ -59,10 +61,17 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, reuseUntil: time.Now().Add(defaultIdleTimeout)}
+	c.watch.Conn, c.watch.UserTimeout = nc, true
 	c.br = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.watch.Stop()
+	return c.Conn.Close()
+}
+
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
