scenario: servers with malformed heads, alone and in the soak

Stand-ins of backend servers can malform the heads of responses at random: a status that is none, a byte that a field name may not hold, the end missing. The soak does so beside breaking responses off, and TestMalformedHeadsReachNoCaller sends 600 requests to a fleet whose servers malform one head in three. A status below 200 or above 599 is a violation for every scenario; it passed as a refusal.

--- a/internal/scenario/fleetcall_test.go
+++ b/internal/scenario/fleetcall_test.go
@@ -180,6 +180,10 @@
 	if resp.StatusCode != http.StatusOK {
 		body, _ := io.ReadAll(resp.Body)
 		c.refusal = string(body)
+		const maxStatus = 599
+		if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+			c.mixed = fmt.Sprintf("the response has status %d", resp.StatusCode)
+		}
 		return
 	}
 	if resp.Header.Get("Request-Id") != c.id || resp.Header.Get("Response-Seal") == "" {
--- a/internal/standin/framing.go
+++ b/internal/standin/framing.go
@@ -40,6 +40,8 @@
 	w       *bufio.Writer
 	// length is the length of the whole body.
 	length int
+	// malformed is set if the head is to be malformed.
+	malformed bool
 	// started is set once the head is written.
 	started bool
 	// cut is how the response breaks off, within the write that follows cutWrites others.
@@ -60,6 +62,7 @@
 	if x.framing == framingAny {
 		x.framing = []string{framingLength, framingChunked, framingClose}[rand.IntN(3)]
 	}
+	x.malformed = f.MalformedOneIn > 0 && rand.IntN(f.MalformedOneIn) == 0
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if f.CutOneIn > 0 && rand.IntN(f.CutOneIn) == 0 && writes > 0 {
@@ -84,15 +87,17 @@
 		return
 	}
 	x.started = true
-	_, _ = fmt.Fprintf(x.w, "HTTP/1.1 %d %s\r\nConnection: close\r\n", status, http.StatusText(status)) // the flush returns the error
+	var head strings.Builder
+	_, _ = fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\nConnection: close\r\n", status, http.StatusText(status))
 	switch x.framing {
 	case framingLength:
-		_, _ = fmt.Fprintf(x.w, "Content-Length: %d\r\n", x.length)
+		_, _ = fmt.Fprintf(&head, "Content-Length: %d\r\n", x.length)
 	case framingChunked:
-		_, _ = fmt.Fprint(x.w, "Transfer-Encoding: chunked\r\n")
+		_, _ = fmt.Fprint(&head, "Transfer-Encoding: chunked\r\n")
 	}
-	_ = x.header.Write(x.w)
-	_, _ = x.w.WriteString("\r\n")
+	_ = x.header.Write(&head)
+	_, _ = head.WriteString("\r\n")
+	x.writeHead(head.String())
 }
 
 // Write implements http.ResponseWriter.
--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -45,6 +45,8 @@
 	// is closed or reset or, with CutCrashes, the process crashes.
 	CutOneIn   int
 	CutCrashes bool
+	// MalformedOneIn makes the heads of one in this many responses malformed, if Framing is set.
+	MalformedOneIn int
 }
 
 // ReplicaRun is a replica's record of one request.
