quarantine: a clearance that is not committed yet is not undone

What callers saw: a request that an operator had cleared, or that had succeeded, was suspected again at once, and barred after the next crash.

Cause: within a second after a trial the leading keeper reconsiders its result. A clearance resets the record at once and the standing once it is committed; a check in between saw a barred request without proof and committed a suspicion after the clearance.

Evidence before, beside 6 busy processes, 1 of 3 runs: crashingrequests_test.go:261: cleared:...: suspected since 2026-12-07T01:30:49Z; crashed servers: crashingrequests_test.go:266: 4 servers crashed, want 6 A suspicion by crashes names the servers; only the reconsidered one names none. Without load, TestClearedRequestStaysCleared/at_the_next_check: -STANDING_CLEARED +STANDING_SUSPECTED

Why this works: a record without the crash of its trial was cleared since, so that there is nothing to reconsider. The same holds for records that a barred block explains.

--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -159,6 +159,7 @@
 		case c == nil:
 		case n.isProven(f, c):
 			n.bar(f, c)
+		case c.trialCrash == nil: // cleared since, which may not be committed yet
 		case n.current(f) == wire.Standing_STANDING_BARRED:
 			n.change(f, wire.Standing_STANDING_SUSPECTED)
 		}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -322,3 +322,35 @@
 		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a cleared request that is suspected again because its clearance is not committed yet.
+func TestClearedRequestStaysCleared(t *testing.T) {
+	tests := []struct {
+		name  string
+		after func(c *fixture) []*wire.Suspect
+	}{
+		{"at the next check", func(c *fixture) []*wire.Suspect { return c.tracker.DecidePending(c.list.Standing, c.now) }},
+		{"at another server's crash", func(c *fixture) []*wire.Suspect {
+			r := &wire.EndsReport{Node: "b", Ends: []*wire.ServerEnd{{Fingerprint: make([]byte, len(bad)), Server: "s9"}}}
+			return c.tracker.HandleReport(r, c.list.Standing, c.now)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newFixture()
+			c.suspect()
+			c.requestTrial("a", 1, bad)
+			c.crash("a", "s3", bad)
+			if diff := cmp.Diff(barred, c.list.Standing(bad)); diff != "" {
+				t.Fatalf("standing (-want +got):\n%s", diff)
+			}
+			clearance := c.tracker.HandleReport(&wire.EndsReport{Node: "operator", Survived: [][]byte{bad[:]}}, c.list.Standing, c.now)
+			later := tt.after(c)
+			c.list.Apply(&wire.Suspects{Suspects: clearance})
+			c.list.Apply(&wire.Suspects{Suspects: later})
+			if diff := cmp.Diff(cleared, c.list.Standing(bad)); diff != "" {
+				t.Errorf("standing (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
