raft: the lease of a suspended leader is checked before it gets messages

What callers saw: nothing. TestSuspendedLeaderHasNoLease failed beside load.

Cause: the test. Its call after the suspension had a deadline of 1 s, and any error but "not the leader", also the deadline, was reported as a lease. It also assumed that 5 ms are enough to queue the call, and that another leader had committed by the time the member resumes.

Why the new check is as strict: the call has no deadline, and nothing but "not the leader" passes. The member resumes only once the other leader has committed, the call is queued by then, and the member gets no message before it has returned. A command of which a leader that loses its term does not know the outcome is proposed again: it only prepares the check.

A mutant without an end of the lease and without the tick before a call fails; with only one of the two, the other one still protects, and the test passes.

--- a/internal/raft/suspend_test.go
+++ b/internal/raft/suspend_test.go
@@ -1,31 +1,38 @@
 package raft
 
 import (
-	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
 	"sumachead/api/wire"
 )
 
-// suspend pauses a member as if its host were suspended: it does nothing, and messages that
-// are sent to it meanwhile are lost. The call that first makes is queued before the member
-// resumes, so that it is handled first.
-func (g *group) suspend(m *member, id string, duration time.Duration, first func()) {
+// suspend pauses a member as if its host were suspended: until meanwhile returns it does nothing, and messages
+// that are sent to it are lost until first returns. The call that first makes is queued before the member
+// resumes.
+func (g *group) suspend(m *member, id string, meanwhile, first func()) {
 	g.setPartitioned(id, true)
 	defer g.setPartitioned(id, false)
-	suspended, resume := make(chan struct{}), make(chan struct{})
+	suspended, resumed, done := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	resume := sync.OnceFunc(func() { close(resumed) })
+	defer resume()
 	m.node.calls <- func() {
 		close(suspended)
-		<-resume
+		<-resumed
 	}
 	<-suspended
-	time.Sleep(duration)
-	go first()
-	time.Sleep(5 * time.Millisecond) // first has queued its call by then
-	close(resume)
-	time.Sleep(5 * time.Millisecond)
+	meanwhile()
+	go func() {
+		defer close(done)
+		first()
+	}()
+	for len(m.node.calls) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	resume()
+	<-done
 }
 
 // Checks that a leader whose host was suspended for longer than its lease does not hold the
@@ -60,25 +67,17 @@
 	}
 	for range 5 {
 		id, m := leader("")
-		barrier := make(chan error, 1)
-		other := make(chan error, 1)
-		go func() {
-			time.Sleep(20 * time.Millisecond) // the leader is suspended by then
-			_, next := leader(id)
-			_, err := next.node.Propose(t.Context(), []byte("7"))
-			other <- err
-		}()
-		g.suspend(m, id, 400*time.Millisecond, func() {
-			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
-			defer cancel()
-			barrier <- m.node.ReadBarrier(ctx)
-		})
-		if err := <-other; err != nil {
-			t.Fatalf("command at the other leader: %v", err)
-		}
+		var barrier error
+		g.suspend(m, id, func() {
+			time.Sleep(400 * time.Millisecond)
+			for err := errors.New("not tried"); err != nil; { // a leader may lose its term before the commit
+				_, next := leader(id)
+				_, err = next.node.Propose(t.Context(), []byte("7"))
+			}
+		}, func() { barrier = m.node.ReadBarrier(t.Context()) })
 		var notLeader *NotLeaderError
-		if err := <-barrier; !errors.As(err, &notLeader) {
-			t.Fatalf("the leader still holds its lease after it was suspended: %v", err)
+		if !errors.As(barrier, &notLeader) {
+			t.Fatalf("the leader still holds its lease after it was suspended: %v", barrier)
 		}
 	}
 }
