intake: a stopping server answers the requests that it reads

What callers saw: in a planned stop, a request that came on a connection opened but not yet used, or whose head was half sent when the drain began, was read whole and got neither an answer nor a refusal.

Cause: at the end of the drain http.Server.Shutdown is called. From then on net/http drops each request whose head it has just read (conn.serve returns if shuttingDown), while it keeps connections in StateNew open for up to five seconds as if they were in use. It also closes a connection in StateIdle whose next request has been read but not yet reported. Class: a close and the read of the next request are not atomic, as with the idle timer.

Fix: the server closes its listener and drains by itself: connections that wait for a request are closed at once, by the phases that the idle timer uses, so that nothing read is lost; what is being read is handled, answered with Connection: close, and its connection closed. Shutdown is not called. The control API of keepers has the same server.

--- /dev/null
+++ b/internal/intake/drain.go
@@ -0,0 +1,40 @@
+package intake
+
+import "time"
+
+// drain closes each connection that waits for a request, and waits until none is open or the drain
+// timeout has passed. Requests that are being read are handled.
+func (s *Server) drain() {
+	s.beginDrain()
+	timeout := time.NewTimer(s.DrainTimeout)
+	defer timeout.Stop()
+	select {
+	case <-s.drained:
+	case <-timeout.C:
+	}
+}
+
+// beginDrain closes the connections that wait for a request.
+func (s *Server) beginDrain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining.Store(true)
+	if len(s.conns) == 0 {
+		close(s.drained)
+		return
+	}
+	for c := range s.conns {
+		s.closeWaiting(c, CloseStopping)
+	}
+}
+
+// remove removes a connection that is closed. The caller must hold mu.
+func (s *Server) remove(c *conn) {
+	if _, open := s.conns[c]; !open {
+		return
+	}
+	delete(s.conns, c)
+	if len(s.conns) == 0 && s.draining.Load() {
+		close(s.drained)
+	}
+}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -131,8 +131,9 @@
 	}
 }
 
-// startServer starts a server that responds to all requests immediately, unless it has a handler.
-func startServer(t *testing.T, s *Server) {
+// startServer starts a server that responds to all requests immediately, unless it has a handler. It is stopped by stop
+// or with the test, and ended is closed when it has ended.
+func startServer(t *testing.T, s *Server) (stop func(), ended <-chan struct{}) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -145,13 +146,16 @@
 	}
 	s.DrainTimeout = time.Second
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- s.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := s.Run(ctx); err != nil {
 			t.Error(err)
 		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
 	})
 	for range 100 {
 		conn, err := net.Dial("tcp", s.Address)
@@ -161,11 +165,12 @@
 			}
 			_ = conn.Close()
 			awaitNoConns(t, s)
-			return
+			return cancel, done
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	t.Fatal("the server is not listening")
+	return nil, nil
 }
 
 // awaitNoConns waits until the server has no open connections.
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sumachead/internal/telemetry"
@@ -62,11 +63,13 @@
 	// CloseMaxConns is the reason for a connection that is closed in favor of a new one, or a new one if
 	// none is idle.
 	CloseMaxConns CloseReason = "max_connections"
+	// CloseStopping is the reason for a connection without a request while the server stops.
+	CloseStopping CloseReason = "stopping"
 )
 
 // CloseReasons lists each reason once.
 func CloseReasons() []CloseReason {
-	return []CloseReason{CloseIdle, CloseHeaderTimeout, CloseMaxConns}
+	return []CloseReason{CloseIdle, CloseHeaderTimeout, CloseMaxConns, CloseStopping}
 }
 
 // Server serves callers. Set the exported fields before Run.
@@ -88,9 +91,13 @@
 	OnClose       func(CloseReason)
 	OnLateRequest func(CloseReason)
 
+	// draining is set once Run's context has ended.
+	draining atomic.Bool
+
 	mu sync.Mutex // guards conns
-	// conns are the open connections.
-	conns map[*conn]struct{}
+	// conns are the open connections. drained is closed once there are none while draining.
+	conns   map[*conn]struct{}
+	drained chan struct{}
 }
 
 // connKey is the key of a request's [conn] in its context.
@@ -98,9 +105,9 @@
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	s.conns = make(map[*conn]struct{})
+	s.conns, s.drained = make(map[*conn]struct{}), make(chan struct{})
 	h := &telemetry.HTTPServer{
-		Address: s.Address, Handler: http.HandlerFunc(s.serveHTTP), ListenConfig: s.ListenConfig, DrainTimeout: s.DrainTimeout, ForceClose: true,
+		Address: s.Address, Handler: http.HandlerFunc(s.serveHTTP), ListenConfig: s.ListenConfig, Drain: s.drain,
 		WrapConn:    func(c net.Conn) net.Conn { return &conn{Conn: c} },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ConnState:   s.connState,
@@ -113,6 +120,9 @@
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.in(phaseClosing) {
 		panic(http.ErrAbortHandler)
 	}
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	s.Handler.ServeHTTP(w, r)
 }
 
@@ -140,9 +150,12 @@
 		c.leave(phaseServing, phaseWaiting)
 		c.idleSince, c.headersDue = time.Now(), false
 		c.timer = time.AfterFunc(s.limits().IdleTimeout, func() { s.expire(c) })
+		if s.draining.Load() {
+			s.closeWaiting(c, CloseStopping)
+		}
 	case http.StateClosed, http.StateHijacked:
 		c.timer.Stop()
-		delete(s.conns, c)
+		s.remove(c)
 	}
 }
 
@@ -177,7 +190,7 @@
 	}
 	c.closeReason = why
 	c.timer.Stop()
-	delete(s.conns, c)
+	s.remove(c)
 	if s.OnClose != nil {
 		s.OnClose(why)
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -92,6 +92,10 @@
 	ConnState func(net.Conn, http.ConnState)
 	// DrainTimeout limits how long requests in flight may take to finish.
 	DrainTimeout time.Duration
+	// Drain waits for the requests in flight, in place of the Shutdown of net/http, which drops requests
+	// that are being read; nil for the latter. No connection is accepted any more, and those left open are
+	// closed afterwards.
+	Drain func()
 	// ForceClose closes the connections of requests that take longer; otherwise Run
 	// returns an error for them.
 	ForceClose bool
@@ -136,6 +140,16 @@
 		return trace.Wrap(err)
 	case <-ctx.Done():
 	}
+	if s.Drain != nil {
+		_ = lis.Close() // ends Serve
+		err := <-done
+		s.Drain()
+		_ = server.Close() // aborts the remaining requests
+		if !errors.Is(err, net.ErrClosed) {
+			return trace.Wrap(err)
+		}
+		return nil
+	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), s.DrainTimeout)
 	defer cancel()
 	err = server.Shutdown(stopCtx)
