gateway: a planned stop answers each request by stored deadlines

What callers saw: in a planned stop of one router, in calm, requests whose last byte came late in the grace period were passed on, and cut at its end with no answer, among them such as may not be repeated.

Cause: the stop was a sequence of durations, each with one effect on connections. No request knew of it: what waited for the end of its body, escrow, a server or a retry was sent until the last moment, and what was left was cut by http.Server.Close. Class: a limit that is enforced on the connection, and unknown where the decision is made.

Fix: a stop has four stored deadlines. Requests whose last byte comes after the first are rejected (503, not run, Retry-After 0), and uploads under way end then. After the second a request is sent, or sent again, only if its own deadline is before the third; those that wait are rejected. At the third, five sixths of the grace period, at which connections were cut before, all that are left get their final answers: 503 if they have not run, 502 if they may have; begun streams are aborted. The fourth closes connections. The step from waiting to sending is taken under the mutex that the deadlines are enforced under, so that what gets 503 has not been sent. Answers that begin during a stop carry Connection: close, also to requests that came before it.

TestSplitGracePeriod becomes TestPlanStop, which compares all deadlines. The soak's planned stops have connections that are used late.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -174,6 +174,9 @@
 // contextError returns the final error of a request whose deadline has passed or whose caller has
 // disconnected.
 func (d *dispatch) contextError() error {
+	if errors.Is(context.Cause(d.ctx), errStopping) {
+		return d.refuseStopping()
+	}
 	if d.x.ctx.Err() != nil {
 		return sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonInterrupted, "the caller has gone", time.Time{})
 	}
@@ -198,6 +201,11 @@
 		l.CancelNotRun(time.Now())
 		return err
 	}
+	if !d.requestStopper.beginAttempt(&d.x.stoppable, d.x.started) {
+		l.CancelNotRun(time.Now())
+		return d.refuseStopping()
+	}
+	defer d.requestStopper.endAttempt(&d.x.stoppable)
 	end := d.sampler.BeginRequest(l.Record.GetService(), l.Record.GetSoftware())
 	defer end()
 	id := sumachead.ServerID(l.Record.GetId())
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -25,6 +26,8 @@
 	request  *sumachead.CallerRequest
 	response sumachead.CallerResponse
 	arrived  time.Time
+	// stoppable is what a planned stop must know.
+	stoppable stoppable
 	// view is the declaration under which the request is handled.
 	view  *catalog.View
 	route *wire.Route
@@ -101,9 +104,16 @@
 func (g *Gateway) Serve(ctx context.Context, r *sumachead.CallerRequest, a sumachead.CallerResponse) (started bool, err error) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	x := &exchange{ctx: ctx, request: r, response: a, arrived: time.Now()}
+	g.requestStopper.add(&x.stoppable, cancel)
+	defer g.requestStopper.remove(&x.stoppable)
 	if err := g.handle(x); err != nil {
 		f := sumachead.AsRefusal(err)
+		if f.Verdict == sumachead.NotRun && errors.Is(context.Cause(ctx), errStopping) {
+			f = RefuseStopping()
+		}
 		g.recordRefusal(x, f)
 		return x.started, f
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,12 +112,18 @@
 	// startedAt is when Init was called.
 	startedAt time.Time
 	inFlight  atomic.Int64
-	stopping  atomic.Bool
+	// stopping is set once a planned stop has begun, and taking ends, by endTaking, when no more
+	// requests are taken.
+	stopping       atomic.Bool
+	taking         context.Context
+	endTaking      context.CancelFunc
+	requestStopper requestStopper
 }
 
 // Init initializes what Run and Serve need.
 func (g *Gateway) Init() {
 	g.startedAt = time.Now()
+	g.taking, g.endTaking = context.WithCancel(context.Background())
 	g.servers = &registry.Table{Heartbeat: g.Heartbeat}
 	g.metrics = newMetrics(g)
 	g.servedLog = &telemetry.LogLimiter{PerSecond: g.LinesPerSecond}
@@ -164,7 +170,7 @@
 	g.trackers.prepare()
 	g.responseMemory.MaxBytes = cmp.Or(g.ResponseBytes, defaultResponseBytes)
 	g.origins = &origin.Directory{Hall: g.Hall, Holders: g.originHolders, Pool: g.Pool}
-	g.handle = chain.Wrap(g.dispatch, textFilter, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.serviceFilter, g.escrowFilter)
+	g.handle = chain.Wrap(g.dispatch, textFilter, g.settingsFilter, g.routeFilter, g.workspaceFilter, g.deadlineFilter, g.stopFilter, g.serviceFilter, g.escrowFilter)
 	g.retries = &retrybudget.Budget{Limit: g.Retries, Clock: boottime.Clock{}, Request: g.client.RequestRetries}
 }
 
--- a/internal/gateway/link_overload_test.go
+++ b/internal/gateway/link_overload_test.go
@@ -118,7 +118,7 @@
 	g := newGateway(t, wire.RouteKind_ROUTE_KIND_SINGLE, false, nil)
 	g.link.BytesPerSecond = 100_000
 	before := g.client.LinkPercent()
-	g.DrainCallers(t.Context(), 0)
+	g.Stop(t.Context(), PlanStop(time.Now(), 0))
 	if diff := cmp.Diff([]linkload.Percent{1, 0}, []linkload.Percent{before, g.client.LinkPercent()}); diff != "" {
 		t.Errorf("reported use before and after the order to stop (-want +got):\n%s", diff)
 	}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -7,16 +7,19 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-func TestSplitGracePeriod(t *testing.T) {
-	tests := []struct{ grace, drain, finish time.Duration }{
-		{12 * time.Second, 2500 * time.Millisecond, 7500 * time.Millisecond},
-		{8 * time.Second, 2500 * time.Millisecond, 4166666667 * time.Nanosecond},
-		{3 * time.Second, time.Second, 1500 * time.Millisecond},
+func TestPlanStop(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct{ grace, take, send, answer, close time.Duration }{
+		{12 * time.Second, 2500 * ms, 6250 * ms, 10 * time.Second, 10250 * ms},
+		{8 * time.Second, 2500 * ms, 4583333333, 6666666667, 6833333333},
+		{3 * time.Second, time.Second, 1750 * ms, 2500 * ms, 2562500 * time.Microsecond},
 	}
 	for _, tt := range tests {
-		turn, finish := SplitGracePeriod(tt.grace)
-		if d := cmp.Diff([]time.Duration{tt.drain, tt.finish}, []time.Duration{turn, finish}); d != "" {
-			t.Errorf("grace %v (-want +got):\n%s", tt.grace, d)
+		now := time.Now()
+		d := PlanStop(now, tt.grace)
+		got := []time.Duration{d.TakeUntil.Sub(now), d.SendUntil.Sub(now), d.AnswerBy.Sub(now), d.CloseBy.Sub(now)}
+		if diff := cmp.Diff([]time.Duration{tt.take, tt.send, tt.answer, tt.close}, got); diff != "" {
+			t.Errorf("grace %v (-want +got):\n%s", tt.grace, diff)
 		}
 	}
 }
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -38,6 +39,9 @@
 	MaxBytes int64
 	// Timeout is the time within which a body must arrive; 0 selects the default.
 	Timeout time.Duration
+	// Taking ends when the process takes no more requests: bodies that have not arrived by then are
+	// refused. It is nil for a process that always does.
+	Taking context.Context
 
 	reserved atomic.Int64
 }
@@ -73,13 +77,38 @@
 	}
 	stop := LimitBodyTime(w, cmp.Or(m.Timeout, DefaultBodyTimeout))
 	defer stop()
-	if err := b.read(r.Body, r.ContentLength, l.BodyBytes); err != nil {
+	stillTaking := m.endReadWithTaking(w)
+	err := b.read(r.Body, r.ContentLength, l.BodyBytes)
+	if !stillTaking() {
+		err = sumachead.Refuse(sumachead.NotRun, sumachead.ReasonStopping, "the router is stopping, and the body has not arrived", time.Now())
+	}
+	if err != nil {
 		b.Release()
 		return nil, err
 	}
 	return b, nil
 }
 
+// endReadWithTaking makes reads of a request's body fail when Taking ends. The function that it returns
+// ends that, and reports whether Taking has not ended.
+func (m *BodyMemory) endReadWithTaking(w http.ResponseWriter) (stillTaking func() bool) {
+	if m.Taking == nil {
+		return func() bool { return true }
+	}
+	c, done := http.NewResponseController(w), make(chan struct{})
+	stop := context.AfterFunc(m.Taking, func() {
+		defer close(done)
+		_ = c.SetReadDeadline(time.Now()) // a connection without deadlines is that of a test
+	})
+	return func() bool {
+		if stop() {
+			return true
+		}
+		<-done
+		return false
+	}
+}
+
 // read reads to the end, or until there are more than maxBytes. The length is below 0 if
 // it is unknown. After an error, the caller must call Release.
 func (b *Body) read(from io.Reader, length, maxBytes int64) error {
--- a/internal/intake/drain.go
+++ b/internal/intake/drain.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// drain closes each connection that waits for a request, and waits until none is open or the drain
-// timeout has passed. Requests that are being read are handled.
+// drain closes each connection that waits for a request, and waits until none is open, or until the
+// drain deadline. Requests that are being read are handled.
 func (s *Server) drain() {
 	s.beginDrain()
-	timeout := time.NewTimer(s.DrainTimeout)
+	timeout := time.NewTimer(time.Until(s.DrainDeadline()))
 	defer timeout.Stop()
 	select {
 	case <-s.drained:
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -144,7 +144,7 @@
 	if s.Handler == nil {
 		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	}
-	s.DrainTimeout = time.Second
+	s.DrainDeadline = func() time.Time { return time.Now().Add(time.Second) }
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -83,9 +83,9 @@
 	// MaxConns limits the open connections; 0 for no limit. Above it, the connection
 	// that has been idle longest is closed, or the new one if none is idle.
 	MaxConns int
-	// DrainTimeout limits how long requests in flight may take once Run's context ends;
-	// the remaining ones are aborted.
-	DrainTimeout time.Duration
+	// DrainDeadline returns until when requests in flight may take; it is called when Run's context has
+	// ended. The remaining ones are aborted.
+	DrainDeadline func() time.Time
 	// OnClose is called for each connection that the server closes, and OnLateRequest for each request
 	// whose headers were read from a connection that it was closing; nil for none. They must not block.
 	OnClose       func(CloseReason)
--- a/internal/scenario/fleetsoak_faults_test.go
+++ b/internal/scenario/fleetsoak_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"os"
@@ -41,7 +42,7 @@
 		{"kill router", func() { s.restartAfter(router(), (*process).kill, duration/4) }},
 		{"kill keeper", func() { s.restartAfter(keeper(), (*process).kill, duration) }},
 		{"kill relay", func() { s.restartAfter(relay(), (*process).kill, duration/4) }},
-		{"stop router", func() { s.restartAfter(router(), s.stopProcess, duration/4) }},
+		{"stop router", func() { s.restartAfter(router(), s.stopRouter, duration/4) }},
 		{"stop keeper", func() { s.restartAfter(keeper(), s.stopProcess, duration/4) }},
 		{"freeze router", func() { s.freeze(router(), duration) }},
 		{"freeze keeper", func() { s.freeze(keeper(), duration) }},
@@ -173,6 +174,33 @@
 	}
 }
 
+// stopRouter stops a router gracefully, to which callers have connections that they use late in the
+// grace period. What it reads must be answered.
+func (s *fleetSoak) stopRouter(p *process) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	const firstUse, step, conns = 1200 * time.Millisecond, 700 * time.Millisecond, 6
+	for i := range conns {
+		conn, client, err := s.f.openConn(p.name)
+		if err != nil {
+			continue
+		}
+		all.Go(func() {
+			defer func() { _ = conn.Close() }()
+			time.Sleep(firstUse + time.Duration(i)*step)
+			if !conn.isOpen() {
+				return
+			}
+			c := s.f.do(fleetRequest{kind: []string{"hold", "check"}[i%2], router: p.name, client: client})
+			s.count(s.outcomes, "late "+c.kind+" "+c.String())
+			if errors.Is(c.err, io.EOF) {
+				s.recordViolation("LOST: %s (%s) got no answer from %s, which was stopping", c.id, c.kind, p.name)
+			}
+		})
+	}
+	s.stopProcess(p)
+}
+
 // acquire reserves a running process for a fault, unless another fault holds it.
 func (s *fleetSoak) acquire(p *process) bool {
 	s.mu.Lock()
