--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sumachead/internal/tcp"
@@ -74,11 +75,13 @@
 	// CloseMaxConns is the reason for a connection that is closed in favor of a new one, or a new one if
 	// none is idle.
 	CloseMaxConns CloseReason = "max_connections"
+	// CloseStopping is the reason for a connection without a request while the server stops.
+	CloseStopping CloseReason = "stopping"
 )
 
 // CloseReasons lists each reason once.
 func CloseReasons() []CloseReason {
-	return []CloseReason{CloseIdle, CloseHeaderTimeout, CloseMaxConns}
+	return []CloseReason{CloseIdle, CloseHeaderTimeout, CloseMaxConns, CloseStopping}
 }
 
 // Server serves callers. Set the exported fields before Run.
@@ -91,17 +94,21 @@
 	// MaxConns limits the open connections; 0 for no limit. Above it, the connection
 	// that has been idle longest is closed, or the new one if none is idle.
 	MaxConns int
-	// DrainTimeout limits how long requests in flight may take once Run's context ends;
-	// the remaining ones are aborted.
-	DrainTimeout time.Duration
+	// DrainDeadline returns until when requests in flight may take; it is called when Run's context has
+	// ended. The remaining ones are aborted.
+	DrainDeadline func() time.Time
 	// OnClose is called for each connection that the server closes, and OnLateRequest for each request
 	// whose headers were read from a connection that it was closing; nil for none. They must not block.
 	OnClose       func(CloseReason)
 	OnLateRequest func(CloseReason)
 
+	// draining is set once Run's context has ended.
+	draining atomic.Bool
+
 	mu sync.Mutex // guards conns
-	// conns are the open connections.
-	conns map[*conn]struct{}
+	// conns are the open connections. drained is closed once there are none while draining.
+	conns   map[*conn]struct{}
+	drained chan struct{}
 }
 
 // connKey is the key of a request's [conn] in its context.
@@ -109,9 +116,9 @@
 
 // Run serves until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	s.conns = make(map[*conn]struct{})
+	s.conns, s.drained = make(map[*conn]struct{}), make(chan struct{})
 	h := &telemetry.HTTPServer{
-		Address: s.Address, Handler: http.HandlerFunc(s.serveHTTP), ListenConfig: tcp.PatientListenConfig(), DrainTimeout: s.DrainTimeout, ForceClose: true,
+		Address: s.Address, Handler: http.HandlerFunc(s.serveHTTP), ListenConfig: tcp.PatientListenConfig(), Drain: s.drain,
 		WrapConn:    func(c net.Conn) net.Conn { return &conn{Conn: c, watch: tcp.Watch{Conn: c}} },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ConnState:   s.connState,
@@ -125,7 +132,9 @@
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.in(phaseClosing) {
 		panic(http.ErrAbortHandler)
 	}
-	if t := s.limits().announcedIdleTimeout(); t > 0 && !r.Close {
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	} else if t := s.limits().announcedIdleTimeout(); t > 0 && !r.Close {
 		w.Header().Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(t/time.Second), 10))
 	}
 	s.Handler.ServeHTTP(w, r)
@@ -159,9 +168,12 @@
 		c.idleSince, c.headersDue = time.Now(), false
 		c.watch.StopWhenSent()
 		c.timer = time.AfterFunc(s.limits().IdleTimeout, func() { s.expire(c) })
+		if s.draining.Load() {
+			s.closeWaiting(c, CloseStopping)
+		}
 	case http.StateClosed, http.StateHijacked:
 		c.stop()
-		delete(s.conns, c)
+		s.remove(c)
 	}
 }
 
@@ -200,7 +212,7 @@
 	}
 	c.closeReason = why
 	c.stop()
-	delete(s.conns, c)
+	s.remove(c)
 	if s.OnClose != nil {
 		s.OnClose(why)
 	}
