router: a stopping router answers the requests that it reads

What callers saw: in a planned stop of a router of the first kind of fleet, a request whose head was half sent when the drain began was read whole and got neither an answer nor a refusal.

Cause: the same as in intake, http.Server.Shutdown drops requests that are being read.

Evidence, before: --- FAIL: TestStoppingRouterAnswersWhatItReads stop_test.go:53: no answer: unexpected EOF

Fix: this router's callers are served by intake.Server as well, which serves TLS for that. Abort finds the TCP connection below any number of wrappers, so that a response of HTTP/1.0 is still reset over TLS.

--- a/internal/intake/abort.go
+++ b/internal/intake/abort.go
@@ -20,7 +20,11 @@
 // reset closes a connection with a reset.
 func reset(conn net.Conn) {
 	inner := conn
-	if t, ok := conn.(interface{ NetConn() net.Conn }); ok { // TLS
+	for {
+		t, ok := inner.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		inner = t.NetConn()
 	}
 	if t, ok := inner.(*net.TCPConn); ok {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -42,6 +43,14 @@
 	closeReason CloseReason
 }
 
+// connOf returns the connection that net/http serves as c.
+func connOf(c net.Conn) *conn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	return c.(*conn)
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/intake/drain_test.go
+++ b/internal/intake/drain_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 )
@@ -17,6 +19,8 @@
 		before, after string
 		// idle is set if a request is sent and answered first.
 		idle bool
+		// tls is set if the connection uses TLS.
+		tls bool
 		// wantAnswer is set if the request is to be answered, and otherwise the connection closed at once.
 		wantAnswer bool
 	}{
@@ -25,8 +29,14 @@
 		{name: "first request in flight", before: firstHalf + secondHalf, wantAnswer: true},
 		{name: "first request half sent", before: firstHalf, after: secondHalf, wantAnswer: true},
 		{name: "next request half sent", idle: true, before: firstHalf, after: secondHalf, wantAnswer: true},
+		{name: "idle, TLS", idle: true, tls: true},
+		{name: "first request half sent, TLS", before: firstHalf, after: secondHalf, tls: true, wantAnswer: true},
+		{name: "next request half sent, TLS", idle: true, before: firstHalf, after: secondHalf, tls: true, wantAnswer: true},
 		{name: "first byte sent", before: firstHalf[:1], after: firstHalf[1:] + secondHalf, wantAnswer: true},
 	}
+	h := httptest.NewTLSServer(nil)
+	defer h.Close()
+	certificates := h.TLS.Certificates
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			release := make(chan struct{})
@@ -36,6 +46,9 @@
 				}
 				_, _ = io.WriteString(w, "ok")
 			})}
+			if tt.tls {
+				s.TLS = &tls.Config{Certificates: certificates}
+			}
 			stop, _ := startServer(t, s)
 			// A request in flight keeps the server from ending.
 			other, conn := dial(t, s), dial(t, s)
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -74,7 +75,9 @@
 
 // Server serves callers. Set the exported fields before Run.
 type Server struct {
-	Address      string
+	Address string
+	// TLS is nil for plain HTTP.
+	TLS          *tls.Config
 	Handler      http.Handler
 	ListenConfig *net.ListenConfig
 	// Limits returns the current limits. It is called with the server's mutex held, so
@@ -107,10 +110,12 @@
 func (s *Server) Run(ctx context.Context) error {
 	s.conns, s.drained = make(map[*conn]struct{}), make(chan struct{})
 	h := &telemetry.HTTPServer{
-		Address: s.Address, Handler: http.HandlerFunc(s.serveHTTP), ListenConfig: s.ListenConfig, Drain: s.drain,
-		WrapConn:    func(c net.Conn) net.Conn { return &conn{Conn: c} },
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
-		ConnState:   s.connState,
+		Address: s.Address, TLS: s.TLS, Handler: http.HandlerFunc(s.serveHTTP), ListenConfig: s.ListenConfig, Drain: s.drain,
+		WrapConn: func(c net.Conn) net.Conn { return &conn{Conn: c} },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, connOf(c))
+		},
+		ConnState: s.connState,
 	}
 	return h.Run(ctx)
 }
@@ -128,10 +133,7 @@
 
 // connState tracks the state of a connection and sets its timer.
 func (s *Server) connState(nc net.Conn, state http.ConnState) {
-	c, ok := nc.(*conn)
-	if !ok {
-		return
-	}
+	c := connOf(nc)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,6 +17,7 @@
 	"sumachead/internal/chain"
 	"sumachead/internal/config"
 	"sumachead/internal/follower"
+	"sumachead/internal/intake"
 	"sumachead/internal/keeperclient"
 	"sumachead/internal/rpc"
 	"sumachead/internal/settings"
@@ -29,6 +30,9 @@
 	// shutdownDelay is how long a stopping router still accepts requests while it
 	// reports that it is not ready, so that load balancers can stop using it.
 	shutdownDelay = 300 * time.Millisecond
+	// callerIdleTimeout limits how long a caller's connection may be idle: longer than load balancers
+	// keep one.
+	callerIdleTimeout = time.Hour
 )
 
 // Router is one router process. Set the exported fields before Run.
@@ -96,8 +100,11 @@
 	}
 }
 
-func (r *Router) server() *telemetry.HTTPServer {
-	return &telemetry.HTTPServer{Address: r.Config.HTTP, TLS: r.CallerTLS, Handler: r.routes(), DrainTimeout: drainTimeout}
+func (r *Router) server() *intake.Server {
+	return &intake.Server{
+		Address: r.Config.HTTP, TLS: r.CallerTLS, Handler: r.routes(), Limits: func() intake.Limits { return intake.Limits{IdleTimeout: callerIdleTimeout} },
+		DrainDeadline: func() time.Time { return time.Now().Add(drainTimeout) },
+	}
 }
 
 // routes returns the HTTP handler for all paths.
