--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync/atomic"
@@ -52,6 +53,14 @@
 	c.watch.Stop()
 }
 
+// connOf returns the connection that net/http serves as c.
+func connOf(c net.Conn) *conn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	return c.(*conn)
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
