--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -29,8 +29,6 @@
 	reserveTotal = 20_000
 	// urgentBound and otherBound are the costs of its requests, which are billed in full.
 	urgentBound, otherBound sumachead.Tokens = 100, 1000
-	// maxReserveRetries bounds the retries of requests that a slow ledger has kept waiting.
-	maxReserveRetries = 20
 	// eventTokens is what one event of a response carries.
 	eventTokens = 3
 )
@@ -145,34 +143,19 @@
 	})
 }
 
-// isSlowLedger reports whether a request was refused with a retry time because a reply of the ledger took longer
-// than the request's objective lets it wait for, as on a busy machine.
-func isSlowLedger(g *Gateway, f *sumachead.Refusal, waited time.Duration) bool {
-	const minWait = 300 * time.Millisecond // a refused request has waited for about half of its objective
-	return (f.Reason == sumachead.ReasonBudgetInUse || f.Reason == sumachead.ReasonLedgerUnreached) &&
-		f.Verdict == sumachead.NotRun && !f.RetryAt.IsZero() && (waited >= minWait || g.reporter.LedgerUnreachable())
-}
-
 // Guards against a budget whose last tokens go to requests that are not urgent: driven from the
 // caller's request through the router's wallet, the keeper's decision and its answer.
 func TestRestOfBudgetServesUrgentRequests(t *testing.T) {
 	g, k := newReserveFleet(t)
-	sent, retries := 0, 0
+	sent := 0
 	send := func(route string, bound sumachead.Tokens) error {
-		for ; ; retries++ {
-			sent++
-			begun := time.Now()
-			_, _, err := sendRequest(g, fmt.Sprint(sent), func(r *sumachead.CallerRequest) {
-				// Every response has the same events, so the prompt makes the difference.
-				const output = (urgentBound - 1) / eventTokens * eventTokens
-				r.Key, r.Path, r.PromptTokens, r.MaxOutputTokens = "n", "/"+route+"/x", bound-output, output
-			})
-			var f *sumachead.Refusal
-			if retries == maxReserveRetries || !errors.As(err, &f) || !isSlowLedger(g, f, time.Since(begun)) {
-				return err
-			}
-			time.Sleep(time.Until(f.RetryAt))
-		}
+		sent++
+		_, _, err := sendRequest(g, fmt.Sprint(sent), func(r *sumachead.CallerRequest) {
+			// Every response has the same events, so the prompt makes the difference.
+			const output = (urgentBound - 1) / eventTokens * eventTokens
+			r.Key, r.Path, r.PromptTokens, r.MaxOutputTokens = "n", "/"+route+"/x", bound-output, output
+		})
+		return err
 	}
 	urgent := func() error { return send("urgent", urgentBound) }
 	other := func() error { return send("other", otherBound) }
