upstream, gateway: a reset that an upload's write consumed is no end of a response

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to whichever call comes first. The write of the upload got ECONNRESET, which the pool only used to give up the connection; the read then found the bytes that had arrived, and io.EOF. The probe whether the server accepts connections does not help: it does.

The fix: tcp.Conn asks for the state of the socket when a read returns io.EOF; a connection that was reset is closed, one whose peer has ended its direction is not. A response without a marked end is complete only if the whole request was written without an error and acknowledged, which is checked last; what is on its way is waited for up to bodyWriteTimeout. Marked ends stay as they are.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -44,7 +44,7 @@
 func (d *dispatch) relayBuffered(a *upstream.Response) error {
 	body, reserved, err := d.responseMemory.read(a)
 	defer d.responseMemory.release(reserved)
-	if err == nil && !d.isComplete(responseEnd{framing: a.Framing}) {
+	if err == nil && !d.isComplete(a, responseEnd{framing: a.Framing}) {
 		err = io.ErrUnexpectedEOF
 	}
 	d.recordEnd(a, err, 0)
@@ -141,7 +141,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
-			if d.isComplete(s.end(a.Framing)) {
+			if d.isComplete(a, s.end(a.Framing)) {
 				d.recordEnd(a, nil, len(s.splitter.Rest()))
 				return d.endStream(a)
 			}
--- a/internal/gateway/responseend.go
+++ b/internal/gateway/responseend.go
@@ -27,7 +27,7 @@
 // server still runs; it is only called if the bytes leave that open.
 func (e responseEnd) isComplete(liveness func() upstream.Liveness) bool {
 	switch {
-	case e.framing != upstream.FramingClose, e.marked:
+	case e.isMarked():
 		return true
 	case e.stream && (e.partial || !e.hasData):
 		return false
@@ -35,9 +35,14 @@
 	return liveness() == upstream.Accepting
 }
 
-// isComplete reports whether the response of the last attempt's server is complete.
-func (d *dispatch) isComplete(e responseEnd) bool {
-	return e.isComplete(func() upstream.Liveness { return d.crashes.liveness(d.x.placement.Record) })
+// isMarked reports whether the framing or the last event marks the end.
+func (e responseEnd) isMarked() bool { return e.framing != upstream.FramingClose || e.marked }
+
+// isComplete reports whether a response of the last attempt's server is complete. Without a marked end, the
+// server must have received the whole request as well: it may have given up on an upload.
+func (d *dispatch) isComplete(a *upstream.Response, e responseEnd) bool {
+	runs := func() upstream.Liveness { return d.crashes.liveness(d.x.placement.Record) }
+	return e.isComplete(runs) && (e.isMarked() || a.RequestReceived())
 }
 
 // sendsEvents reports whether a response is an event stream. Servers may omit its content type.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -48,7 +48,7 @@
 
 // conn is one connection to a backend server.
 type conn struct {
-	net.Conn
+	*tcp.Conn
 	br *bufio.Reader
 	// headLeft is how many more bytes may be read while the head of a response is read; below 0
 	// otherwise.
@@ -67,7 +67,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, headLeft: -1, reuseUntil: time.Now().Add(defaultIdleTimeout)}
+	tc, err := tcp.NewConn(nc.(*net.TCPConn))
+	if err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	c := &conn{Conn: tc, headLeft: -1, reuseUntil: time.Now().Add(defaultIdleTimeout)}
 	c.br = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
@@ -106,11 +111,7 @@
 	if c.br.Buffered() > 0 || now.After(c.reuseUntil) {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -64,6 +64,37 @@
 	complete bool
 	// reusable: the server allows the connection to be reused, and has received the whole request.
 	reusable bool
+	// upload is the write of the request's rest; nil if there is none.
+	upload *upload
+}
+
+// upload is the write of a request that goes on while the response is read.
+type upload struct {
+	// done is closed at the end of the write, after err was set.
+	done chan struct{}
+	err  error
+}
+
+// wait waits for the end of the write, up to bodyWriteTimeout, and reports whether everything was written.
+func (u *upload) wait() bool {
+	if u == nil {
+		return true
+	}
+	t := time.NewTimer(bodyWriteTimeout)
+	defer t.Stop()
+	select {
+	case <-u.done:
+		return u.err == nil
+	case <-t.C:
+		return false
+	}
+}
+
+// RequestReceived reports whether the server's host has received the whole request and the connection was not
+// reset. It waits up to bodyWriteTimeout for what is still on its way. Until that is known, a body with
+// [FramingClose] may have been cut off by a server that has given up on the request.
+func (a *Response) RequestReceived() bool {
+	return a.upload.wait() && a.conn.AwaitAcks(bodyWriteTimeout) == nil
 }
 
 // Read reads the body. io.EOF means that the body has ended as its framing says; with [FramingClose]
@@ -171,34 +202,22 @@
 		}
 		return &Failure{sumachead.MayHaveRun, sumachead.ReasonServerFailed, err}
 	}
-	rest := request[len(first):]
-	written := make(chan error, 1)
-	if len(rest) == 0 {
-		written <- nil
-	} else {
+	if rest := request[len(first):]; len(rest) > 0 {
+		u := &upload{done: make(chan struct{})}
+		a.upload = u
 		go func() {
-			_, err := a.conn.Write(rest)
-			written <- err
+			defer close(u.done)
+			_, u.err = a.conn.Write(rest)
 		}()
 	}
 	if err := a.readHead(r); err != nil {
 		return err
 	}
-	a.finishBody(written)
+	// The connection is not reused if the rest of a request with an early response can't be written.
+	a.reusable = a.upload.wait() && a.reusable
 	return nil
 }
 
-// finishBody waits until the rest of a request with an early response is written. The
-// connection is not reused if the write fails or takes too long.
-func (a *Response) finishBody(written <-chan error) {
-	select {
-	case err := <-written:
-		a.reusable = a.reusable && err == nil
-	case <-time.After(bodyWriteTimeout):
-		a.reusable = false
-	}
-}
-
 // readHead reads response heads until that of this request. Responses to earlier requests, which
 // a server may send twice, are skipped, and so are those that do not name their request: nothing
 // shows that they belong to this one.
