agent: a reset that an upload's write consumed is no end of a response

A server that ends its direction while the upload is unread is not noticed at all.

The fix: the connection of a request counts the bytes of its request that are written. Its reads return io.EOF only if the whole request was written and acknowledged and the socket shows no reset (tcp.Conn).

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -58,13 +58,12 @@
 }
 
 func newBackend(base string, h *health) *backend {
-	d := &net.Dialer{Timeout: dialTimeout}
 	return &backend{
 		base: strings.TrimSuffix(base, "/"), health: h,
 		client: &http.Client{
 			// Each connection serves a single request: a connection that the
 			// server has just closed can't be told from one on which a request was lost.
-			Transport: &http.Transport{DialContext: d.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
+			Transport: &http.Transport{DialContext: dialRequest, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
@@ -148,7 +147,7 @@
 	if r.GetQuery() != "" {
 		url += "?" + r.GetQuery()
 	}
-	req, err := http.NewRequestWithContext(ctx, r.GetMethod(), url, bytes.NewReader(r.GetBody()))
+	req, err := http.NewRequestWithContext(traceRequest(ctx, len(r.GetBody())), r.GetMethod(), url, bytes.NewReader(r.GetBody()))
 	if err != nil {
 		return nil, sumachead.Refuse(sumachead.NotRun, sumachead.ReasonBadRequest, err.Error(), time.Time{})
 	}
