gateway: heads and events count toward the memory for responses

What callers saw: faulty servers sent bytes without an end in a head or an event.

Cause: only plain bodies were reserved out of the share for responses. A head of 64 KiB in short fields becomes 1 MB once parsed; an event is held up to 256 KiB, and twice while it is passed on.

The fix: upstream.Memory limits heads, event buffers and bodies together; each reserves what it needs beyond 16 KiB before it grows. A response for which nothing is left ends as interrupted, may_have_run, and its server is not blamed: before, a sound server was ejected for it. Whole events are passed on without a copy, the buffer of a large event is given up after it, and bodies grow by what was reserved (slices.Grow took up to a quarter more).

--- a/internal/eventstream/splitter.go
+++ b/internal/eventstream/splitter.go
@@ -12,6 +12,9 @@
 	carriageReturnLineFeed
 )
 
+// maxIdleBytes is the size of a buffer that is kept between events.
+const maxIdleBytes = 16 << 10
+
 // Splitter splits a stream into events as its bytes arrive. An event ends with a blank line; lines
 // end with LF, CR or CRLF. The zero value is ready to use.
 type Splitter struct {
@@ -25,8 +28,11 @@
 
 // Append adds bytes of the stream. It invalidates the events that Next has returned.
 func (s *Splitter) Append(b []byte) {
-	rest := copy(s.buf, s.buf[s.start:])
-	s.buf = append(s.buf[:rest], b...)
+	buf := s.buf[:0]
+	if size := s.SizeAfter(len(b)); size != cap(s.buf) {
+		buf = make([]byte, 0, size)
+	}
+	s.buf = append(append(buf, s.Rest()...), b...)
 	s.lineStart -= s.start
 	s.pos -= s.start
 	s.start = 0
@@ -70,6 +76,19 @@
 	return 0, carriageReturn, false
 }
 
+// SizeAfter returns the size that the buffer will have once n more bytes are appended.
+func (s *Splitter) SizeAfter(n int) int {
+	rest := len(s.Rest())
+	switch size := cap(s.buf); {
+	case rest == 0 && size > maxIdleBytes:
+		return n
+	case rest+n > size:
+		return max(2*size, rest+n)
+	default:
+		return size
+	}
+}
+
 // Rest returns the bytes after the last complete event: a part of an event, or an event without its
 // blank line.
 func (s *Splitter) Rest() []byte { return s.buf[s.start:] }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -257,6 +257,8 @@
 	switch {
 	case !errors.As(err, &f) || d.ctx.Err() != nil:
 		l.Cancel(time.Now())
+	case errors.Is(f.Err, upstream.ErrNoMemory):
+		l.Cancel(time.Now())
 	case countsAsServerFailure(f.Reason):
 		l.Done(false, time.Now())
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,8 +100,8 @@
 	sampler       *rollout.Sampler
 	origins       *origin.Directory
 	link          linkload.Link
-	// responseMemory holds the responses that are read before they are passed on.
-	responseMemory responseMemory
+	// responseMemory limits the heads, events and bodies that are read before they are passed on.
+	responseMemory upstream.Memory
 	metrics        *Metrics
 	// handle runs the filters around dispatch.
 	handle handler
@@ -149,6 +149,7 @@
 	g.backoffs = &backoff.Table{Clock: boottime.Clock{}}
 	g.upstream = &upstream.Pool{
 		Dialect: g.Dialect, OnDial: g.metrics.dials.Inc, OnNotice: g.handleNotice, BlockReason: g.withholdReason,
+		Memory: &g.responseMemory,
 	}
 	g.crashes.Probe = g.upstream.Probe
 	g.servers.OnSuperseded = func(r *wire.ServerRecord) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"sumachead"
@@ -42,8 +41,9 @@
 // relayBuffered passes a plain response on once it has been read completely, so that one that
 // breaks off can be requested from another server.
 func (d *dispatch) relayBuffered(a *upstream.Response) error {
-	body, reserved, err := d.responseMemory.read(a)
-	defer d.responseMemory.release(reserved)
+	reserved := upstream.NewReservation(&d.responseMemory)
+	defer reserved.Release()
+	body, err := readBody(a, &reserved)
 	if err == nil && !d.isComplete(a, responseEnd{framing: a.Framing}) {
 		err = io.ErrUnexpectedEOF
 	}
@@ -88,8 +88,8 @@
 	// lastID is the ID of the last event that the caller has; initially the event after which the
 	// caller asked to resume.
 	lastID string
-	// header is the header of the first server's response; nil until the first event.
-	header http.Header
+	// started is set once an event has been passed on.
+	started bool
 	// origin is where the stream began: only servers of that version may send further events. It is
 	// nil until the first event of a stream that is not resumed.
 	origin *origin.Origin
@@ -119,7 +119,7 @@
 
 // unstarted reports whether nothing of a stream has been passed on; it is also true for a plain
 // response.
-func (s *eventStream) unstarted() bool { return s == nil || s.header == nil }
+func (s *eventStream) unstarted() bool { return s == nil || !s.started }
 
 // relayEvents passes complete events on as they arrive. A stream that breaks off may be resumed at
 // another server after the last event that was passed on.
@@ -127,8 +127,17 @@
 	s := d.stream
 	const readSize = 4 << 10
 	chunk := make([]byte, readSize)
+	reserved := upstream.NewReservation(&d.responseMemory)
+	defer func() {
+		s.splitter = eventstream.Splitter{}
+		reserved.Release()
+	}()
 	for {
 		n, err := a.Read(chunk)
+		if reserveErr := reserved.Resize(bufferSize(s.splitter.SizeAfter(n))); reserveErr != nil {
+			d.recordEnd(a, reserveErr, len(s.splitter.Rest()))
+			return &upstream.Failure{Verdict: sumachead.MayHaveRun, Reason: sumachead.ReasonInterrupted, Err: reserveErr}
+		}
 		s.splitter.Append(chunk[:n])
 		if werr := d.forwardEvents(l, a); werr != nil {
 			return werr
@@ -169,7 +178,11 @@
 	var part []byte
 	for event, ok := s.splitter.Next(); ok; event, ok = s.splitter.Next() {
 		s.track(event, d.x)
-		part = append(part, event...)
+		if part == nil {
+			part = event
+			continue
+		}
+		part = part[:len(part)+len(event)] // the events follow each other in the splitter's buffer
 	}
 	if len(part) == 0 {
 		return nil
@@ -184,8 +197,8 @@
 		d.recordSurvival(now)
 	}
 	d.recordResumed(l.Record)
-	if s.header == nil {
-		s.header = a.Header
+	if !s.started {
+		s.started = true
 		d.recordOrigin(l.Record)
 		d.x.start(a.Status, a.Header, sizeUnknown)
 	}
@@ -233,7 +246,7 @@
 // on as well.
 func (d *dispatch) endStream(a *upstream.Response) error {
 	s := d.stream
-	if s.header == nil {
+	if !s.started {
 		d.x.start(a.Status, a.Header, sizeUnknown)
 	}
 	rest := s.splitter.Rest()
--- a/internal/gateway/responsebody.go
+++ b/internal/gateway/responsebody.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"io"
-	"slices"
-	"sync/atomic"
+
+	"sumachead/internal/upstream"
 )
 
 const (
@@ -23,49 +23,31 @@
 	errEventTooLarge    = errors.New("an event of the response is too large")
 )
 
-// responseMemory limits the memory of all responses that are read before they are passed on, beyond
-// minBufferBytes for each. Set the exported field before the first call.
-type responseMemory struct {
-	MaxBytes int64
-
-	reserved atomic.Int64
-}
-
-// Reserved returns the number of reserved bytes.
-func (m *responseMemory) Reserved() int64 { return m.reserved.Load() }
-
-// reserve reserves memory and reports whether there was enough.
-func (m *responseMemory) reserve(n int64) bool {
-	if m.reserved.Add(n) <= m.MaxBytes {
-		return true
-	}
-	m.reserved.Add(-n)
-	return false
-}
-
-// read reads a response to its end. The caller must call release with the number of reserved bytes, also
-// after an error, once it no longer uses the body.
-func (m *responseMemory) read(r io.Reader) (body []byte, reserved int64, err error) {
+// readBody reads a response to its end. The caller must release the reservation, also after an error, once it
+// no longer uses the body.
+func readBody(r io.Reader, reserved *upstream.Reservation) (body []byte, err error) {
 	body = make([]byte, 0, minBufferBytes)
 	for {
 		if len(body) == cap(body) {
-			n := int64(cap(body))
-			if n >= maxBufferedBytes || !m.reserve(n) {
-				return nil, reserved, errResponseTooLarge
+			if cap(body) >= maxBufferedBytes {
+				return nil, errResponseTooLarge
+			}
+			size := 2 * cap(body)
+			if err := reserved.Resize(bufferSize(size)); err != nil {
+				return nil, err
 			}
-			reserved += n
-			body = slices.Grow(body, cap(body))
+			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if errors.Is(err, io.EOF) {
-			return body, reserved, nil
+			return body, nil
 		}
 		if err != nil {
-			return body, reserved, err
+			return body, err
 		}
 	}
 }
 
-// release releases reserved memory.
-func (m *responseMemory) release(n int64) { m.reserved.Add(-n) }
+// bufferSize returns what must be reserved for a buffer.
+func bufferSize(capacity int) int64 { return int64(max(capacity-minBufferBytes, 0)) }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -67,7 +67,7 @@
 }
 
 // recordOutcome records the outcome of an attempt for rollouts. What the caller, a connection that
-// could not be opened or a full server caused says nothing about a version.
+// could not be opened, a full server or a lack of memory here caused says nothing about a version.
 func (d *dispatch) recordOutcome(l *place.Placement, a *upstream.Response, err error) {
 	if !d.sampler.InProgress(l.Record.GetService()) {
 		return
@@ -80,7 +80,7 @@
 		Service: l.Record.GetService(), Route: d.x.route.GetName(), Server: l.Record.GetId(), Version: l.Record.GetSoftware(),
 	}
 	switch {
-	case !d.isRepresentative(l) || f != nil && f.Verdict == sumachead.NotRun:
+	case !d.isRepresentative(l) || f != nil && f.Verdict == sumachead.NotRun, errors.Is(err, upstream.ErrNoMemory):
 	case err == nil:
 		s.Counts, s.Failed = true, a.Head.Failed
 		s.FirstEvent, s.EventGap = d.normalizedFirstByte(l, d.x.firstByteAt), d.meanEventInterval(time.Now())
--- a/internal/upstream/broken.go
+++ b/internal/upstream/broken.go
@@ -63,7 +63,7 @@
 
 // probeOnce connects to a server once; the connection is nil if the server does not accept it.
 func (p *Pool) probeOnce(ctx context.Context, s Server) (Liveness, *conn) {
-	c, err := dial(ctx, s.Address)
+	c, err := p.dial(ctx, s.Address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Refusing, nil
--- a/internal/upstream/check.go
+++ b/internal/upstream/check.go
@@ -19,11 +19,14 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	c, err := dial(ctx, s.Address)
+	c, err := p.dial(ctx, s.Address)
 	if err != nil {
 		return none, trace.Wrap(err)
 	}
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		c.memory.Release()
+	}()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address+path, nil)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -53,6 +53,10 @@
 	// headLeft is how many more bytes may be read while the head of a response is read; below 0
 	// otherwise.
 	headLeft int
+	// headSize is the memory that the part of the head needs that was read so far.
+	headSize int64
+	// memory is the reservation for the head.
+	memory Reservation
 	// received counts the bytes read.
 	received int64
 	// ended is set once the server has closed the connection.
@@ -62,7 +66,7 @@
 }
 
 // dial opens a connection to an address.
-func dial(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	nc, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -72,7 +76,7 @@
 		_ = nc.Close()
 		return nil, err
 	}
-	c := &conn{Conn: tc, headLeft: -1, reuseUntil: time.Now().Add(defaultIdleTimeout)}
+	c := &conn{Conn: tc, headLeft: -1, memory: NewReservation(p.Memory), reuseUntil: time.Now().Add(defaultIdleTimeout)}
 	c.br = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
@@ -89,20 +93,31 @@
 	c.received += int64(n)
 	if c.headLeft > 0 {
 		c.headLeft -= n
+		c.headSize += partialHeadSize(p[:n])
+		if err := c.memory.Resize(max(c.headSize-minHeadBytes, 0)); err != nil {
+			return 0, err
+		}
 	}
 	c.ended = c.ended || errors.Is(err, io.EOF)
 	return n, err
 }
 
-// readHead reads the head of a response, up to maxHeadBytes.
+// readHead reads the head of a response, up to maxHeadBytes. The caller must release the connection's memory
+// once it no longer uses the head.
 func (c *conn) readHead(r *http.Request) (*http.Response, error) {
-	c.headLeft = maxHeadBytes
+	c.headLeft, c.headSize = maxHeadBytes, 0
 	defer func() { c.headLeft = -1 }()
 	resp, err := http.ReadResponse(c.br, r)
 	if c.headLeft == 0 && err != nil {
 		return nil, errHeadTooLong
 	}
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if err := c.memory.Resize(headSize(resp.Header)); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // reusable reports whether the connection is open, within its idle timeout, and has no
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,6 +51,8 @@
 	// right before a request is sent: a notice of the server may have arrived since it was
 	// chosen.
 	BlockReason func(sumachead.ServerID) sumachead.Reason
+	// Memory limits the heads of responses; nil for no limit.
+	Memory *Memory
 	// ProbeSettleTime is how long after the beginning of a probe its connection must be open; 0
 	// selects the default.
 	ProbeSettleTime time.Duration
@@ -126,7 +128,7 @@
 		return nil, err
 	}
 	if c == nil {
-		if c, err = dial(ctx, s.Address); err != nil {
+		if c, err = p.dial(ctx, s.Address); err != nil {
 			p.remove(s, nil)
 			return nil, err
 		}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -119,11 +119,12 @@
 	_ = a.conn.SetReadDeadline(until) // a read of a closed connection fails anyway
 }
 
-// Close returns the connection to the pool if the response was read completely, and closes it
+// Close ends the use of the head and the body. It returns the connection to the pool if the response was read completely, and closes it
 // otherwise, which tells the server to stop.
 func (a *Response) Close() {
 	interrupted := !a.stop()
 	now := time.Now()
+	a.conn.memory.Release()
 	if a.complete && a.reusable && !interrupted && a.conn.br.Buffered() == 0 {
 		a.conn.reuseUntil = a.Head.IdleUntil.Add(-idleTimeoutMargin)
 		if a.Head.IdleUntil.IsZero() {
@@ -161,6 +162,7 @@
 	if err := a.exchange(p.encode(r, t), r); err != nil {
 		a.stop()
 		_ = c.Close()
+		c.memory.Release()
 		p.remove(s, c)
 		return nil, err
 	}
@@ -226,7 +228,11 @@
 		//nolint:bodyclose // Close ends the connection, or gives it back once the body was read
 		resp, err := a.conn.readHead(&http.Request{Method: r.Method})
 		if err != nil {
-			return &Failure{sumachead.MayHaveRun, sumachead.ReasonServerFailed, err}
+			reason := sumachead.ReasonServerFailed
+			if errors.Is(err, ErrNoMemory) {
+				reason = sumachead.ReasonInterrupted
+			}
+			return &Failure{sumachead.MayHaveRun, reason, err}
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue // an interim response
