agent: responses count toward a common memory limit

What callers saw: as at routers: each response of a faulty server was cut off at 8 MiB, and their sum, one for each slot, could end the agent and with it the requests of other callers.

Cause: a bound for each response and none for all. A body is held as it is read, in a buffer that grows by copying, and once more for the router.

The fix: a response reserves twice its bytes beyond 64 KiB out of 64 MiB for all, upstream.Memory as at routers; one for which nothing is left ends as interrupted, may_have_run.

Heads are not counted here and stay open.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -20,6 +20,7 @@
 	"sumachead/api/wire"
 	"sumachead/internal/backoff"
 	"sumachead/internal/settings"
+	"sumachead/internal/upstream"
 )
 
 // Headers of requests to the backend server.
@@ -35,8 +36,13 @@
 	maxResponseBytes = 8 << 20
 	maxHeadBytes     = 64 << 10
 	maxEventBytes    = 256 << 10
-	dialTimeout      = time.Second
-	readBuffer       = 16 << 10
+	// maxResponsesBytes limits the memory of all responses that are read at a time, beyond minResponseBytes
+	// for each. A byte of a response is held up to responseCopies times: as read, and for the router.
+	maxResponsesBytes = 64 << 20
+	minResponseBytes  = 64 << 10
+	responseCopies    = 2
+	dialTimeout       = time.Second
+	readBuffer        = 16 << 10
 )
 
 // errStreamInterrupted is returned when a stream ends before its end marker.
@@ -52,6 +58,8 @@
 	health *health
 	// onBackoff is called with the duration of a backoff that the server requests.
 	onBackoff func(time.Duration)
+	// memory limits the responses that are being read.
+	memory *upstream.Memory
 
 	mu           sync.Mutex // guards avgFirstByte
 	avgFirstByte time.Duration
@@ -59,7 +67,7 @@
 
 func newBackend(base string, h *health) *backend {
 	return &backend{
-		base: strings.TrimSuffix(base, "/"), health: h,
+		base: strings.TrimSuffix(base, "/"), health: h, memory: &upstream.Memory{MaxBytes: maxResponsesBytes},
 		client: &http.Client{
 			// Each connection serves a single request: a connection that the
 			// server has just closed can't be told from one on which a request was lost.
@@ -122,8 +130,10 @@
 		return 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	bounded := &boundedReader{reader: resp.Body, left: maxResponseBytes, memory: upstream.NewReservation(b.memory)}
+	defer bounded.memory.Release()
 	body := &watchedReader{
-		Reader: &boundedReader{reader: resp.Body, left: maxResponseBytes}, watchdog: watch, health: b.health,
+		Reader: bounded, watchdog: watch, health: b.health,
 		onFirstByte: func() { b.recordFirstByte(time.Since(began)) },
 	}
 	if pool.Kind == settings.ServicePool {
@@ -276,6 +286,9 @@
 type boundedReader struct {
 	reader io.Reader
 	left   int
+	// read counts the bytes that were read, for which memory is reserved.
+	read   int
+	memory upstream.Reservation
 }
 
 // Read implements io.Reader.
@@ -285,6 +298,10 @@
 		return r.left, badResponse("the answer is too large")
 	}
 	r.left -= n
+	r.read += n
+	if reserveErr := r.memory.Resize(responseCopies * int64(max(r.read-minResponseBytes, 0))); reserveErr != nil {
+		return 0, sumachead.Refuse(sumachead.MayHaveRun, sumachead.ReasonInterrupted, reserveErr.Error(), time.Now().Add(shortRetryDelay))
+	}
 	return n, err
 }
 
