--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -12,10 +12,12 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"sumachead/internal/tcp"
 )
 
-// requestWriteTimeout bounds the time to write the rest of a request once the server has ended its
-// response by closing the connection.
+// requestWriteTimeout bounds the time in which the server must receive the rest of a request once it has
+// ended its response by closing the connection.
 const requestWriteTimeout = 300 * time.Millisecond
 
 // Transport sends each request on a connection of its own, once. It implements [http.RoundTripper] and is
@@ -28,14 +30,14 @@
 // the body of the response is closed.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx := r.Context()
-	c, err := t.dial(ctx, r.URL)
+	socket, c, err := t.dial(ctx, r.URL)
 	if err != nil {
 		if r.Body != nil {
 			_ = r.Body.Close()
 		}
 		return nil, err
 	}
-	body := &transportBody{ctx: ctx, conn: c, written: make(chan error, 1)}
+	body := &transportBody{ctx: ctx, conn: c, socket: socket, written: make(chan error, 1)}
 	body.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	sent := r.Clone(ctx)
 	sent.Close = true
@@ -54,24 +56,33 @@
 	return resp, body.Close()
 }
 
-// dial connects to the host of a URL.
-func (t *Transport) dial(ctx context.Context, u *url.URL) (net.Conn, error) {
+// dial connects to the host of a URL. It returns the connection and the socket below it.
+func (t *Transport) dial(ctx context.Context, u *url.URL) (*tcp.Conn, net.Conn, error) {
 	c, err := t.Dialer.DialContext(ctx, "tcp", net.JoinHostPort(u.Hostname(), cmp.Or(u.Port(), u.Scheme)))
-	if err != nil || u.Scheme != "https" {
-		return c, err
+	if err != nil {
+		return nil, nil, err
+	}
+	socket, err := tcp.NewConn(c.(*net.TCPConn))
+	if err != nil {
+		_ = c.Close()
+		return nil, nil, &net.OpError{Op: "dial", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
+	}
+	if u.Scheme != "https" {
+		return socket, socket, nil
 	}
-	s := tls.Client(c, &tls.Config{ServerName: u.Hostname()})
+	s := tls.Client(socket, &tls.Config{ServerName: u.Hostname()})
 	if err := s.HandshakeContext(ctx); err != nil {
 		_ = c.Close()
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
+		return nil, nil, &net.OpError{Op: "dial", Net: "tcp", Addr: c.RemoteAddr(), Err: err}
 	}
-	return s, nil
+	return socket, s, nil
 }
 
 // transportBody reads the body of a response, and closes its connection.
 type transportBody struct {
 	ctx    context.Context
 	conn   net.Conn
+	socket *tcp.Conn
 	reader io.Reader
 	// endsWithConn is set if the body ends with the connection.
 	endsWithConn bool
@@ -89,18 +100,18 @@
 		return n, nil
 	case !errors.Is(err, io.EOF):
 		return n, b.wrap(err)
-	case b.endsWithConn && !b.wroteRequest():
-		return n, fmt.Errorf("the server closed the connection before it had read the request: %w", io.ErrUnexpectedEOF)
+	case b.endsWithConn && !b.requestReceived():
+		return n, fmt.Errorf("the server closed the connection before it had received the request: %w", io.ErrUnexpectedEOF)
 	}
 	return n, io.EOF
 }
 
-// wroteRequest reports whether the whole request has been written.
-func (b *transportBody) wroteRequest() bool {
+// requestReceived reports whether the host of the server has received the whole request.
+func (b *transportBody) requestReceived() bool {
 	select {
 	case err := <-b.written:
 		b.written <- err
-		return err == nil
+		return err == nil && b.socket.AwaitAcks(requestWriteTimeout) == nil
 	case <-time.After(requestWriteTimeout):
 	case <-b.ctx.Done():
 	}
--- a/internal/upstream/check.go
+++ b/internal/upstream/check.go
@@ -10,7 +10,6 @@
 
 	"sumachead"
 	"sumachead/internal/boottime"
-	"sumachead/internal/stricthttp"
 )
 
 // Check asks a server for its health on a new connection, and returns the response of the
@@ -20,11 +19,14 @@
 	if p.OnDial != nil {
 		p.OnDial()
 	}
-	c, err := dial(ctx, s.Address)
+	c, err := p.dial(ctx, s.Address)
 	if err != nil {
 		return none, trace.Wrap(err)
 	}
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		c.memory.Release()
+	}()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Address+path, nil)
@@ -37,7 +39,7 @@
 		return none, trace.Wrap(err)
 	}
 	//nolint:bodyclose // it is not read
-	resp, err := stricthttp.ReadResponse(c.br, r)
+	resp, err := c.readHead(r)
 	if err != nil {
 		return none, trace.Wrap(err)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,9 +13,11 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
+	"sumachead/internal/stricthttp"
 	"sumachead/internal/tcp"
 )
 
@@ -42,10 +44,16 @@
 
 // conn is one connection to a backend server.
 type conn struct {
-	net.Conn
+	*tcp.Conn
 	br *bufio.Reader
 	// watch lets the server pause reading a request.
 	watch tcp.Watch
+	// readingHead is set while the head of a response is read; headSize is the memory that the part of
+	// it needs that was read so far.
+	readingHead bool
+	headSize    int64
+	// memory is the reservation for the head.
+	memory Reservation
 	// received counts the bytes read.
 	received int64
 	// ended is set once the server has closed the connection.
@@ -55,13 +63,18 @@
 }
 
 // dial opens a connection to an address.
-func dial(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	nc, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: nc, reuseUntil: time.Now().Add(defaultIdleTimeout)}
-	c.watch.Conn, c.watch.UserTimeout = nc, true
+	tc, err := tcp.NewConn(nc.(*net.TCPConn))
+	if err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
+	c := &conn{Conn: tc, memory: NewReservation(p.Memory), reuseUntil: time.Now().Add(defaultIdleTimeout)}
+	c.watch.Conn, c.watch.UserTimeout = tc, true
 	c.br = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
 }
@@ -76,21 +89,38 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received += int64(n)
+	if c.readingHead {
+		c.headSize += partialHeadSize(p[:n])
+		if err := c.memory.Resize(max(c.headSize-minHeadBytes, 0)); err != nil {
+			return 0, err
+		}
+	}
 	c.ended = c.ended || errors.Is(err, io.EOF)
 	return n, err
 }
 
+// readHead reads the head of a response. The caller must release the connection's memory once it no longer
+// uses the head.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	c.readingHead, c.headSize = true, 0
+	defer func() { c.readingHead = false }()
+	resp, err := stricthttp.ReadResponse(c.br, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := c.memory.Resize(headSize(resp.Header)); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
 // reusable reports whether the connection is open, within its idle timeout, and has no
 // unsolicited bytes.
 func (c *conn) reusable(now time.Time) bool {
 	if c.br.Buffered() > 0 || now.After(c.reuseUntil) {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -65,6 +65,37 @@
 	complete bool
 	// reusable: the server allows the connection to be reused, and has received the whole request.
 	reusable bool
+	// upload is the write of the request's rest; nil if there is none.
+	upload *upload
+}
+
+// upload is the write of a request that goes on while the response is read.
+type upload struct {
+	// done is closed at the end of the write, after err was set.
+	done chan struct{}
+	err  error
+}
+
+// wait waits for the end of the write, up to bodyWriteTimeout, and reports whether everything was written.
+func (u *upload) wait() bool {
+	if u == nil {
+		return true
+	}
+	t := time.NewTimer(bodyWriteTimeout)
+	defer t.Stop()
+	select {
+	case <-u.done:
+		return u.err == nil
+	case <-t.C:
+		return false
+	}
+}
+
+// RequestReceived reports whether the server's host has received the whole request and the connection was not
+// reset. It waits up to bodyWriteTimeout for what is still on its way. Until that is known, a body with
+// [FramingClose] may have been cut off by a server that has given up on the request.
+func (a *Response) RequestReceived() bool {
+	return a.upload.wait() && a.conn.AwaitAcks(bodyWriteTimeout) == nil
 }
 
 // Read reads the body. io.EOF means that the body has ended as its framing says; with [FramingClose]
@@ -89,11 +120,12 @@
 	_ = a.conn.SetReadDeadline(until) // a read of a closed connection fails anyway
 }
 
-// Close returns the connection to the pool if the response was read completely, and closes it
+// Close ends the use of the head and the body. It returns the connection to the pool if the response was read completely, and closes it
 // otherwise, which tells the server to stop.
 func (a *Response) Close() {
 	interrupted := !a.stop()
 	now := time.Now()
+	a.conn.memory.Release()
 	if a.complete && a.reusable && !interrupted && a.conn.br.Buffered() == 0 {
 		a.conn.reuseUntil = a.Head.IdleUntil.Add(-idleTimeoutMargin)
 		if a.Head.IdleUntil.IsZero() {
@@ -131,6 +163,7 @@
 	if err := a.exchange(p.encode(r, t), r); err != nil {
 		a.stop()
 		_ = c.Close()
+		c.memory.Release()
 		p.remove(s, c)
 		return nil, err
 	}
@@ -174,44 +207,34 @@
 		}
 		return &Failure{sumachead.MayHaveRun, sumachead.ReasonServerFailed, err}
 	}
-	rest := request[len(first):]
-	written := make(chan error, 1)
-	if len(rest) == 0 {
-		written <- nil
-	} else {
+	if rest := request[len(first):]; len(rest) > 0 {
+		u := &upload{done: make(chan struct{})}
+		a.upload = u
 		go func() {
-			_, err := a.conn.Write(rest)
-			written <- err
+			defer close(u.done)
+			_, u.err = a.conn.Write(rest)
 		}()
 	}
 	if err := a.readHead(r); err != nil {
 		return err
 	}
-	a.finishBody(written)
+	// The connection is not reused if the rest of a request with an early response can't be written.
+	a.reusable = a.upload.wait() && a.reusable
 	return nil
 }
 
-// finishBody waits until the rest of a request with an early response is written. The
-// connection is not reused if the write fails or takes too long.
-func (a *Response) finishBody(written <-chan error) {
-	select {
-	case err := <-written:
-		a.reusable = a.reusable && err == nil
-	case <-time.After(bodyWriteTimeout):
-		a.reusable = false
-	}
-}
-
 // readHead reads response heads until that of this request. Responses to earlier requests, which
 // a server may send twice, are skipped, and so are those that do not name their request: nothing
 // shows that they belong to this one.
 func (a *Response) readHead(r *sumachead.CallerRequest) error {
 	for range maxStrayResponses + 1 {
 		//nolint:bodyclose // Close ends the connection, or gives it back once the body was read
-		resp, err := stricthttp.ReadResponse(a.conn.br, &http.Request{Method: r.Method})
+		resp, err := a.conn.readHead(&http.Request{Method: r.Method})
 		switch {
 		case errors.Is(err, stricthttp.ErrMalformed):
 			return &Failure{sumachead.MayHaveRun, sumachead.ReasonBadAnswer, err}
+		case errors.Is(err, ErrNoMemory):
+			return &Failure{sumachead.MayHaveRun, sumachead.ReasonInterrupted, err}
 		case err != nil:
 			return &Failure{sumachead.MayHaveRun, sumachead.ReasonServerFailed, err}
 		}
