escrow: give back what a crashed router could not have spent

Cause: when a router came back under another boot ID, all that its predecessor held counted as spent, up to 30 s of its demand, since nothing bounded what it might spend between two reports.

Each position now proposes a spend limit, which the ledger records and the answer confirms. After a reply a holder keeps within its confirmed limits for a time that both sides compute from the report; afterwards it may spend all that it holds, so that cuts are served as before. Replies carry contacts that the next report repeats, so the leader knows which were received. If a new incarnation, which listens at the same address, started before the previous one could exceed its limits, the leader says so in the log entry, and the limits count as spent instead of all that was held. In all other cases all of it counts, as before.

TestPositionTellsUrgentRequestsApart expects the new field; the load simulation no longer counts as lost what goes back to the budget.

--- a/internal/escrow/balance.go
+++ b/internal/escrow/balance.go
@@ -107,6 +107,8 @@
 	requestAfter time.Time
 	// reportScheduled is set if a report will be requested at requestAfter.
 	reportScheduled bool
+	// limit bounds what may be spent and reserved in all.
+	limit spendLimit
 	// exhaustion keeps the ledger's recent replies that the budget is exhausted.
 	exhaustion exhaustion
 	// urgentOnlyUntil is until when only urgent requests are admitted.
@@ -155,6 +157,7 @@
 // recordDemand records a request's bound as demand.
 func (p *balance) recordDemand(q Request, now time.Time) {
 	p.rate.add(now, q.Bound, rateTimeConstant)
+	p.limit.largeBound = max(p.limit.largeBound*largeBoundDecay, float64(q.Bound))
 	if q.Urgent {
 		p.urgentBound.add(q.Bound)
 		return
@@ -224,7 +227,7 @@
 }
 
 // reportPosition returns the position for a report and clears the dirty flag.
-func (p *balance) reportPosition(id sumachead.WorkspaceID, now time.Time, closing bool) *wire.EscrowPosition {
+func (p *balance) reportPosition(id sumachead.WorkspaceID, now time.Time, closing bool, age time.Duration) *wire.EscrowPosition {
 	p.rate.add(now, 0, rateTimeConstant)
 	p.urgentRate.add(now, 0, urgentTimeConstant)
 	p.dirty, p.idleReport, p.reportedAt = false, false, now
@@ -232,6 +235,7 @@
 		p.unansweredSince = now
 	}
 	all := slices.Concat(p.waiting, p.abandoned)
+	limit := p.proposeLimit(all, age)
 	needed, wanted := p.shortfall(all)
 	urgentNeeded, urgentWanted := p.shortfall(slices.DeleteFunc(all, func(q shortRequest) bool { return !q.urgent }))
 	p.requestedBound = needed + p.available()
@@ -249,6 +253,6 @@
 		Needed: int64(needed), Wanted: int64(wanted),
 		UrgentRate: int64(p.urgentRate.value), BoundsSettled: int64(boundsSettled),
 		UrgentBound: int64(p.urgentBound.value), OtherBound: int64(p.otherBound.value),
-		UrgentNeeded: int64(urgentNeeded), UrgentWanted: int64(urgentWanted),
+		UrgentNeeded: int64(urgentNeeded), UrgentWanted: int64(urgentWanted), SpendLimit: limit,
 	}
 }
--- a/internal/escrow/budgetdemand_test.go
+++ b/internal/escrow/budgetdemand_test.go
@@ -225,7 +225,7 @@
 func BenchmarkAllocate(b *testing.B) {
 	for _, holders := range []int{4, 410} {
 		b.Run(fmt.Sprint(holders, " holders"), func(b *testing.B) {
-			l := &testLedger{NewLedger(), &Allocator{PriorityReserve: true}}
+			l := &testLedger{state: NewLedger(), allocator: &Allocator{PriorityReserve: true}}
 			totals := make(map[sumachead.WorkspaceID]sumachead.Tokens)
 			r := &wire.EscrowReport{Boot: "a"}
 			for i := range 20 {
--- a/internal/escrow/doc.go
+++ b/internal/escrow/doc.go
@@ -16,5 +16,6 @@
 // Invariant: the sum of what is granted and not returned, over all holders that ever existed,
 // never exceeds a workspace's total, unless the total was lowered after the grants. In that
 // case nothing more is granted, and holders are asked to return what they have not spent. A
-// holder that is gone counts as having spent everything that it held.
+// holder that is gone counts as having spent everything that it held, or what its spend limit
+// allowed if it is known to have kept within that to the end (spendlimit.go, contacts.go).
 package escrow
--- a/internal/escrow/escrow_test.go
+++ b/internal/escrow/escrow_test.go
@@ -32,10 +32,11 @@
 type testLedger struct {
 	state     *Ledger
 	allocator *Allocator
+	contacts  Contacts
 }
 
 func newLedger(total sumachead.Tokens) *testLedger {
-	l := &testLedger{NewLedger(), &Allocator{}}
+	l := &testLedger{state: NewLedger(), allocator: &Allocator{}}
 	l.state.SetTotals(map[sumachead.WorkspaceID]sumachead.Tokens{clerks: total})
 	return l
 }
@@ -43,7 +44,13 @@
 func (l *testLedger) apply(r *wire.EscrowReport, now time.Time) *wire.EscrowReply {
 	l.allocator.RecordReport(r, now)
 	grants, advice := l.allocator.Allocate(l.state, r, now)
-	reply := l.state.Apply(&wire.EscrowGrant{Report: r, Grants: grants})
+	g := &wire.EscrowGrant{Report: r, Grants: grants}
+	at := sumachead.BootTime(now.UnixNano())
+	if previous, ok := l.state.Incarnation(sumachead.NodeID(r.GetNode())); ok {
+		g.EndedBoot = string(l.contacts.EndedBoot(r, previous, at))
+	}
+	reply := l.state.Apply(g)
+	reply.Contact = l.contacts.Record(r, at)
 	for i, a := range reply.GetAnswers() {
 		Advise(a, advice[i])
 	}
--- a/internal/escrow/ledger.go
+++ b/internal/escrow/ledger.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"sumachead"
 	"sumachead/api/wire"
 )
@@ -32,19 +34,35 @@
 	Granted  sumachead.Tokens
 	Returned sumachead.Tokens
 	Spent    sumachead.Tokens
+	// SpendLimit is the highest limit that the holder has reported.
+	SpendLimit sumachead.Tokens
+	// Limited is set if the holder has reported its limit from the beginning.
+	Limited bool
 }
 
 // Outstanding returns what the holder has been granted and has not returned.
 func (h Holding) Outstanding() sumachead.Tokens { return h.Granted - h.Returned }
 
+// spent returns what the holder has spent by its last report.
+func (h Holding) spent() sumachead.Tokens { return h.Spent }
+
 // withReport returns the holding updated from a reported position. Reports that arrive late
 // change nothing.
 func (h Holding) withReport(p *wire.EscrowPosition) Holding {
 	h.Spent = max(h.Spent, sumachead.Tokens(p.GetSpent()))
 	h.Returned = max(h.Returned, sumachead.Tokens(p.GetReturned()))
+	h.SpendLimit = max(h.SpendLimit, sumachead.Tokens(p.GetSpendLimit()))
 	return h
 }
 
+// spentAtMost returns what a holder may have spent that ended without a final report.
+func (h Holding) spentAtMost(withinLimit bool) sumachead.Tokens {
+	if !withinLimit || !h.Limited {
+		return h.Outstanding()
+	}
+	return min(h.Outstanding(), max(h.Spent, h.SpendLimit))
+}
+
 // account is the state of one workspace's budget.
 type account struct {
 	// closed is the amount counted as spent by closed holders.
@@ -137,20 +155,17 @@
 		return &wire.EscrowReply{Closed: true}
 	}
 	h := holderOf(r)
-	b.startIncarnation(h)
+	b.startIncarnation(h, sumachead.BootID(g.GetEndedBoot()))
 	reply := &wire.EscrowReply{}
 	for i, p := range r.GetPositions() {
 		var grant sumachead.Tokens
 		if i < len(g.GetGrants()) {
 			grant = sumachead.Tokens(g.GetGrants()[i])
 		}
-		granted := b.applyPosition(h, p, grant)
-		reply.Answers = append(reply.Answers, &wire.EscrowAnswer{
-			Workspace: p.GetWorkspace(), Granted: int64(granted), Keep: KeepAll,
-		})
+		reply.Answers = append(reply.Answers, answerOf(p, b.applyPosition(h, p, grant)))
 	}
 	if r.GetClosing() {
-		b.closeHolder(h, true)
+		b.closeHolder(h, Holding.spent)
 		delete(b.boots, h.Node)
 		reply.Closed = true
 	}
@@ -162,7 +177,9 @@
 func (b *Ledger) Unchanged(g *wire.EscrowGrant) *wire.EscrowReply {
 	r := g.GetReport()
 	h := holderOf(r)
-	if boot, ok := b.boots[h.Node]; !ok || boot != h.Boot || r.GetClosing() {
+	boot, ok := b.boots[h.Node]
+	isNew := !ok && len(r.GetPositions()) == 0 // it closes no other
+	if r.GetClosing() || !isNew && boot != h.Boot {
 		return nil
 	}
 	reply := &wire.EscrowReply{}
@@ -171,57 +188,65 @@
 		if !known || x.withReport(p) != x || i < len(g.GetGrants()) && g.GetGrants()[i] > 0 {
 			return nil
 		}
-		reply.Answers = append(reply.Answers, &wire.EscrowAnswer{
-			Workspace: p.GetWorkspace(), Granted: int64(x.Granted), Keep: KeepAll,
-		})
+		reply.Answers = append(reply.Answers, answerOf(p, x))
 	}
 	return reply
 }
 
+// answerOf returns the answer to a position of the holder with the holding x.
+func answerOf(p *wire.EscrowPosition, x Holding) *wire.EscrowAnswer {
+	return &wire.EscrowAnswer{Workspace: p.GetWorkspace(), Granted: int64(x.Granted), Keep: KeepAll, SpendLimit: int64(x.SpendLimit)}
+}
+
+// Incarnation returns the node's newest incarnation that holds escrow; ok is false if there is none.
+func (b *Ledger) Incarnation(n sumachead.NodeID) (boot sumachead.BootID, ok bool) {
+	boot, ok = b.boots[n]
+	return boot, ok
+}
+
 // startIncarnation makes h the current incarnation of its node. The previous one can spend no
-// more; whatever it held and did not report counts as spent.
-func (b *Ledger) startIncarnation(h Holder) {
+// more. All that it held counts as spent or, if it is the one that ended within its spend limits,
+// what these allow.
+func (b *Ledger) startIncarnation(h Holder, ended sumachead.BootID) {
 	old, ok := b.boots[h.Node]
 	if ok && old == h.Boot {
 		return
 	}
 	if ok {
-		b.closeHolder(Holder{h.Node, old}, false)
+		b.closeHolder(Holder{h.Node, old}, func(x Holding) sumachead.Tokens { return x.spentAtMost(ended == old) })
 	}
 	b.boots[h.Node] = h.Boot
 }
 
-// closeHolder removes a holder from all accounts. If its report is final, it returns what it
-// has not spent; otherwise all that it held counts as spent.
-func (b *Ledger) closeHolder(h Holder, final bool) {
+// closeHolder removes a holder from all accounts. The given amount of each holding counts as spent.
+func (b *Ledger) closeHolder(h Holder, spent func(Holding) sumachead.Tokens) {
 	b.closures++
 	for _, a := range b.accounts {
 		x, ok := a.holdings[h]
 		if !ok {
 			continue
 		}
-		if final {
-			a.closed += x.Spent
-		} else {
-			a.closed += x.Outstanding()
-		}
+		a.closed += spent(x)
 		a.remove(h)
 	}
 }
 
-// applyPosition records one position and returns the holder's total grant.
-func (b *Ledger) applyPosition(h Holder, p *wire.EscrowPosition, grant sumachead.Tokens) sumachead.Tokens {
+// applyPosition records one position and returns the holding. A holder that may have spent before it
+// reported a limit isn't limited: an earlier version does not record limits.
+func (b *Ledger) applyPosition(h Holder, p *wire.EscrowPosition, grant sumachead.Tokens) Holding {
 	w := sumachead.WorkspaceID(p.GetWorkspace())
 	a := b.accounts[w]
 	if a == nil {
 		a = newAccount()
 		b.accounts[w] = a
 	}
-	x := a.holdings[h].withReport(p)
+	old, known := a.holdings[h]
+	x := old.withReport(p)
+	x.Limited = p.SpendLimit != nil && (!known || old.Limited)
 	a.put(h, x)
 	x.Granted += max(0, min(grant, b.Unallocated(w)))
 	a.put(h, x)
-	return x.Granted
+	return x
 }
 
 // Holdings returns each holder's share of a workspace's budget.
@@ -266,10 +291,14 @@
 		a := b.accounts[w]
 		s := &wire.AccountState{Workspace: string(w), Closed: int64(a.closed)}
 		for h, x := range a.holdings {
-			s.Holdings = append(s.Holdings, &wire.HoldingState{
+			state := &wire.HoldingState{
 				Node: string(h.Node), Boot: string(h.Boot),
 				Granted: int64(x.Granted), Returned: int64(x.Returned), Spent: int64(x.Spent),
-			})
+			}
+			if x.Limited {
+				state.SpendLimit = proto.Int64(int64(x.SpendLimit))
+			}
+			s.Holdings = append(s.Holdings, state)
 		}
 		slices.SortFunc(s.Holdings, compareHoldings)
 		out = append(out, s)
@@ -294,7 +323,7 @@
 			h := holderOf(x)
 			a.put(h, Holding{
 				Granted: sumachead.Tokens(x.GetGranted()), Returned: sumachead.Tokens(x.GetReturned()),
-				Spent: sumachead.Tokens(x.GetSpent()),
+				Spent: sumachead.Tokens(x.GetSpent()), SpendLimit: sumachead.Tokens(x.GetSpendLimit()), Limited: x.SpendLimit != nil,
 			})
 			b.boots[h.Node] = h.Boot
 		}
--- a/internal/escrow/limits_test.go
+++ b/internal/escrow/limits_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 
 	"sumachead"
 	"sumachead/api/wire"
@@ -243,6 +244,8 @@
 			Workspace: string(clerks), Granted: 20_000, Spent: 6000, BoundsSettled: 12_000, Rate: 57_500 / 4,
 			Needed: 500, Wanted: 31_500, UrgentNeeded: 1000, UrgentWanted: 17_000,
 			UrgentRate: 150, UrgentBound: (1000 + 2000 + 16_000 + 15_000) / 4, OtherBound: (9000 + 14_500) / 2,
+			// What is spent, what waits, and the largest recent bound, two requests later.
+			SpendLimit: proto.Int64(6000 + 45_500 + 16_000*31*31/32/32),
 		}
 		if d := cmp.Diff(want.String(), got.String()); d != "" {
 			t.Errorf("(-want +got):\n%s", d)
--- a/internal/escrow/loadsim_test.go
+++ b/internal/escrow/loadsim_test.go
@@ -125,7 +125,7 @@
 	synctest.Test(t, func(*testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		s := &loadSim{
-			loadCase: c, begun: time.Now(), ctx: ctx, ledger: &testLedger{NewLedger(), &Allocator{PriorityReserve: c.reserve}},
+			loadCase: c, begun: time.Now(), ctx: ctx, ledger: &testLedger{state: NewLedger(), allocator: &Allocator{PriorityReserve: c.reserve}},
 			budgets: make(map[sumachead.WorkspaceID]*loadBudget), random: rand.New(rand.NewPCG(3, 4)),
 		}
 		s.out.Reasons = make(map[sumachead.Reason]int)
@@ -177,6 +177,7 @@
 		return waitpolicy.TypicalEstimate{Since: since, By: asked.Add(loadMinReportInterval + 2*loadNetworkDelay)}
 	}
 	r.wallet.Open(boot)
+	r.wallet.Listening(fmt.Sprint("address of ", i), time.Now())
 	s.routers[i] = r
 	s.wg.Go(func() { s.reports(r) })
 	s.wg.Go(func() { s.reclaims(r) })
@@ -216,7 +217,7 @@
 		r.wallet.MarkUnsent(p)
 		return
 	}
-	reply := s.apply(p)
+	reply := s.applyFirst(p)
 	if duplicated {
 		reply = s.apply(p)
 	}
--- a/internal/escrow/policies_test.go
+++ b/internal/escrow/policies_test.go
@@ -85,26 +85,30 @@
 	// with the next tick.
 	reportedAt      [trialRouters]time.Time
 	reportRequested [trialRouters]bool
-	names           []sumachead.WorkspaceID
+	// down is set while a router is not running.
+	down  [trialRouters]bool
+	names []sumachead.WorkspaceID
 }
 
 func newDemandBased(totals map[sumachead.WorkspaceID]sumachead.Tokens) *demandBased {
-	d := &demandBased{ledger: &testLedger{NewLedger(), &Allocator{}}}
+	d := &demandBased{ledger: &testLedger{state: NewLedger(), allocator: &Allocator{}}}
 	d.ledger.state.SetTotals(totals)
 	for w := range totals {
 		d.names = append(d.names, w)
 	}
 	for i := range d.wallets {
-		d.open(i)
+		d.open(i, time.Unix(1_000_000, 0))
 	}
 	return d
 }
 
 // open starts a new incarnation of a router.
-func (d *demandBased) open(i int) {
+func (d *demandBased) open(i int, now time.Time) {
 	d.boots[i]++
+	d.down[i] = false
 	d.wallets[i] = &Wallet{Node: sumachead.NodeID(fmt.Sprint("r", i)), RequestReport: func() { d.reportRequested[i] = true }}
 	d.wallets[i].Open(sumachead.BootID(fmt.Sprint(d.boots[i])))
+	d.wallets[i].Listening(fmt.Sprint("address of ", i), now)
 	for _, w := range d.names {
 		d.wallets[i].balance(w)
 	}
@@ -128,6 +132,9 @@
 		return
 	}
 	for i, w := range d.wallets {
+		if d.down[i] {
+			continue
+		}
 		reclaims, _ := d.ledger.allocator.ReclaimRequests(w.Node, now)
 		var ids []sumachead.WorkspaceID
 		for _, id := range reclaims {
@@ -147,7 +154,7 @@
 	}
 }
 
-func (d *demandBased) kill(router int, _ time.Time) { d.open(router) }
+func (d *demandBased) kill(router int, now time.Time) { d.open(router, now) }
 
 // trialPolicy is a policy with its name.
 type trialPolicy struct {
--- a/internal/escrow/reservation.go
+++ b/internal/escrow/reservation.go
@@ -70,7 +70,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := w.balances[q.Workspace]
-	if p == nil || p.available() < q.Bound || p.reserves(q, now) {
+	if p == nil || w.spendable(p, now) < q.Bound || p.reserves(q, now) {
 		return nil
 	}
 	p.recordDemand(q, now)
@@ -151,7 +151,7 @@
 	if a := p.ruledOut(q, now); a != admitted {
 		return nil, a, nil
 	}
-	if p.available() >= q.Bound {
+	if w.spendable(p, now) >= q.Bound {
 		return w.reserve(p, q), admitted, nil
 	}
 	if first {
@@ -160,6 +160,7 @@
 	p.recordShort(q.Bound, now)
 	p.dirty = true
 	w.scheduleReport(p, now)
+	w.wakeWhenUnlimited(now)
 	return nil, short, w.changed
 }
 
@@ -168,6 +169,7 @@
 	p.reserved += q.Bound
 	p.dirty = true
 	p.recordAdmitted(q.Bound)
+	w.recordReserved(p)
 	if p.available() < p.lowWatermark {
 		p.lowWatermark = 0 // at most one such report until the next reply
 		w.RequestReport()
--- a/internal/escrow/unchanged_test.go
+++ b/internal/escrow/unchanged_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/testing/protocmp"
 
 	"sumachead"
@@ -19,6 +20,11 @@
 	report := func(boot string, closing bool, ps ...*wire.EscrowPosition) *wire.EscrowReport {
 		return &wire.EscrowReport{Node: "router-1", Boot: boot, Closing: closing, Positions: ps}
 	}
+	limited := func(limit int64) *wire.EscrowPosition {
+		p := position(500, 200, 100)
+		p.SpendLimit = proto.Int64(limit)
+		return p
+	}
 	other := &wire.EscrowPosition{Workspace: "nurses"}
 	tests := []struct {
 		name   string
@@ -34,7 +40,12 @@
 		{"more returned", report("a", false, position(500, 200, 101)), nil, false},
 		{"a grant", report("a", false, position(500, 200, 100)), []int64{1}, false},
 		{"a position that is not known", report("a", false, position(500, 200, 100), other), nil, false},
+		{"the same limit", report("a", false, limited(300)), nil, true},
+		{"a late limit", report("a", false, limited(299)), nil, true},
+		{"a higher limit", report("a", false, limited(301)), nil, false},
 		{"closing", report("a", true, position(500, 200, 100)), nil, false},
+		{"a new incarnation without positions", report("b", false), nil, false},
+		{"a new node without positions", &wire.EscrowReport{Node: "router-2", Boot: "c"}, nil, true},
 		{"a new incarnation", report("b", false, position(0, 0, 0)), nil, false},
 		{"an incarnation that is closed", report("b", false, position(500, 200, 100)), nil, false},
 	}
@@ -43,7 +54,7 @@
 			l := NewLedger()
 			l.SetTotals(map[sumachead.WorkspaceID]sumachead.Tokens{clerks: 1000, "nurses": 1000})
 			l.Apply(&wire.EscrowGrant{Report: report("a", false, position(0, 0, 0)), Grants: []int64{500}})
-			l.Apply(&wire.EscrowGrant{Report: report("a", false, position(500, 200, 100))})
+			l.Apply(&wire.EscrowGrant{Report: report("a", false, limited(300))})
 			before := l.Snapshot()
 			g := &wire.EscrowGrant{Report: tt.report, Grants: tt.grants}
 			reply := l.Unchanged(g)
--- a/internal/escrow/wallet.go
+++ b/internal/escrow/wallet.go
@@ -6,6 +6,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/timeutil"
 )
 
 // Wallet holds one node's escrow and admits requests from it without a call to the ledger. It
@@ -25,6 +26,23 @@
 	balances map[sumachead.WorkspaceID]*balance
 	// reportedAt is when the last report with positions was made.
 	reportedAt time.Time
+	// limitedUntil is until when the holder keeps within its spend limits. contact identifies the last
+	// reply that extended it; 0 if there is none. limitDuration is by how long the reply to the last
+	// report extends it. exceeded is set if a limit may have been exceeded.
+	limitedUntil  time.Time
+	contact       uint64
+	limitDuration time.Duration
+	exceeded      bool
+	// wakeScheduled is set if waiting requests will be woken up at limitedUntil, or before.
+	wakeScheduled bool
+	// address is where the node listens, and startedAt is since when it does or, if later, since when
+	// this incarnation runs; address is empty if the node does not listen.
+	address   string
+	startedAt time.Time
+	// announced is set once the ledger has replied to this incarnation.
+	announced bool
+	// openedAt is when this incarnation made its first report; zero if there was none.
+	openedAt time.Time
 	// changed is closed and replaced when waiting requests should try again: a reply came, a
 	// settled bill freed tokens, or the incarnation has ended.
 	changed chan struct{}
@@ -41,6 +59,8 @@
 func (w *Wallet) reset(boot sumachead.BootID) {
 	w.boot = boot
 	w.balances = make(map[sumachead.WorkspaceID]*balance)
+	w.limitedUntil, w.contact, w.exceeded, w.openedAt = time.Time{}, 0, false, time.Time{}
+	w.announced = false
 	w.notify()
 }
 
@@ -64,16 +84,20 @@
 }
 
 // Report returns the changes to report to the ledger, or nil when there are none. A holder that
-// has tokens also reports after idleReportInterval without changes.
+// has tokens also reports after idleReportInterval without changes, and a new one reports until it has
+// a reply, so that the ledger closes the previous one.
 func (w *Wallet) Report(now time.Time, closing bool) *wire.EscrowReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.openedAt.IsZero() {
+		w.openedAt = now
+	}
 	r := &wire.EscrowReport{Node: string(w.Node), Boot: string(w.boot), Closing: closing}
 	for id, p := range w.balances {
 		if !p.dirty && !closing {
 			continue
 		}
-		r.Positions = append(r.Positions, p.reportPosition(id, now, closing))
+		r.Positions = append(r.Positions, p.reportPosition(id, now, closing, now.Sub(w.openedAt)))
 	}
 	if len(r.Positions) > 0 {
 		w.reportedAt = now
@@ -81,9 +105,10 @@
 		w.reportedAt = now
 		r.Positions = w.idlePositions(now)
 	}
-	if len(r.Positions) == 0 && !closing {
+	if len(r.Positions) == 0 && !closing && (w.address == "" || w.announced) {
 		return nil
 	}
+	w.addContact(r, now)
 	return r
 }
 
@@ -96,7 +121,7 @@
 			break
 		}
 		if p.available()+p.reserved > 0 && now.Sub(p.reportedAt) >= idleReportInterval {
-			out = append(out, p.reportPosition(id, now, false))
+			out = append(out, p.reportPosition(id, now, false, now.Sub(w.openedAt)))
 			p.idleReport = true
 		}
 	}
@@ -143,12 +168,15 @@
 	}
 	if reply.GetClosed() {
 		w.reset(next)
+		w.startedAt = timeutil.Later(now, time.Now()) // requests may have been admitted since now
 		return true
 	}
+	w.announced = true
 	retryAt := now.Add(time.Duration(reply.GetAgainMillis()) * time.Millisecond)
 	for _, a := range reply.GetAnswers() {
 		w.applyAnswer(a, retryAt, now)
 	}
+	w.recordContact(reply.GetContact(), now)
 	w.notify()
 	return false
 }
@@ -159,6 +187,7 @@
 	p := w.balance(sumachead.WorkspaceID(a.GetWorkspace()))
 	more := sumachead.Tokens(a.GetGranted()) > p.granted
 	p.granted = max(p.granted, sumachead.Tokens(a.GetGranted()))
+	p.confirmLimit(a)
 	const lowDivisor = 2 // a report is due when less than half of this is left
 	p.lowWatermark = p.available() / lowDivisor
 	p.requestAfter = time.Time{}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -86,6 +86,7 @@
 	startedAt time.Time
 	// copiedAt is when the leader last responded with its records, in Unix nanoseconds.
 	copiedAt atomic.Int64
+	contacts escrow.Contacts
 	// reports are consumed by reportsLoop.
 	reports chan *pendingReport
 	// stopped is closed when Run ends, which ends waiting calls.
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -8,6 +8,7 @@
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/boottime"
 	"sumachead/internal/escrow"
 )
 
@@ -94,24 +95,27 @@
 // replies to all. Idle holders report only to remain live: with hundreds of routers, the entries of
 // such reports would be most of the log on a quiet day.
 func (k *Keeper) commitBatch(batch []*pendingReport) {
-	now := time.Now()
+	now, bootNow := time.Now(), boottime.Clock{}.Now()
 	// Holders take an answer for the ledger's current state, so a leader that may have been replaced
 	// must not answer without a commit.
 	leads := k.requireLeadership() == nil
 	grants := &wire.EscrowGrants{}
 	var pending []*pendingReport
 	var advice [][]*wire.EscrowAnswer
+	var contacts []uint64
 	for _, p := range batch {
 		k.allocator.RecordReport(p.report, now)
 		amounts, a := k.machine.AllocateGrants(k.allocator, p.report, now)
-		g := &wire.EscrowGrant{Report: p.report, Grants: amounts}
+		g := &wire.EscrowGrant{Report: p.report, Grants: amounts, EndedBoot: string(k.endedBoot(p.report, bootNow))}
+		contact := k.contacts.Record(p.report, bootNow)
 		if reply := k.machine.UnchangedReply(g); leads && reply != nil {
-			k.completeReply(p.report, reply, amounts, a)
+			k.completeReply(p.report, reply, amounts, a, contact)
 			p.done <- reportResult{reply: reply}
 			continue
 		}
 		g.Report = loggedReport(p.report)
 		grants.Grants, pending, advice = append(grants.Grants, g), append(pending, p), append(advice, a)
+		contacts = append(contacts, contact)
 	}
 	if len(pending) == 0 {
 		return
@@ -124,13 +128,26 @@
 		return
 	}
 	for i, reply := range result.([]*wire.EscrowReply) {
-		k.completeReply(pending[i].report, reply, grants.GetGrants()[i].GetGrants(), advice[i])
+		k.completeReply(pending[i].report, reply, grants.GetGrants()[i].GetGrants(), advice[i], contacts[i])
 		pending[i].done <- reportResult{reply: reply}
 	}
 }
 
-// loggedReport returns a report without the demand of urgent requests and the bounds, which only
-// the leader uses, so that they do not add to the log.
+// endedBoot returns the incarnation that the reporting one follows if it is known to have ended within
+// its spend limits, or "".
+func (k *Keeper) endedBoot(r *wire.EscrowReport, now sumachead.BootTime) sumachead.BootID {
+	previous, ok := k.machine.EscrowIncarnation(sumachead.NodeID(r.GetNode()))
+	if !ok || previous == sumachead.BootID(r.GetBoot()) {
+		return ""
+	}
+	ended := k.contacts.EndedBoot(r, previous, now)
+	k.limitedLog.Info(k.Log, "Escrow holder replaced.", "node", r.GetNode(), "previous", previous, "boot", r.GetBoot(), "within_limits", ended != "",
+		"age", time.Duration(r.GetAgeMillis())*time.Millisecond)
+	return ended
+}
+
+// loggedReport returns a report without the demand of urgent requests, the bounds and the contact,
+// which only the leader uses, so that they do not add to the log.
 func loggedReport(r *wire.EscrowReport) *wire.EscrowReport {
 	out := &wire.EscrowReport{Node: r.GetNode(), Boot: r.GetBoot(), Closing: r.GetClosing()}
 	for _, p := range r.GetPositions() {
@@ -143,7 +160,8 @@
 }
 
 // completeReply adds to a reply what is not part of the log.
-func (k *Keeper) completeReply(r *wire.EscrowReport, reply *wire.EscrowReply, grants []int64, advice []*wire.EscrowAnswer) {
+func (k *Keeper) completeReply(r *wire.EscrowReport, reply *wire.EscrowReply, grants []int64, advice []*wire.EscrowAnswer, contact uint64) {
+	reply.Contact = contact
 	for i, a := range reply.GetAnswers() {
 		escrow.Advise(a, advice[i])
 		k.logGrant(r.GetNode(), r.GetPositions()[i], grants[i], a)
--- a/internal/fleet/statemachine.go
+++ b/internal/fleet/statemachine.go
@@ -220,6 +220,13 @@
 	return s.Allocate(m.ledger, r, now)
 }
 
+// EscrowIncarnation returns a node's newest incarnation that holds escrow; ok is false if there is none.
+func (m *StateMachine) EscrowIncarnation(n sumachead.NodeID) (boot sumachead.BootID, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ledger.Incarnation(n)
+}
+
 // UnchangedReply returns the reply to a report that would not change the ledger, or nil.
 func (m *StateMachine) UnchangedReply(g *wire.EscrowGrant) *wire.EscrowReply {
 	m.mu.Lock()
--- a/internal/fleetclient/escrow.go
+++ b/internal/fleetclient/escrow.go
@@ -30,6 +30,9 @@
 	Client *Client
 	Wallet *escrow.Wallet
 	Log    hclog.Logger
+	// Address is where this process listens while Run runs; empty if it does not. Since no other
+	// process can do so meanwhile, earlier ones of the node have ended.
+	Address string
 	// OnReported is called with the duration of each report that the ledger accepted; may be nil.
 	OnReported func(time.Duration)
 
@@ -67,6 +70,8 @@
 
 // Run sends reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) error {
+	r.Wallet.Listening(r.Address, time.Now())
+	r.RequestReport()
 	return loop.EveryOrSignaled(ctx, reportInterval, r.requested, minReportInterval, func() { r.report(ctx) })
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,6 +135,9 @@
 	g.suspects.ReportCrashes, g.suspects.RequestTrial = g.client.ReportCrashes, g.client.RequestTrial
 	g.wallet = &escrow.Wallet{Node: g.Node}
 	g.reporter = &fleetclient.Reporter{Client: g.client, Wallet: g.wallet, Log: g.Log.Named("escrow")}
+	if g.RPC != nil {
+		g.reporter.Address = g.Address
+	}
 	g.reporter.OnReported = func(d time.Duration) { g.metrics.ledgerReports.Observe(d.Seconds()) }
 	g.reporter.Prepare()
 	g.lender = &lending.Lender{
--- a/internal/lending/model_test.go
+++ b/internal/lending/model_test.go
@@ -42,6 +42,7 @@
 type model struct {
 	ledger       *escrow.Ledger
 	allocator    *escrow.Allocator
+	contacts     escrow.Contacts
 	nodes        []*modelNode
 	openRequests []*openRequest
 	// handedOut is what all callers were handed, and byIncarnation the part of each lender
@@ -53,8 +54,10 @@
 	// urgentLoans counts loans made while only urgent requests were admitted, and refused the
 	// other requests refused then.
 	urgentLoans, refused int
-	number               uint64
-	now                  time.Time
+	// limitedEnds counts killed incarnations known to have kept within their spend limits.
+	limitedEnds int
+	number      uint64
+	now         time.Time
 }
 
 // start begins an incarnation of a router.
@@ -63,6 +66,7 @@
 	n.boot = sumachead.BootID(fmt.Sprint("life-", m.incarnations))
 	n.wallet = &escrow.Wallet{Node: n.id, RequestReport: func() {}}
 	n.wallet.Open(n.boot)
+	n.wallet.Listening(string(n.id), m.now)
 	n.urgentOnlyUntil = time.Time{}
 	n.lender = &Lender{Wallet: n.wallet, LedgerUnreachable: func() bool { return false }, OnOverdue: func(sumachead.Tokens) {}}
 }
@@ -75,7 +79,16 @@
 	}
 	m.allocator.RecordReport(r, m.now)
 	grants, advice := m.allocator.Allocate(m.ledger, r, m.now)
-	reply := m.ledger.Apply(&wire.EscrowGrant{Report: r, Grants: grants})
+	g := &wire.EscrowGrant{Report: r, Grants: grants}
+	at := sumachead.BootTime(m.now.UnixNano())
+	if previous, ok := m.ledger.Incarnation(n.id); ok && previous != n.boot {
+		g.EndedBoot = string(m.contacts.EndedBoot(r, previous, at))
+		if g.GetEndedBoot() != "" {
+			m.limitedEnds++
+		}
+	}
+	reply := m.ledger.Apply(g)
+	reply.Contact = m.contacts.Record(r, at)
 	for i, a := range reply.GetAnswers() {
 		escrow.Advise(a, advice[i])
 	}
@@ -186,10 +199,10 @@
 // no more than the budget, and no more than the lender counts, open bounds included. While the
 // ledger's last answer says that the rest is reserved, no other request is lent any of it.
 func TestLoansNeverOverspend(t *testing.T) {
-	loans, urgentLoans, refused := 0, 0, 0
+	loans, urgentLoans, refused, limitedEnds := 0, 0, 0, 0
 	defer func() {
-		t.Logf("%d loans, %d of a reserve, %d requests refused for it", loans, urgentLoans, refused)
-		if loans == 0 || refused == 0 { // TestLenderRefusesAtOnce lends urgent requests of a reserve
+		t.Logf("%d loans, %d of a reserve, %d requests refused for it, %d killed within their limits", loans, urgentLoans, refused, limitedEnds)
+		if loans == 0 || refused == 0 || limitedEnds == 0 { // TestLenderRefusesAtOnce lends urgent requests of a reserve
 			t.Error("the test proves nothing")
 		}
 	}()
@@ -222,6 +235,7 @@
 			}
 			m.check(t, total)
 		}
+		limitedEnds += m.limitedEnds
 		loans, urgentLoans, refused = loans+m.loans, urgentLoans+m.urgentLoans, refused+m.refused
 	})
 }
