--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -53,7 +54,7 @@
 	readingHead bool
 	headSize    int64
 	// memory is the reservation for the head.
-	memory Reservation
+	memory *Reservation
 	// received counts the bytes read.
 	received int64
 	// ended is set once the server has closed the connection.
@@ -73,7 +74,8 @@
 		_ = nc.Close()
 		return nil, err
 	}
-	c := &conn{Conn: tc, memory: NewReservation(p.Memory), reuseUntil: time.Now().Add(defaultIdleTimeout)}
+	c := &conn{Conn: tc, reuseUntil: time.Now().Add(defaultIdleTimeout)}
+	c.memory = NewReservation(p.Memory, func() { _ = c.Close() })
 	c.watch.Conn, c.watch.UserTimeout = tc, true
 	c.br = bufio.NewReaderSize(c, readBufferSize)
 	return c, nil
@@ -106,7 +108,7 @@
 	defer func() { c.readingHead = false }()
 	resp, err := stricthttp.ReadResponse(c.br, r)
 	if err != nil {
-		return nil, err
+		return nil, cmp.Or(c.memory.Pin(), err)
 	}
 	if err := c.memory.Resize(headSize(resp.Header)); err != nil {
 		return nil, err
