--- a/internal/escrow/contacts_test.go
+++ b/internal/escrow/contacts_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/waitpolicy"
 )
 
 // Guards against a leader that takes a holder for one that kept within its limits when that does not
@@ -92,3 +94,40 @@
 		})
 	}
 }
+
+// Guards against a router that is cut off from the ledger and stays within its limit for good, or whose
+// waiting requests don't notice that it may exceed it.
+func TestCutOffHolderSpendsAllThatItHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHolder("router-1", "a")
+		h.Listening("10.0.0.1", time.Now().Add(-time.Hour))
+		h.Report(time.Now(), false)
+		h.ApplyReply(&wire.EscrowReply{Contact: 1, Answers: []*wire.EscrowAnswer{
+			{Workspace: string(clerks), Granted: 10_000, SpendLimit: 1000, Keep: KeepAll},
+		}}, h.boot, "", time.Now())
+		if !h.spend(1000, 1000) {
+			t.Fatal("refused a request within the limit")
+		}
+		if h.spend(1, 1) {
+			t.Fatal("exceeded the limit right after a reply")
+		}
+		begun := time.Now()
+		deadlines := waitpolicy.Deadlines{Soft: begun.Add(20 * time.Second), Hard: begun.Add(30 * time.Second)}
+		m, err := h.Reserve(t.Context(), Request{Workspace: clerks, Bound: 9000, Deadlines: deadlines})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(begun); took != spendLimitTimeout {
+			t.Errorf("admitted after %v, want %v", took, spendLimitTimeout)
+		}
+		m.Settle(9000)
+		// The next reply confirms a limit below what is spent: the holder must not repeat its contact.
+		h.ApplyReply(&wire.EscrowReply{Contact: 2, Answers: []*wire.EscrowAnswer{
+			{Workspace: string(clerks), Granted: 10_000, SpendLimit: 9000, Keep: KeepAll},
+		}}, h.boot, "", time.Now())
+		r := h.Report(time.Now(), false)
+		if r.GetContact() == 2 || r.GetPositions()[0].GetSpendLimit() < 10_000 {
+			t.Errorf("contact and limit in the report after a limit was exceeded: %v", r)
+		}
+	})
+}
