tcp: no checks of connections without a request

What callers saw: nothing changes here.

A Watch went on after short requests until it had seen that all data was acknowledged: one timer and one system call for most requests. Callers' connections are watched during requests only, since the idle timeout bounds them otherwise. Connections to backend servers are watched further only after uploads that may not have been read when the response came.

--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -117,7 +117,7 @@
 	case http.StateIdle:
 		if c := s.conns[conn]; c != nil {
 			c.idleSince = time.Now()
-			c.watch.StopWhenSent()
+			c.watch.Stop()
 			c.timer = closeAfter(conn, s.limits().IdleTimeout)
 		}
 	case http.StateClosed, http.StateHijacked:
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -164,9 +164,13 @@
 
 // exchange writes a request and reads the head of its response.
 func (a *Response) exchange(request []byte, r *sumachead.CallerRequest) error {
-	a.conn.watch.Start()
-	defer a.conn.watch.StopWhenSent()
 	first := request[:min(len(request), maxInlineRequest)]
+	a.conn.watch.Start()
+	if len(first) < len(request) {
+		defer a.conn.watch.StopWhenSent() // the response may come before the server has read the request
+	} else {
+		defer a.conn.watch.Stop()
+	}
 	if n, err := a.conn.Write(first); err != nil {
 		if n == 0 {
 			return &Failure{sumachead.NotRun, sumachead.ReasonServerUnreached, err}
