--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -168,7 +168,7 @@
 	case http.StateIdle:
 		c.leave(phaseServing, phaseWaiting)
 		c.idleSince, c.headersDue = time.Now(), false
-		c.watch.StopWhenSent()
+		c.watch.Stop()
 		c.timer = time.AfterFunc(s.limits().IdleTimeout, func() { s.expire(c) })
 		if s.draining.Load() {
 			s.closeWaiting(c, CloseStopping)
