intake: only requests whose headers were read count as late

Operators saw a late request, with a line in the log, for each connection that was closed by the header timeout after a part of its headers. The counter is meant to show requests that were read and could not be answered.

Cause: the request was counted when net/http reports StateActive, which it does after any byte of a request that could not be read as well. It is now counted where a request whose headers were read is not handled.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -88,9 +88,11 @@
 // leave changes the phase, and reports whether the connection was in the phase from.
 func (c *conn) leave(from, to connPhase) bool { return c.phase.CompareAndSwap(int32(from), int32(to)) }
 
-// serve enters phaseServing, and reports false if the connection is being closed.
-func (c *conn) serve() bool {
-	return c.leave(phaseReading, phaseServing) || c.leave(phaseWaiting, phaseServing) // waiting: the request was read ahead
+// serve enters phaseServing unless the connection is being closed.
+func (c *conn) serve() {
+	if !c.leave(phaseReading, phaseServing) {
+		c.leave(phaseWaiting, phaseServing) // the request was read ahead
+	}
 }
 
 // timeoutReason returns why the connection is closed when its timer fires. The caller must hold the
--- a/internal/intake/idleclose_test.go
+++ b/internal/intake/idleclose_test.go
@@ -106,3 +106,25 @@
 		t.Fatal("no response on a connection that the new limit allows")
 	}
 }
+
+// Guards against counting connections whose request never arrived as requests that were not answered.
+func TestOnlyWholeHeadsAreLateRequests(t *testing.T) {
+	var closed, late atomic.Int64
+	s := &Server{
+		Limits:  func() Limits { return Limits{HeaderTimeout: 50 * time.Millisecond} },
+		OnClose: func(CloseReason) { closed.Add(1) }, OnLateRequest: func(CloseReason) { late.Add(1) },
+	}
+	startServer(t, s)
+	conn := dial(t, s)
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if !isClosed(conn) {
+		t.Fatal("the connection was not closed")
+	}
+	awaitNoConns(t, s)
+	time.Sleep(20 * time.Millisecond)
+	if diff := cmp.Diff([]int64{1, 0}, []int64{closed.Load(), late.Load()}); diff != "" {
+		t.Errorf("connections closed, late requests (-want +got):\n%s", diff)
+	}
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -135,6 +135,7 @@
 // Callers are told for how long they may use the connection again.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.in(phaseClosing) {
+		s.recordLate(c)
 		panic(http.ErrAbortHandler)
 	}
 	if s.draining.Load() {
@@ -145,6 +146,15 @@
 	s.Handler.ServeHTTP(w, r)
 }
 
+// recordLate reports a request that is not handled because its connection is being closed.
+func (s *Server) recordLate(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.OnLateRequest != nil {
+		s.OnLateRequest(c.closeReason)
+	}
+}
+
 // connState tracks the state of a connection and sets its timer.
 func (s *Server) connState(nc net.Conn, state http.ConnState) {
 	c := connOf(nc)
@@ -159,9 +169,7 @@
 	case http.StateActive:
 		c.timer.Stop()
 		c.idleSince = time.Time{}
-		if !c.serve() && s.OnLateRequest != nil {
-			s.OnLateRequest(c.closeReason)
-		}
+		c.serve()
 		c.watch.Start()
 		// Bounds writes for which the handler sets no deadline. If it fails, so do the writes.
 		_ = c.SetWriteDeadline(time.Now().Add(s.limits().IdleTimeout))
