intake: a stopping server answers requests that it has read ahead

While a server stopped, a request was dropped without an answer if it was read behind another one whose response had begun before the stop: a pipelined one, and over TLS also one that its caller sent right after the end of the response, since a record is read whole for the first byte of it. Such a request had not run.

Cause: the connection was closed as soon as its response had ended. What net/http or the TLS layer hold of the next request is neither in the kernel's queue nor a read of the connection, so that neither the check for unread bytes nor the phases saw it. Class: a close that is not atomic with reading the next request.

net/http handles what it has read ahead right after it has reported the connection as idle. The connection is now closed by its idle timer, which is 100 ms while the server stops; the handled request enters the serving phase before.

TestStoppingServerAnswersRequestsReadAhead before: 3 of 4 rows (sent together; sent together, TLS; sent during the response, TLS): no response to the next request: unexpected EOF

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -95,15 +95,6 @@
 	}
 }
 
-// timeoutReason returns why the connection is closed when its timer fires. The caller must hold the
-// server's mutex.
-func (c *conn) timeoutReason() CloseReason {
-	if c.headersDue {
-		return CloseHeaderTimeout
-	}
-	return CloseIdle
-}
-
 // hasUnread reports whether bytes have arrived that have not been read.
 func (c *conn) hasUnread() bool {
 	sc, ok := c.Conn.(syscall.Conn)
--- a/internal/intake/drain.go
+++ b/internal/intake/drain.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// drainIdleTimeout is how long a connection may be idle while the server stops: net/http handles a
+// request that it has read ahead as soon as the response before it has ended.
+const drainIdleTimeout = 100 * time.Millisecond
+
 // drain closes each connection that waits for a request, and waits until none is open, or until the
 // drain deadline. Requests that are being read are handled.
 func (s *Server) drain() {
@@ -14,7 +18,8 @@
 	}
 }
 
-// beginDrain closes the connections that wait for a request.
+// beginDrain closes the connections that wait for a request; those that have been used just now when
+// drainIdleTimeout has passed.
 func (s *Server) beginDrain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -24,6 +29,10 @@
 		return
 	}
 	for c := range s.conns {
+		if left := drainIdleTimeout - time.Since(c.idleSince); left > 0 {
+			c.timer.Reset(left)
+			continue
+		}
 		s.closeWaiting(c, CloseStopping)
 	}
 }
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -177,10 +177,7 @@
 		c.leave(phaseServing, phaseWaiting)
 		c.idleSince, c.headersDue = time.Now(), false
 		c.watch.StopWhenSent()
-		c.timer = time.AfterFunc(s.limits().IdleTimeout, func() { s.expire(c) })
-		if s.draining.Load() {
-			s.closeWaiting(c, CloseStopping)
-		}
+		c.timer = time.AfterFunc(s.idleTimeout(), func() { s.expire(c) })
 	case http.StateClosed, http.StateHijacked:
 		c.stop()
 		s.remove(c)
@@ -190,16 +187,35 @@
 // limits returns the current limits, with defaults.
 func (s *Server) limits() Limits { return s.Limits().withDefaults() }
 
+// idleTimeout returns the current idle timeout.
+func (s *Server) idleTimeout() time.Duration {
+	if s.draining.Load() {
+		return drainIdleTimeout
+	}
+	return s.limits().IdleTimeout
+}
+
+// timeoutReason returns why a connection is closed when its timer fires. The caller must hold mu.
+func (s *Server) timeoutReason(c *conn) CloseReason {
+	switch {
+	case c.headersDue:
+		return CloseHeaderTimeout
+	case s.draining.Load():
+		return CloseStopping
+	}
+	return CloseIdle
+}
+
 // expire closes a connection whose timer has fired, unless the idle timeout has been raised since, or
 // its next request has arrived: then its headers must be read in time.
 func (s *Server) expire(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if left := time.Until(c.idleSince.Add(s.limits().IdleTimeout)); !c.headersDue && c.in(phaseWaiting) && left > 0 {
+	if left := time.Until(c.idleSince.Add(s.idleTimeout())); !c.headersDue && c.in(phaseWaiting) && left > 0 {
 		c.timer.Reset(left)
 		return
 	}
-	if s.closeWaiting(c, c.timeoutReason()) || c.in(phaseServing) || c.in(phaseClosing) {
+	if s.closeWaiting(c, s.timeoutReason(c)) || c.in(phaseServing) || c.in(phaseClosing) {
 		return
 	}
 	if c.headersDue && s.close(c, phaseReading, CloseHeaderTimeout) {
