intake: a lowered idle timeout does not shorten what callers were told

A caller that was told an idle timeout with its response could lose its connection, and a request on its way, long before that time if a configuration with a lower timeout came during the response, as long streams make likely.

Cause: the announced timeout is that of the beginning of a request, and the timer was set by the limits at the end of its response. The connection now keeps the timeout of its last request if that is longer. Connections that are idle when the timeout is lowered had kept theirs before.

TestLoweredIdleTimeoutKeepsWhatCallersWereTold/in_use failed before, in the only run: the connection was closed before the time that its caller was told; the row idle passed.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -41,6 +41,8 @@
 	// idleSince is when its last response ended; zero while a request is in flight,
 	// and before the first request.
 	idleSince time.Time
+	// idleTimeout was the idle timeout when its last request came, of which the caller was told.
+	idleTimeout time.Duration
 	// headersDue is set if the timer limits the time for headers instead of the idle time.
 	headersDue bool
 	// closeReason is why the server closes the connection; empty while it is open.
--- a/internal/intake/idleclose_test.go
+++ b/internal/intake/idleclose_test.go
@@ -128,3 +128,46 @@
 		t.Errorf("connections closed, late requests (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against connections that are closed before the time that their callers were told.
+func TestLoweredIdleTimeoutKeepsWhatCallersWereTold(t *testing.T) {
+	tests := []struct {
+		name string
+		// during is set if the limit is lowered while a response is under way, and otherwise after it.
+		during bool
+	}{{"idle", false}, {"in use", true}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var idle atomic.Int64
+			idle.Store(int64(2 * time.Second))
+			lower := func() { idle.Store(int64(50 * time.Millisecond)) }
+			s := &Server{Limits: func() Limits { return Limits{IdleTimeout: time.Duration(idle.Load())} }, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/lower" && tt.during {
+					lower()
+				}
+				_, _ = io.WriteString(w, "ok")
+			})}
+			startServer(t, s)
+			conn := dial(t, s)
+			if _, err := io.WriteString(conn, "GET /lower HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if diff := cmp.Diff("timeout=1", resp.Header.Get("Keep-Alive")); diff != "" {
+				t.Errorf("Keep-Alive (-want +got):\n%s", diff)
+			}
+			awaitIdle(t, s)
+			if !tt.during {
+				lower()
+			}
+			time.Sleep(500 * time.Millisecond)
+			if !sendRequest(conn) {
+				t.Error("the connection was closed before the time that its caller was told")
+			}
+		})
+	}
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -168,7 +168,7 @@
 		s.enforceMaxConns(c)
 	case http.StateActive:
 		c.timer.Stop()
-		c.idleSince = time.Time{}
+		c.idleSince, c.idleTimeout = time.Time{}, s.limits().IdleTimeout
 		c.serve()
 		c.watch.Start()
 		// Bounds writes for which the handler sets no deadline. If it fails, so do the writes.
@@ -177,7 +177,7 @@
 		c.leave(phaseServing, phaseWaiting)
 		c.idleSince, c.headersDue = time.Now(), false
 		c.watch.StopWhenSent()
-		c.timer = time.AfterFunc(s.idleTimeout(), func() { s.expire(c) })
+		c.timer = time.AfterFunc(s.idleTimeout(c), func() { s.expire(c) })
 	case http.StateClosed, http.StateHijacked:
 		c.stop()
 		s.remove(c)
@@ -187,12 +187,13 @@
 // limits returns the current limits, with defaults.
 func (s *Server) limits() Limits { return s.Limits().withDefaults() }
 
-// idleTimeout returns the current idle timeout.
-func (s *Server) idleTimeout() time.Duration {
+// idleTimeout returns the idle timeout of a connection: the current one, or a longer one that its caller
+// was told. The caller must hold mu.
+func (s *Server) idleTimeout(c *conn) time.Duration {
 	if s.draining.Load() {
 		return drainIdleTimeout
 	}
-	return s.limits().IdleTimeout
+	return max(c.idleTimeout, s.limits().IdleTimeout)
 }
 
 // timeoutReason returns why a connection is closed when its timer fires. The caller must hold mu.
@@ -211,7 +212,7 @@
 func (s *Server) expire(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if left := time.Until(c.idleSince.Add(s.idleTimeout())); !c.headersDue && c.in(phaseWaiting) && left > 0 {
+	if left := time.Until(c.idleSince.Add(s.idleTimeout(c))); !c.headersDue && c.in(phaseWaiting) && left > 0 {
 		c.timer.Reset(left)
 		return
 	}
