gateway: a request rejected late in a stop is refused at once

During a planned stop, a request that a server had rejected after SendUntil was held until the end of another server's backoff, a grant of a cold engine, or AnswerBy, and only then got its 503: nothing could be sent any more in between.

Cause: the deadlines of the stop were applied when an attempt begins and once, at SendUntil, to the requests that wait then; a request that is at a server at that moment began to wait afterwards without being asked. Class: a limit that is unknown where the decision is made. The decision to retry now applies it as well.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -120,6 +120,8 @@
 		return d.giveUp(d.lastFailure.Reason, "the request may not be repeated: "+d.lastFailure.Err.Error())
 	case !d.hasAttemptLeft():
 		return d.giveUp(d.lastFailure.Reason, "no attempt is left: "+d.lastFailure.Err.Error())
+	case !d.requestStopper.mayRetry(&d.x.stoppable, d.x.started):
+		return d.refuseStopping()
 	}
 	return d.reserveRetry()
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -107,6 +107,13 @@
 	return r.sending
 }
 
+// mayRetry reports whether an attempt could be made now.
+func (s *requestStopper) mayRetry(r *stoppable, started bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return started || s.maySend(r, time.Now())
+}
+
 // endAttempt ends an attempt.
 func (s *requestStopper) endAttempt(r *stoppable) {
 	s.mu.Lock()
--- a/internal/gateway/stoprequests_test.go
+++ b/internal/gateway/stoprequests_test.go
@@ -160,3 +160,23 @@
 		t.Errorf("reason (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a request that is rejected late in a stop and then waits for a server until the end.
+func TestRequestsRejectedLateInAStopAreRefusedAtOnce(t *testing.T) {
+	const send, answer = 100 * time.Millisecond, 600 * time.Millisecond
+	a, b := &backend{id: "a"}, &backend{id: "b"}
+	g := newGateway(t, wire.RouteKind_ROUTE_KIND_SINGLE, false, map[string]string{
+		"a": a.listen(t, answerAfter(2*send, respondWith(503, "X-Not-Run: 1\r\n", ""))), "b": b.listen(t, respondWith(200, "", "ok")),
+	})
+	g.backoffs.Set("b", 5*send)
+	begun := time.Now()
+	go g.Stop(t.Context(), StopDeadlines{begun.Add(send / 2), begun.Add(send), begun.Add(answer), begun.Add(answer)})
+	_, _, err := sendRequest(g, "1", func(r *sumachead.CallerRequest) { r.Deadline = begun.Add(10 * time.Second) })
+	f := refusalOf(t, err)
+	if took := time.Since(begun); f.Verdict != sumachead.NotRun || took < 2*send || took > 3*send {
+		t.Errorf("after %v: %v", took, f)
+	}
+	if diff := cmp.Diff([]int32{1, 0}, []int32{a.runs.Load(), b.runs.Load()}); diff != "" {
+		t.Errorf("requests at the servers (-want +got):\n%s", diff)
+	}
+}
