--- a/internal/gateway/stoprequests_test.go
+++ b/internal/gateway/stoprequests_test.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
 
 	"sumachead"
 	"sumachead/api/wire"
+	"sumachead/internal/rpc"
 )
 
 // answerAfter returns a server that responds after a delay.
@@ -180,3 +182,42 @@
 		t.Errorf("requests at the servers (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a stop that waits, or requests without a verdict, while no configuration is known.
+func TestStopWithoutAConfiguration(t *testing.T) {
+	g := &Gateway{
+		Node: "router-1", Hall: "hall-1", Seeds: func() []string { return []string{"127.0.0.1:1"} }, Heartbeat: testHeartbeat,
+		Dialect: testDialect{}, Pool: &rpc.Pool{}, Log: hclog.NewNullLogger(),
+	}
+	g.Init()
+	running, end := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(running) }()
+	begun := time.Now()
+	const take = 100 * time.Millisecond
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		g.Stop(running, StopDeadlines{begun.Add(take), begun.Add(2 * take), begun.Add(3 * take), begun.Add(3 * take)})
+	}()
+	for i := range 5 {
+		_, started, err := sendRequest(g, fmt.Sprint(i), nil)
+		if f := refusalOf(t, err); started || f.Verdict != sumachead.NotRun || f.Reason.HTTPStatus() != http.StatusServiceUnavailable {
+			t.Errorf("request %d: started %v, %v", i, started, f)
+		}
+		time.Sleep(take / 2)
+	}
+	<-stopped
+	if g.Taking().Err() == nil {
+		t.Error("requests are still taken")
+	}
+	end()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(3 * time.Second):
+		t.Error("the gateway does not end")
+	}
+}
