--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -41,6 +41,8 @@
 	// idleSince is when its last response ended; zero while a request is in flight,
 	// and before the first request.
 	idleSince time.Time
+	// idleTimeout was the idle timeout when its last request came, of which the caller was told.
+	idleTimeout time.Duration
 	// headersDue is set if the timer limits the time for headers instead of the idle time.
 	headersDue bool
 	// closeReason is why the server closes the connection; empty while it is open.
@@ -88,18 +90,11 @@
 // leave changes the phase, and reports whether the connection was in the phase from.
 func (c *conn) leave(from, to connPhase) bool { return c.phase.CompareAndSwap(int32(from), int32(to)) }
 
-// serve enters phaseServing, and reports false if the connection is being closed.
-func (c *conn) serve() bool {
-	return c.leave(phaseReading, phaseServing) || c.leave(phaseWaiting, phaseServing) // waiting: the request was read ahead
-}
-
-// timeoutReason returns why the connection is closed when its timer fires. The caller must hold the
-// server's mutex.
-func (c *conn) timeoutReason() CloseReason {
-	if c.headersDue {
-		return CloseHeaderTimeout
+// serve enters phaseServing unless the connection is being closed.
+func (c *conn) serve() {
+	if !c.leave(phaseReading, phaseServing) {
+		c.leave(phaseWaiting, phaseServing) // the request was read ahead
 	}
-	return CloseIdle
 }
 
 // hasUnread reports whether bytes have arrived that have not been read.
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -135,6 +135,7 @@
 // Callers are told for how long they may use the connection again.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.in(phaseClosing) {
+		s.recordLate(c)
 		panic(http.ErrAbortHandler)
 	}
 	if s.draining.Load() {
@@ -145,6 +146,15 @@
 	s.Handler.ServeHTTP(w, r)
 }
 
+// recordLate reports a request that is not handled because its connection is being closed.
+func (s *Server) recordLate(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.OnLateRequest != nil {
+		s.OnLateRequest(c.closeReason)
+	}
+}
+
 // connState tracks the state of a connection and sets its timer.
 func (s *Server) connState(nc net.Conn, state http.ConnState) {
 	c := connOf(nc)
@@ -158,10 +168,8 @@
 		s.enforceMaxConns(c)
 	case http.StateActive:
 		c.timer.Stop()
-		c.idleSince = time.Time{}
-		if !c.serve() && s.OnLateRequest != nil {
-			s.OnLateRequest(c.closeReason)
-		}
+		c.idleSince, c.idleTimeout = time.Time{}, s.limits().IdleTimeout
+		c.serve()
 		c.watch.Start()
 		// Bounds writes for which the handler sets no deadline. If it fails, so do the writes.
 		_ = c.SetWriteDeadline(time.Now().Add(s.limits().IdleTimeout))
@@ -169,10 +177,7 @@
 		c.leave(phaseServing, phaseWaiting)
 		c.idleSince, c.headersDue = time.Now(), false
 		c.watch.Stop()
-		c.timer = time.AfterFunc(s.limits().IdleTimeout, func() { s.expire(c) })
-		if s.draining.Load() {
-			s.closeWaiting(c, CloseStopping)
-		}
+		c.timer = time.AfterFunc(s.idleTimeout(c), func() { s.expire(c) })
 	case http.StateClosed, http.StateHijacked:
 		c.stop()
 		s.remove(c)
@@ -182,16 +187,36 @@
 // limits returns the current limits, with defaults.
 func (s *Server) limits() Limits { return s.Limits().withDefaults() }
 
+// idleTimeout returns the idle timeout of a connection: the current one, or a longer one that its caller
+// was told. The caller must hold mu.
+func (s *Server) idleTimeout(c *conn) time.Duration {
+	if s.draining.Load() {
+		return drainIdleTimeout
+	}
+	return max(c.idleTimeout, s.limits().IdleTimeout)
+}
+
+// timeoutReason returns why a connection is closed when its timer fires. The caller must hold mu.
+func (s *Server) timeoutReason(c *conn) CloseReason {
+	switch {
+	case c.headersDue:
+		return CloseHeaderTimeout
+	case s.draining.Load():
+		return CloseStopping
+	}
+	return CloseIdle
+}
+
 // expire closes a connection whose timer has fired, unless the idle timeout has been raised since, or
 // its next request has arrived: then its headers must be read in time.
 func (s *Server) expire(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if left := time.Until(c.idleSince.Add(s.limits().IdleTimeout)); !c.headersDue && c.in(phaseWaiting) && left > 0 {
+	if left := time.Until(c.idleSince.Add(s.idleTimeout(c))); !c.headersDue && c.in(phaseWaiting) && left > 0 {
 		c.timer.Reset(left)
 		return
 	}
-	if s.closeWaiting(c, c.timeoutReason()) || c.in(phaseServing) || c.in(phaseClosing) {
+	if s.closeWaiting(c, s.timeoutReason(c)) || c.in(phaseServing) || c.in(phaseClosing) {
 		return
 	}
 	if c.headersDue && s.close(c, phaseReading, CloseHeaderTimeout) {
