intake: connections do not wait without a limit for the rest of a body

A caller that announced a body of up to 256 KiB, got a refusal and sent nothing more kept its connection open for as long as it liked. Such connections count among the most that a process takes, and are never closed in favor of others.

Cause: the read deadline for the body was cleared when the handler ended, and net/http then reads the rest of a body that was left, after the response, on a connection that is neither idle nor due for headers. Class: a wait without a deadline between two that have one. The server now sets a read deadline when the handler ends; net/http clears it with the next state of the connection.

TestConnectionWithoutTheRestOfABodyIsClosed before: 2 of 2 rows, the connection is still open after 1 s with an idle timeout of 200 ms.

--- a/internal/intake/refusal_test.go
+++ b/internal/intake/refusal_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -71,3 +73,45 @@
 	b.left -= n
 	return n, nil
 }
+
+// Guards against connections that stay open for the rest of a body that never arrives.
+func TestConnectionWithoutTheRestOfABodyIsClosed(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	tests := []struct {
+		name    string
+		timeout time.Duration
+		limits  Limits
+	}{
+		{"too large", time.Second, Limits{BodyBytes: 10}},
+		{"not in time", timeout / 2, Limits{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := &BodyMemory{Timeout: tt.timeout}
+			s := &Server{Limits: func() Limits { return Limits{IdleTimeout: timeout} }, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				b, err := m.Read(w, r, tt.limits)
+				if err != nil {
+					w.Header().Set("Connection", "close")
+					w.WriteHeader(http.StatusBadRequest)
+					return
+				}
+				b.Release()
+			})}
+			startServer(t, s)
+			conn := dial(t, s)
+			if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nx"); err != nil {
+				t.Fatal(err)
+			}
+			br := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = conn.SetReadDeadline(time.Now().Add(5 * timeout))
+			if _, err := br.ReadByte(); errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -144,6 +144,10 @@
 		w.Header().Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(t/time.Second), 10))
 	}
 	s.Handler.ServeHTTP(w, r)
+	if r.ContentLength != 0 {
+		// Bounds the time in which net/http reads what the handler has left of the body. If it fails, so do the reads.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(min(s.limits().IdleTimeout, DefaultBodyTimeout)))
+	}
 }
 
 // recordLate reports a request that is not handled because its connection is being closed.
