--- a/internal/intake/refusal_test.go
+++ b/internal/intake/refusal_test.go
@@ -108,6 +108,7 @@
 				t.Fatal(err)
 			}
 			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
 			_ = conn.SetReadDeadline(time.Now().Add(5 * timeout))
 			if _, err := br.ReadByte(); errors.Is(err, os.ErrDeadlineExceeded) {
 				t.Error("the connection is still open")
