escrow: size holdings as before the spend limits

The cap on what a holder that has spent little may have gains nothing beside the limits, and makes routers that have just started ask the ledger more often, as the grants get smaller. TestCrashesDoNotUseUpABudget without it: none refused; 205493, 323648 and 250976 of 3000000 lost (with it 212253, 328852 and 246523). TestRoutersAdmission, two outages with an ample budget: 47 false refusals of 2786 (51 with it, 46 before the limits); with a burst 230 of 3124, as with it.

--- a/internal/escrow/allocator.go
+++ b/internal/escrow/allocator.go
@@ -29,10 +29,6 @@
 	// maxOutageDuration caps how long, at its reported rate, a holder should be able to go on
 	// without the ledger. It covers the outages that users report.
 	maxOutageDuration = 30 * time.Second
-	// spentFactor times what a holder has spent is how much it should have at most, beyond what
-	// minOutageDuration takes: the demand of one that has just begun to spend may soon end.
-	spentFactor       = 3
-	minOutageDuration = 2 * time.Second
 	// refillPercent is the percentage of its target below which a holder is refilled.
 	refillPercent = 70
 	// slackPercent is how much a holder may have, as a percentage of its target, before it is
@@ -175,7 +171,7 @@
 	state := s.assess(b, w, h, x, sumachead.Tokens(p.GetNeeded()), now)
 	a.UrgentOnly, a.ExhaustedFrom = state.Active, int64(state.ExhaustedFrom)
 	available := x.Outstanding() - x.Spent - sumachead.Tokens(p.GetReserved())
-	target := s.targetAvailable(b, w, h, x.Spent, state)
+	target := s.targetAvailable(b, w, h, state)
 	unallocated := b.Unallocated(w)
 	var grant sumachead.Tokens
 	if available*100 < target*refillPercent {
@@ -257,9 +253,9 @@
 }
 
 // targetAvailable returns how much a holder should have available beyond what its requests in
-// flight need: by its demand and what it has spent so far, or by that of urgent requests alone while there is a reserve. The
+// flight need: by its demand, or by that of urgent requests alone while there is a reserve. The
 // caller holds mu.
-func (s *Allocator) targetAvailable(b *Ledger, w sumachead.WorkspaceID, h Holder, spent sumachead.Tokens, state ReserveState) sumachead.Tokens {
+func (s *Allocator) targetAvailable(b *Ledger, w sumachead.WorkspaceID, h Holder, state ReserveState) sumachead.Tokens {
 	d := s.holders[h]
 	if d == nil {
 		return 0
@@ -273,8 +269,7 @@
 	}
 	unallocated := max(b.Unallocated(w), 0)
 	byTime := rate * sumachead.Tokens(maxOutageDuration/time.Second)
-	byAge := max(spent*spentFactor, rate*sumachead.Tokens(minOutageDuration/time.Second))
-	return min(byTime, byAge, targetOutstanding(unallocated, totalRate)*rate/totalRate)
+	return min(byTime, targetOutstanding(unallocated, totalRate)*rate/totalRate)
 }
 
 // targetOutstanding returns how much of a budget's unallocated part all holders together should
