--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,18 +112,18 @@
 	// startedAt is when Init was called.
 	startedAt time.Time
 	inFlight  atomic.Int64
-	// stopping is set once a planned stop has begun, and taking ends, by endTaking, when no more
-	// requests are taken.
+	// stopping is set once a planned stop has begun, and accepting ends, by endAccepting, when no more
+	// requests are accepted.
 	stopping       atomic.Bool
-	taking         context.Context
-	endTaking      context.CancelFunc
+	accepting      context.Context
+	endAccepting   context.CancelFunc
 	requestStopper requestStopper
 }
 
 // Init initializes what Run and Serve need.
 func (g *Gateway) Init() {
 	g.startedAt = time.Now()
-	g.taking, g.endTaking = context.WithCancel(context.Background())
+	g.accepting, g.endAccepting = context.WithCancel(context.Background())
 	g.servers = &registry.Table{Heartbeat: g.Heartbeat}
 	g.metrics = newMetrics(g)
 	g.servedLog = &telemetry.LogLimiter{PerSecond: g.LinesPerSecond}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// maxDrainTime is how long new requests are still taken after the order to stop, unless
+	// maxDrainTime is how long new requests are still accepted after the order to stop, unless
 	// that exceeds one part in drainDivisor of the grace period: a load balancer needs two missed
 	// health checks at one per second.
 	maxDrainTime = 2500 * time.Millisecond
@@ -29,8 +29,8 @@
 
 // StopDeadlines are the deadlines of a planned stop, in their order.
 type StopDeadlines struct {
-	// TakeUntil is until when requests are taken, whose last byte must have arrived by then.
-	TakeUntil time.Time
+	// AcceptUntil is until when requests are accepted, whose last byte must have arrived by then.
+	AcceptUntil time.Time
 	// SendUntil is until when they are sent to servers if their own deadlines are after AnswerBy.
 	SendUntil time.Time
 	// AnswerBy is until when servers may respond.
@@ -42,14 +42,14 @@
 // PlanStop returns the deadlines of a stop that begins now and may take the grace period.
 func PlanStop(now time.Time, grace time.Duration) StopDeadlines {
 	reserved := grace / escrowReturnDivisor
-	d := StopDeadlines{TakeUntil: now.Add(min(maxDrainTime, grace/drainDivisor)), AnswerBy: now.Add(grace - reserved)}
-	d.SendUntil = d.TakeUntil.Add(d.AnswerBy.Sub(d.TakeUntil) / 2)
+	d := StopDeadlines{AcceptUntil: now.Add(min(maxDrainTime, grace/drainDivisor)), AnswerBy: now.Add(grace - reserved)}
+	d.SendUntil = d.AcceptUntil.Add(d.AnswerBy.Sub(d.AcceptUntil) / 2)
 	d.CloseBy = d.AnswerBy.Add(reserved / lastAnswersDivisor)
 	return d
 }
 
 // maySend reports whether a request with a deadline, zero if it is not known yet, may be sent to a
-// server: it ends by AnswerBy on its own account, or has half of the time that there is after TakeUntil.
+// server: it ends by AnswerBy on its own account, or has half of the time that there is after AcceptUntil.
 func (d StopDeadlines) maySend(deadline, now time.Time) bool {
 	return !now.After(d.SendUntil) || !deadline.IsZero() && !deadline.After(d.AnswerBy)
 }
@@ -155,7 +155,7 @@
 }
 
 // Stop begins a planned stop: the gateway is not ready from now on, and requests end by the deadlines.
-// It returns at TakeUntil, or when ctx ends.
+// It returns at AcceptUntil, or when ctx ends.
 func (g *Gateway) Stop(ctx context.Context, d StopDeadlines) {
 	g.requestStopper.begin(d)
 	g.stopping.Store(true)
@@ -170,8 +170,8 @@
 			}
 		}()
 	}
-	loop.Sleep(ctx, time.Until(d.TakeUntil))
-	g.endTaking()
+	loop.Sleep(ctx, time.Until(d.AcceptUntil))
+	g.endAccepting()
 }
 
 // CloseBy returns when callers' connections are closed; without a planned stop, as if one began now.
@@ -187,8 +187,8 @@
 // Stopping reports whether a planned stop has begun.
 func (g *Gateway) Stopping() bool { return g.stopping.Load() }
 
-// Taking returns a context that ends when no more requests are taken.
-func (g *Gateway) Taking() context.Context { return g.taking }
+// Accepting returns a context that ends when no more requests are accepted.
+func (g *Gateway) Accepting() context.Context { return g.accepting }
 
 // RefuseStopping returns the refusal of a request that has not run because the router is stopping.
 // Other routers serve it at once.
--- a/internal/gateway/stoprequests_test.go
+++ b/internal/gateway/stoprequests_test.go
@@ -31,8 +31,8 @@
 	const (
 		single     = wire.RouteKind_ROUTE_KIND_SINGLE
 		repeatable = wire.RouteKind_ROUTE_KIND_REPEATABLE
-		// take, send and answer are when the deadlines are, from the beginning of the stop.
-		take, send, answer = 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond
+		// accept, send and answer are when the deadlines are, from the beginning of the stop.
+		accept, send, answer = 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond
 		ok                 = sumachead.Verdict("")
 	)
 	served, notRun := respondWith(200, "", "ok"), respondWith(503, "X-Not-Run: 1\r\n", "")
@@ -64,7 +64,7 @@
 			a, b := &backend{id: "a"}, &backend{id: "b"}
 			g := newGateway(t, tt.kind, false, map[string]string{"a": a.listen(t, tt.serve), "b": b.listen(t, tt.serve)})
 			begun := time.Now()
-			go g.Stop(t.Context(), StopDeadlines{begun.Add(take), begun.Add(send), begun.Add(answer), begun.Add(answer)})
+			go g.Stop(t.Context(), StopDeadlines{begun.Add(accept), begun.Add(send), begun.Add(answer), begun.Add(answer)})
 			time.Sleep(tt.at)
 			_, _, err := sendRequest(g, "1", func(r *sumachead.CallerRequest) { r.Deadline = time.Now().Add(tt.timeout) })
 			took := time.Since(begun)
@@ -194,22 +194,22 @@
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(running) }()
 	begun := time.Now()
-	const take = 100 * time.Millisecond
+	const accept = 100 * time.Millisecond
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		g.Stop(running, StopDeadlines{begun.Add(take), begun.Add(2 * take), begun.Add(3 * take), begun.Add(3 * take)})
+		g.Stop(running, StopDeadlines{begun.Add(accept), begun.Add(2 * accept), begun.Add(3 * accept), begun.Add(3 * accept)})
 	}()
 	for i := range 5 {
 		_, started, err := sendRequest(g, fmt.Sprint(i), nil)
 		if f := refusalOf(t, err); started || f.Verdict != sumachead.NotRun || f.Reason.HTTPStatus() != http.StatusServiceUnavailable {
 			t.Errorf("request %d: started %v, %v", i, started, f)
 		}
-		time.Sleep(take / 2)
+		time.Sleep(accept / 2)
 	}
 	<-stopped
-	if g.Taking().Err() == nil {
-		t.Error("requests are still taken")
+	if g.Accepting().Err() == nil {
+		t.Error("requests are still accepted")
 	}
 	end()
 	select {
--- a/internal/intake/taking_test.go
+++ b/internal/intake/accepting_test.go
@@ -16,10 +16,10 @@
 )
 
 // Guards against uploads that a stopping process waits for, though it takes no more requests.
-func TestUploadsEndWithTaking(t *testing.T) {
-	taking, end := context.WithCancel(context.Background())
+func TestUploadsEndWhenNoMoreRequestsAreAccepted(t *testing.T) {
+	accepting, end := context.WithCancel(context.Background())
 	defer end()
-	m := &BodyMemory{Taking: taking}
+	m := &BodyMemory{Accepting: accepting}
 	reasons := make(chan sumachead.Reason, 1)
 	s := &Server{Limits: func() Limits { return Limits{} }, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		reason := sumachead.Reason("")
@@ -69,11 +69,11 @@
 }
 
 // Guards against requests that are taken and then ended as if their callers had gone.
-func TestRequestsTakenLastAreNotEnded(t *testing.T) {
+func TestRequestsAcceptedLastAreNotEnded(t *testing.T) {
 	const callers = 300
-	taking, end := context.WithCancel(context.Background())
+	accepting, end := context.WithCancel(context.Background())
 	defer end()
-	m := &BodyMemory{Taking: taking}
+	m := &BodyMemory{Accepting: accepting}
 	var taken, refused, interrupted atomic.Int64
 	s := &Server{Limits: func() Limits { return Limits{} }, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b, err := m.Read(w, r, Limits{})
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -39,9 +39,9 @@
 	MaxBytes int64
 	// Timeout is the time within which a body must arrive; 0 selects the default.
 	Timeout time.Duration
-	// Taking ends when the process takes no more requests: bodies that have not arrived by then are
+	// Accepting ends when the process accepts no more requests: bodies that have not arrived by then are
 	// refused. It is nil for a process that always does.
-	Taking context.Context
+	Accepting context.Context
 
 	reserved atomic.Int64
 }
@@ -77,9 +77,9 @@
 	}
 	stop := LimitBodyTime(w, cmp.Or(m.Timeout, DefaultBodyTimeout))
 	defer stop()
-	stillTaking := m.endReadWithTaking(w)
+	stillAccepting := m.endReadWithAccepting(w)
 	err := b.read(r.Body, r.ContentLength, l.BodyBytes)
-	if !stillTaking() {
+	if !stillAccepting() {
 		err = sumachead.Refuse(sumachead.NotRun, sumachead.ReasonStopping, "the router is stopping, and the body has not arrived", time.Now())
 	}
 	if err != nil {
@@ -89,14 +89,14 @@
 	return b, nil
 }
 
-// endReadWithTaking makes reads of a request's body fail when Taking ends. The function that it returns
-// ends that, and reports whether Taking has not ended.
-func (m *BodyMemory) endReadWithTaking(w http.ResponseWriter) (stillTaking func() bool) {
-	if m.Taking == nil {
+// endReadWithAccepting makes reads of a request's body fail when Accepting ends. The function that it returns
+// ends that, and reports whether Accepting has not ended.
+func (m *BodyMemory) endReadWithAccepting(w http.ResponseWriter) (stillAccepting func() bool) {
+	if m.Accepting == nil {
 		return func() bool { return true }
 	}
 	c, done := http.NewResponseController(w), make(chan struct{})
-	stop := context.AfterFunc(m.Taking, func() {
+	stop := context.AfterFunc(m.Accepting, func() {
 		defer close(done)
 		_ = c.SetReadDeadline(time.Now()) // a connection without deadlines is that of a test
 	})
