--- a/internal/gateway/stoprequests_test.go
+++ b/internal/gateway/stoprequests_test.go
@@ -33,7 +33,7 @@
 		repeatable = wire.RouteKind_ROUTE_KIND_REPEATABLE
 		// accept, send and answer are when the deadlines are, from the beginning of the stop.
 		accept, send, answer = 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond
-		ok                 = sumachead.Verdict("")
+		ok                   = sumachead.Verdict("")
 	)
 	served, notRun := respondWith(200, "", "ok"), respondWith(503, "X-Not-Run: 1\r\n", "")
 	silent := answerAfter(10*time.Second, closeConnection)
