standin: events behind a malformed head are none

The stand-in records no event behind a malformed head now. The check of the soak stays as it was; all other tokens that engines send count in it, also those of responses that break off.

--- a/internal/standin/replica.go
+++ b/internal/standin/replica.go
@@ -60,7 +60,7 @@
 	// Blocks are the blocks of the prompt, as the request names them.
 	Blocks string
 	// Prompt is the number of prompt tokens of a stream, and LastEvent the id of the last event
-	// that was sent; 0 while there was none.
+	// that was sent; 0 while there was none. What follows a malformed head is no event.
 	Prompt, LastEvent int
 }
 
@@ -319,14 +319,15 @@
 	n, _ := strconv.Atoi(limit)
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
+	malformed, last := false, from
 	if f.Framing != "" && n > from {
 		length := 0
 		for i := from + 1; i <= n; i++ {
 			length += len(r.event(i))
 		}
 		if x := r.frame(w, f, length, n-from); x != nil {
-			defer func() { x.finish(run.LastEvent == n) }()
-			w = x
+			defer func() { x.finish(last == n) }()
+			w, malformed = x, x.malformed
 		}
 	}
 	control := http.NewResponseController(w)
@@ -343,10 +344,13 @@
 			return
 		}
 		_ = control.Flush() // the next write returns the error
-		r.mu.Lock()
-		run.Prompt, _ = strconv.Atoi(prompt)
-		run.LastEvent = i
-		r.mu.Unlock()
+		last = i
+		if !malformed {
+			r.mu.Lock()
+			run.Prompt, _ = strconv.Atoi(prompt)
+			run.LastEvent = i
+			r.mu.Unlock()
+		}
 		if i == from+1 && r.crashesOnBlock(q) {
 			return
 		}
